--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Every target sets up what it needs; a fresh machine needs Python 3.11 only.
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup demo test lint format fuzz bench
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt 2>/dev/null
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e . 2>/dev/null
+	touch $@
+
+demo: setup
+	$(BIN)/trefoilwind-demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+fuzz: setup
+	TREFOILWIND_FUZZ_EXAMPLES=10000 $(BIN)/python -m pytest tests -k "fuzz"
--- /dev/null
+++ b/trefoilwind/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution system for a service mesh."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/trefoilwind/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API, status, metrics and the time line."""
--- /dev/null
+++ b/trefoilwind/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Thin entry points of the programs."""
--- /dev/null
+++ b/trefoilwind/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Spreading of log records and messages between nodes."""
--- /dev/null
+++ b/trefoilwind/log/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's append-only log and the fold over its records."""
--- /dev/null
+++ b/trefoilwind/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements of backend servers and their leases."""
--- /dev/null
+++ b/trefoilwind/model/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen data classes shared by all parts."""
--- /dev/null
+++ b/trefoilwind/node/__init__.py
@@ -0,0 +1,1 @@
+"""Actors that run controllers over the blackboard."""
--- /dev/null
+++ b/trefoilwind/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server, limits, retries and idempotency."""
--- /dev/null
+++ b/trefoilwind/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform for the demo and tests."""
