--- /dev/null
+++ b/trefoilwind/admin/client.py
@@ -0,0 +1,91 @@
+"""Client of a node's administration API."""
+
+import json
+from typing import Any
+
+import cattrs
+import urllib3
+
+from trefoilwind import errors
+from trefoilwind import events
+from trefoilwind.admin import documents
+from trefoilwind.admin import views
+
+_STEP = "admin.request"
+_OK = 200
+_TIMEOUT_S = 5.0
+
+
+class AdminClient:
+    """Typed access to one node."""
+
+    def __init__(self, url: str, token: str):
+        self._url = url.rstrip("/")
+        self._headers = {"Authorization": f"Bearer {token}"}
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def status(self) -> views.Status | errors.AdminError:
+        """Return the node's status."""
+        return self._call("GET", "/v1/status", None, views.Status)
+
+    def events(
+        self, since: int = 0
+    ) -> tuple[events.Event, ...] | errors.AdminError:
+        """Return the node's events from sequence `since` on."""
+        return self._call(
+            "GET", f"/v1/events?since={since}", None, tuple[events.Event, ...]
+        )
+
+    def publish(
+        self, request: views.PublicationRequest
+    ) -> None | errors.AdminError:
+        """Ask the node to append a publication to the log."""
+        return self._submit("/v1/publications", request)
+
+    def move(self, request: views.MoveSubmission) -> None | errors.AdminError:
+        """Ask the node to append a move to the log."""
+        return self._submit("/v1/moves", request)
+
+    def _submit(self, path: str, request: Any) -> None | errors.AdminError:
+        result = self._call("POST", path, request, None)
+        return result if isinstance(result, errors.Error) else None
+
+    def _call(
+        self, method: str, path: str, body: Any, cls: Any
+    ) -> Any | errors.AdminError:
+        data = None
+        if body is not None:
+            data = json.dumps(documents.to_plain(body)).encode()
+        try:
+            response = self._pool.request(
+                method,
+                self._url + path,
+                body=data,
+                headers=self._headers,
+                timeout=_TIMEOUT_S,
+            )
+            plain = json.loads(response.data)
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            reason = errors.Reason.PEER_UNREACHABLE
+            return self._error(reason, type(error).__name__)
+        if response.status != _OK:
+            return self._refusal(plain)
+        if cls is None:
+            return plain
+        try:
+            return documents.from_plain(plain, cls)
+        except (cattrs.BaseValidationError, ValueError):
+            return self._error(errors.Reason.UNDECODABLE, path)
+
+    def _refusal(self, plain: Any) -> errors.AdminError:
+        try:
+            reason = errors.Reason(plain["reason"])
+            path = plain.get("path", "")
+            detail = " ".join(x for x in (path, plain["detail"]) if x)
+            step = plain["step"]
+        except (KeyError, TypeError, ValueError):
+            return self._error(errors.Reason.UNDECODABLE, "refusal")
+        return errors.AdminError(reason, step, self._url, detail)
+
+    def _error(self, reason: errors.Reason, detail: str) -> errors.AdminError:
+        return errors.AdminError(reason, _STEP, self._url, detail)
--- /dev/null
+++ b/trefoilwind/admin/documents.py
@@ -0,0 +1,30 @@
+"""Frozen data classes to and from JSON documents."""
+
+import enum
+from typing import Any
+
+import cattrs
+from cattrs.preconf import json as cattrs_json
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs_json.make_converter(forbid_extra_keys=True)
+    converter.register_unstructure_hook(enum.Enum, lambda member: member.value)
+    return converter
+
+
+_converter = _make_converter()
+
+
+def to_plain(value: Any) -> Any:
+    """Return the maps, lists and scalars of a data class."""
+    return _converter.unstructure(value)
+
+
+def from_plain(plain: Any, cls: type) -> Any:
+    """Return the data class that a document describes.
+
+    Raises:
+        cattrs.BaseValidationError: The document does not fit.
+    """
+    return _converter.structure(plain, cls)
--- /dev/null
+++ b/trefoilwind/cmd/standin_backend.py
@@ -0,0 +1,51 @@
+"""Program `trefoilwind-standin-backend`: a backend server for trials."""
+
+import cyclopts
+
+from trefoilwind.cmd import common
+from trefoilwind.standins import backend
+
+app = cyclopts.App(help="Stand-in of a backend server.")
+
+
+@app.default
+def run(
+    service: str,
+    version: str,
+    *,
+    admin: str,
+    port: int = 0,
+    slots: int = 16,
+    fail_every: int = 0,
+    delay_s: float = 0.0,
+) -> None:
+    """Serve calls and announce to a node until asked to end.
+
+    Args:
+        service: Service of the backend server.
+        version: Version of the backend server.
+        admin: URL of the administration API of the node beside it.
+        port: Port to listen on; 0 lets the system choose.
+        slots: Calls that it runs at once.
+        fail_every: Every n-th call answers with status 500; 0 for none.
+        delay_s: Time in seconds that each call takes.
+    """
+    faults = backend.BackendFaults(fail_every, delay_s)
+    try:
+        server = backend.BackendServer(service, version, faults, port=port)
+    except OSError as error:
+        common.fail(f"port {port}: {error}")
+    server.start()
+    server.announce_until_stopped(admin, slots)
+    print(f"{service} {version} on port {server.port}", flush=True)
+    common.wait_for_stop()
+    server.stop()
+
+
+def main() -> None:
+    """Run the program."""
+    common.run(app)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/trefoilwind/cmd/standin_log.py
@@ -0,0 +1,44 @@
+"""Program `trefoilwind-standin-log`: the platform's log, in memory."""
+
+import threading
+
+from cheroot import wsgi
+import cyclopts
+
+from trefoilwind.cmd import common
+from trefoilwind.standins import log_server
+from trefoilwind.standins import log_service
+
+app = cyclopts.App(help="Stand-in of the platform's append-only log.")
+
+
+@app.default
+def run(*, host: str = "127.0.0.1", port: int = 0) -> None:
+    """Serve a log in memory until asked to end.
+
+    Args:
+        host: IP number to listen on.
+        port: Port to listen on; 0 lets the system choose.
+    """
+    server = wsgi.Server(
+        (host, port),
+        log_server.LogApplication(log_service.MemoryLog()),
+        numthreads=32,
+    )
+    try:
+        server.prepare()
+    except OSError as error:
+        common.fail(f"{host}:{port}: {error}")
+    threading.Thread(target=server.serve, daemon=True).start()
+    print(f"log http://{host}:{server.bind_addr[1]}", flush=True)
+    common.wait_for_stop()
+    server.stop()
+
+
+def main() -> None:
+    """Run the program."""
+    common.run(app)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/trefoilwind/codec.py
@@ -0,0 +1,95 @@
+"""Typed messages to and from msgpack bytes.
+
+A message is a frozen data class registered under a short tag. On the wire it
+is the array [tag, fields]; fields stand in the order of their definition, so
+new fields with defaults go last.
+"""
+
+import dataclasses
+from typing import Any
+from typing import TypeVar
+
+import cattrs
+from cattrs.preconf import msgpack as cattrs_msgpack
+import msgpack
+
+from trefoilwind import errors
+
+_T = TypeVar("_T")
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+_classes_by_tag: dict[str, type] = {}
+_tags_by_class: dict[type, str] = {}
+
+
+def _strict(expected: type, *accepted: type):
+    def structure(value: Any, _: Any) -> Any:
+        if type(value) not in (expected, *accepted):
+            raise TypeError(f"{expected.__name__} expected")
+        return expected(value)
+
+    return structure
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs_msgpack.make_converter(
+        unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE
+    )
+    for scalar in (str, bool, bytes, int):
+        converter.register_structure_hook(scalar, _strict(scalar))
+    converter.register_structure_hook(float, _strict(float, int))
+    return converter
+
+
+_converter = _make_converter()
+
+
+def message(tag: str):
+    """Return a class decorator that registers a frozen data class.
+
+    Args:
+        tag: Short name on the wire, unique in the process.
+    """
+
+    def register(cls: type[_T]) -> type[_T]:
+        if tag in _classes_by_tag:
+            raise ValueError(f"tag {tag} is registered twice")
+        _classes_by_tag[tag] = cls
+        _tags_by_class[cls] = tag
+        return cls
+
+    return register
+
+
+def to_plain(value: Any) -> Any:
+    """Return the plain lists and scalars of a data class."""
+    return _converter.unstructure(value)
+
+
+def encode(value: Any) -> bytes:
+    """Return the bytes of a registered message."""
+    tag = _tags_by_class[type(value)]
+    return msgpack.packb((tag, _converter.unstructure(value)))
+
+
+def decode(data: bytes, step: str, peer: str = "") -> Any | errors.StreamError:
+    """Return the message in `data`, or an error value; never raises.
+
+    Args:
+        data: Bytes as made by `encode`.
+        step: Step named by the error.
+        peer: Peer named by the error.
+    """
+    try:
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise ValueError("too large")
+        tag, fields = msgpack.unpackb(data)
+        cls = _classes_by_tag[tag]
+        if len(fields) > len(dataclasses.fields(cls)):
+            raise ValueError("too many fields")
+        return _converter.structure(fields, cls)
+    except Exception as error:  # Input of a peer; any failure is its fault.
+        return errors.StreamError(
+            errors.Reason.UNDECODABLE, step, peer, type(error).__name__
+        )
--- /dev/null
+++ b/trefoilwind/distribution/frames.py
@@ -0,0 +1,223 @@
+"""Frames of a peer stream: msgpack arrays that start with a tag."""
+
+import dataclasses
+import operator
+from typing import Any
+
+import msgpack
+
+from trefoilwind import errors
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 17 * 1024 * 1024
+MAX_CHUNK_BYTES = 64 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """First frame of each side."""
+
+    protocol: int
+    node_id: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Control:
+    """A message between controllers, with the sender's hybrid time."""
+
+    wall_ms: int
+    counter: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    """Heartbeat; the receiver answers with a `Pong`."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pong:
+    """Answer to a heartbeat."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GoAway:
+    """The sender takes no further calls.
+
+    Attributes:
+        last_call_id: Largest id of a call that the sender took on this
+            stream; calls with a larger id did not run.
+    """
+
+    last_call_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallOpen:
+    """Start of a call.
+
+    Attributes:
+        call_id: Id of the call on this stream; grows by one.
+        method: HTTP method.
+        path: Path and query, after the service's name.
+        headers: Pairs of names and values.
+        remaining_s: Seconds until the call's deadline, counted from receipt.
+        class_name: Class of work.
+        importance: Importance of the class.
+        fingerprint: Digest of the request; empty if the body is not known.
+        body: First bytes of the body.
+        is_last: True if the body ends here.
+    """
+
+    call_id: int
+    method: str
+    path: str
+    headers: list
+    remaining_s: float
+    class_name: str
+    importance: int
+    fingerprint: str
+    body: bytes
+    is_last: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallBody:
+    """Further bytes of a call's body."""
+
+    call_id: int
+    chunk: bytes
+    is_last: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of an answer."""
+
+    call_id: int
+    status: int
+    headers: list
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerBody:
+    """Bytes of an answer's body."""
+
+    call_id: int
+    chunk: bytes
+    is_last: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallFailed:
+    """The call ended without a whole answer.
+
+    Attributes:
+        call_id: Id of the call.
+        reason: Value of an `errors.Reason`.
+        step: Step at which it failed.
+        peer: Node or address at which it failed.
+        detail: Short text for a person.
+        not_run: True if no byte reached a backend server.
+    """
+
+    call_id: int
+    reason: str
+    step: str
+    peer: str
+    detail: str
+    not_run: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """The caller went away or its deadline passed."""
+
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Credit:
+    """The receiver of a body can take more bytes.
+
+    Attributes:
+        call_id: Id of the call.
+        count: Further bytes that may be sent.
+        of_answer: True for the answer's body, False for the call's.
+    """
+
+    call_id: int
+    count: int
+    of_answer: bool
+
+
+Frame = (
+    Hello
+    | Control
+    | Ping
+    | Pong
+    | GoAway
+    | CallOpen
+    | CallBody
+    | AnswerHead
+    | AnswerBody
+    | CallFailed
+    | Cancel
+    | Credit
+)
+
+_CLASSES: tuple[type, ...] = Frame.__args__
+
+
+def _getter(cls: type):
+    names = [field.name for field in dataclasses.fields(cls)]
+    if not names:
+        return lambda frame: ()
+    if len(names) == 1:
+        return lambda frame: (getattr(frame, names[0]),)
+    return operator.attrgetter(*names)
+
+
+_TAGS = {cls: (tag, _getter(cls)) for tag, cls in enumerate(_CLASSES)}
+_TYPES = tuple(
+    tuple(field.type for field in dataclasses.fields(cls)) for cls in _CLASSES
+)
+
+
+def encode(frame: Frame) -> bytes:
+    """Return the bytes of a frame."""
+    tag, getter = _TAGS[type(frame)]
+    return msgpack.packb((tag, *getter(frame)))
+
+
+class Decoder:
+    """Turns the bytes of one stream into frames; memory is bounded."""
+
+    def __init__(self) -> None:
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+
+    def feed(self, data: bytes) -> list[Frame] | errors.StreamError:
+        """Return the frames completed by `data`, or an error; never raises."""
+        try:
+            self._unpacker.feed(data)
+            return [_structure(array) for array in self._unpacker]
+        except Exception as error:  # Input of a peer; any failure is its own.
+            return errors.StreamError(
+                errors.Reason.PROTOCOL,
+                "stream.decode",
+                detail=type(error).__name__,
+            )
+
+
+def _structure(array: Any) -> Frame:
+    tag, *fields = array
+    if type(tag) is not int or not 0 <= tag < len(_CLASSES):
+        raise ValueError("unknown tag")
+    expected = _TYPES[tag]
+    if len(fields) != len(expected):
+        raise ValueError("wrong number of fields")
+    for value, type_ in zip(fields, expected, strict=True):
+        if type(value) is not type_ and (type_, type(value)) != (float, int):
+            raise ValueError("wrong type of a field")
+    return _CLASSES[tag](*fields)
--- /dev/null
+++ b/trefoilwind/distribution/transport.py
@@ -0,0 +1,264 @@
+"""Streams of a node: listening, connecting, heartbeats."""
+
+from collections.abc import Callable
+import contextlib
+import logging
+import random
+import socket
+import threading
+
+from trefoilwind import codec
+from trefoilwind import environment as environment_lib
+from trefoilwind import errors
+from trefoilwind import events
+from trefoilwind.distribution import backoff
+from trefoilwind.distribution import frames
+from trefoilwind.distribution import ports
+from trefoilwind.distribution import stream as stream_lib
+from trefoilwind.model import addresses
+
+logger = logging.getLogger(__name__)
+
+_STEP = "stream.connect"
+_LISTEN_BACKLOG = 128
+_HEARTBEAT_CHECK_S = 0.25
+
+
+class Transport:
+    """All streams of a node. Methods may be called by any thread."""
+
+    def __init__(self, environment: environment_lib.Environment):
+        self._environment = environment
+        self._settings = environment.settings.streams
+        self._clock = environment.clock
+        self._random = random.Random(environment.random.random())
+        self._lock = threading.Lock()
+        self._streams: dict[str, list[stream_lib.PeerStream]] = {}
+        self._connecting: set[str] = set()
+        self._stopped = threading.Event()
+        self._listener: socket.socket | None = None
+        self.on_message: Callable = lambda peer, message: None
+        self.on_call_frame: Callable = lambda stream, frame: None
+        self.on_connected: Callable = lambda peer: None
+        self.on_lost: Callable = lambda peer: None
+        self.on_stream_closed: Callable = lambda stream: None
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Ids of the peers with a live stream, sorted."""
+        with self._lock:
+            return tuple(sorted(self._streams))
+
+    def listen(self) -> addresses.Address | errors.StreamError:
+        """Bind the peer address and return it with its port."""
+        address = self._environment.settings.peer_address
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind((address.host, address.port))
+            listener.listen(_LISTEN_BACKLOG)
+        except OSError as error:
+            listener.close()
+            return errors.StreamError(
+                errors.Reason.ADDRESS_IN_USE,
+                "stream.listen",
+                str(address),
+                error.strerror or "",
+            )
+        self._listener = listener
+        bound = addresses.Address(address.host, listener.getsockname()[1])
+        self._environment.peer_address = bound
+        return bound
+
+    def start(self) -> None:
+        """Accept streams and send heartbeats until `stop`."""
+        for target in (self._accept, self._send_heartbeats):
+            threading.Thread(
+                target=target, name=target.__name__, daemon=True
+            ).start()
+
+    def stop(self) -> None:
+        """Close the listener and all streams."""
+        self._stopped.set()
+        if self._listener is not None:
+            with contextlib.suppress(OSError):
+                self._listener.shutdown(socket.SHUT_RDWR)
+            self._listener.close()
+        for stream in self._all_streams():
+            stream.close()
+
+    def send(self, envelope: ports.Envelope) -> None:
+        """Send a control message; it is lost if the peer cannot be reached."""
+        stream = self.find(envelope.peer)
+        if stream is None:
+            self.connect_later(envelope.peer, envelope.address)
+            return
+        stamp = self._environment.events.hybrid_clock.now()
+        payload = codec.encode(envelope.message)
+        stream.send(frames.Control(stamp.wall_ms, stamp.counter, payload))
+
+    def find(self, peer: str) -> stream_lib.PeerStream | None:
+        """Return a live stream to a peer, or None."""
+        with self._lock:
+            streams = self._streams.get(peer)
+            return streams[-1] if streams else None
+
+    def connect(
+        self, address: addresses.Address
+    ) -> stream_lib.PeerStream | errors.StreamError:
+        """Connect to an address and wait for the peer's `Hello`."""
+        try:
+            connection = socket.create_connection(
+                (address.host, address.port),
+                timeout=self._settings.connect_timeout_s,
+            )
+        except OSError as error:
+            return errors.StreamError(
+                errors.Reason.PEER_UNREACHABLE,
+                _STEP,
+                str(address),
+                error.strerror or type(error).__name__,
+            )
+        connection.settimeout(None)
+        greeted = threading.Event()
+        stream = self._adopt(connection, greeted)
+        if not greeted.wait(self._settings.connect_timeout_s):
+            stream.close()
+            return errors.StreamError(
+                errors.Reason.PEER_SILENT, _STEP, str(address)
+            )
+        return stream
+
+    def connect_later(
+        self, peer: str, address: addresses.Address | None = None
+    ) -> None:
+        """Connect on a thread of its own unless that is under way."""
+        member = self._environment.blackboard.members.value.by_node.get(peer)
+        target = address or (member.peer_address if member else None)
+        key = str(target)
+        with self._lock:
+            if target is None or key in self._connecting:
+                return
+            if peer in self._streams or self._stopped.is_set():
+                return
+            self._connecting.add(key)
+        threading.Thread(
+            target=self._connect_with_backoff,
+            args=(target, key),
+            name=f"connect-{key}",
+            daemon=True,
+        ).start()
+
+    def _connect_with_backoff(
+        self, address: addresses.Address, key: str
+    ) -> None:
+        attempts = 4
+        for attempt in range(attempts):
+            result = self.connect(address)
+            if not isinstance(result, errors.Error):
+                break
+            delay_s = backoff.full_jitter_s(
+                attempt,
+                self._settings.backoff_base_s,
+                self._settings.backoff_cap_s,
+                self._random,
+            )
+            if self._stopped.wait(delay_s):
+                break
+        with self._lock:
+            self._connecting.discard(key)
+
+    def _adopt(
+        self,
+        connection: socket.socket,
+        greeted: threading.Event | None = None,
+    ) -> stream_lib.PeerStream:
+        stream = stream_lib.PeerStream(connection, self._clock)
+
+        def on_frame(stream, frame):
+            if isinstance(frame, frames.Hello):
+                self._register(stream)
+                if greeted is not None:
+                    greeted.set()
+                return
+            self._dispatch(stream, frame)
+
+        stream.start(on_frame, self._unregister)
+        hello = frames.Hello(
+            frames.PROTOCOL_VERSION,
+            self._environment.node_id,
+            self._environment.settings.data_centre,
+        )
+        stream.send(hello)
+        return stream
+
+    def _register(self, stream: stream_lib.PeerStream) -> None:
+        with self._lock:
+            streams = self._streams.setdefault(stream.peer, [])
+            streams.append(stream)
+            is_first = len(streams) == 1
+        if is_first:
+            self._environment.events.emit(
+                events.PEER_CONNECTED, peer=stream.peer
+            )
+            self.on_connected(stream.peer)
+
+    def _unregister(self, stream: stream_lib.PeerStream) -> None:
+        with self._lock:
+            streams = self._streams.get(stream.peer, [])
+            was_registered = stream in streams
+            if was_registered:
+                streams.remove(stream)
+            is_last = was_registered and not streams
+            if is_last:
+                del self._streams[stream.peer]
+        self.on_stream_closed(stream)
+        if is_last:
+            self._environment.events.emit(events.PEER_LOST, peer=stream.peer)
+            self.on_lost(stream.peer)
+
+    def _dispatch(
+        self, stream: stream_lib.PeerStream, frame: frames.Frame
+    ) -> None:
+        if isinstance(frame, frames.Control):
+            self._take_control(stream, frame)
+        elif isinstance(frame, frames.Ping):
+            stream.send(frames.Pong())
+        elif not isinstance(frame, frames.Pong):
+            self.on_call_frame(stream, frame)
+
+    def _take_control(
+        self, stream: stream_lib.PeerStream, frame: frames.Control
+    ) -> None:
+        message = codec.decode(frame.payload, "stream.control", stream.peer)
+        if isinstance(message, errors.Error):
+            logger.warning("stream: %s", message)
+            return
+        stamp = events.Stamp(frame.wall_ms, frame.counter)
+        self._environment.events.hybrid_clock.merge(stamp)
+        self.on_message(stream.peer, message)
+
+    def _accept(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self._adopt(connection)
+
+    def _all_streams(self) -> list[stream_lib.PeerStream]:
+        with self._lock:
+            return [s for group in self._streams.values() for s in group]
+
+    def _send_heartbeats(self) -> None:
+        while not self._stopped.wait(_HEARTBEAT_CHECK_S):
+            now = self._clock.monotonic()
+            for stream in self._all_streams():
+                self._check_stream(stream, now)
+
+    def _check_stream(self, stream: stream_lib.PeerStream, now: float) -> None:
+        if now - stream.last_received > self._settings.silence_timeout_s:
+            logger.warning("stream: peer %s is silent", stream.peer)
+            stream.close()
+        elif now - stream.last_sent > self._settings.heartbeat_interval_s:
+            stream.send(frames.Ping())
--- /dev/null
+++ b/trefoilwind/events.py
@@ -0,0 +1,200 @@
+"""Registry of named events and the recorder of a process's time line.
+
+Stamps are hybrid logical clocks: an event that another caused, across
+processes, always has the greater stamp, whatever the wall clocks say.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import threading
+
+from trefoilwind import clock as clock_lib
+
+_MILLISECONDS_PER_SECOND = 1000
+DEFAULT_CAPACITY_EVENTS = 4096
+
+
+@dataclasses.dataclass(frozen=True)
+class EventKind:
+    """One entry of the registry.
+
+    Attributes:
+        name: Dotted public name.
+        description: One sentence for the reference page.
+    """
+
+    name: str
+    description: str
+
+
+_registry: dict[str, EventKind] = {}
+
+
+def _register(name: str, description: str) -> EventKind:
+    kind = EventKind(name, description)
+    _registry[name] = kind
+    return kind
+
+
+NODE_STARTED = _register("node.started", "A node began to serve.")
+NODE_DRAINING = _register("node.draining", "A node stopped taking new work.")
+NODE_STOPPED = _register("node.stopped", "A node finished and left.")
+CONFIGURATION_APPLIED = _register(
+    "configuration.applied", "A configuration version became visible."
+)
+RECORD_REJECTED = _register(
+    "record.rejected", "A record of the log was rejected as a whole."
+)
+CHECKPOINT_WRITTEN = _register(
+    "checkpoint.written", "A checkpoint was appended to the log."
+)
+CHECKPOINT_LOADED = _register(
+    "checkpoint.loaded", "A node took its state from a checkpoint."
+)
+LEASE_ACQUIRED = _register("lease.acquired", "A node holds a lease.")
+LEASE_LOST = _register("lease.lost", "A node no longer holds a lease.")
+LOG_UNAVAILABLE = _register("log.unavailable", "The log does not answer.")
+LOG_RECOVERED = _register("log.recovered", "The log answers again.")
+PEER_CONNECTED = _register("peer.connected", "A peer stream opened.")
+PEER_LOST = _register("peer.lost", "A peer stream ended.")
+MEMBER_JOINED = _register("member.joined", "A backend server is announced.")
+MEMBER_LEAVING = _register(
+    "member.leaving", "A backend server takes no new work."
+)
+MEMBER_EXPIRED = _register("member.expired", "A member's lease ran out.")
+MEMBER_EJECTED = _register(
+    "member.ejected", "Outlier ejection took a backend server out."
+)
+CALL_REFUSED = _register("call.refused", "A call was refused as not run.")
+CALL_UNKNOWN = _register("call.unknown", "A call ended with unknown effect.")
+REQUEST_SUSPECTED = _register(
+    "request.suspected", "A request was in flight when its server died."
+)
+MOVE_STARTED = _register("move.started", "A move was accepted.")
+MOVE_STAGE = _register("move.stage", "A route's share of a move changed.")
+MOVE_BRAKED = _register("move.braked", "A fault of the version was shown.")
+MOVE_DONE = _register("move.done", "A move ended; the version took over.")
+MOVE_UNDONE = _register("move.undone", "A move ended; it was taken back.")
+
+
+def registry() -> tuple[EventKind, ...]:
+    """Return all kinds of events, sorted by name."""
+    return tuple(sorted(_registry.values(), key=lambda kind: kind.name))
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Stamp:
+    """Hybrid logical time: wall milliseconds, then a counter."""
+
+    wall_ms: int
+    counter: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """One event of a process.
+
+    Attributes:
+        stamp: Hybrid logical time.
+        process: Name of the process, usually the node's id.
+        sequence: Position in the process's time line, counted from 0.
+        name: Name of the event's kind.
+        subject: What the event is about: a version, move or member.
+        peer: The other process, if any.
+        detail: Short text for a person.
+    """
+
+    stamp: Stamp
+    process: str
+    sequence: int
+    name: str
+    subject: str = ""
+    peer: str = ""
+    detail: str = ""
+
+
+class HybridClock:
+    """Hybrid logical clock of one process. Safe for use by many threads."""
+
+    def __init__(self, clock: clock_lib.Clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._last = Stamp(0, 0)
+
+    def now(self) -> Stamp:
+        """Return a stamp greater than any returned or merged before."""
+        with self._lock:
+            self._last = self._next(self._last)
+            return self._last
+
+    def merge(self, remote: Stamp) -> None:
+        """Take in a peer's stamp, so that later local stamps exceed it."""
+        with self._lock:
+            self._last = max(self._last, remote)
+
+    def _next(self, floor: Stamp) -> Stamp:
+        wall_ms = int(self._clock.wall() * _MILLISECONDS_PER_SECOND)
+        if wall_ms > floor.wall_ms:
+            return Stamp(wall_ms, 0)
+        return Stamp(floor.wall_ms, floor.counter + 1)
+
+
+class EventLog:
+    """Bounded time line of one process. Safe for use by many threads."""
+
+    def __init__(
+        self,
+        process: str,
+        clock: clock_lib.Clock,
+        capacity: int = DEFAULT_CAPACITY_EVENTS,
+    ):
+        self._process = process
+        self._hybrid_clock = HybridClock(clock)
+        self._lock = threading.Lock()
+        self._events: collections.deque[Event] = collections.deque(
+            maxlen=capacity
+        )
+        self._next_sequence = 0
+        self._listeners: list[tuple[str, Callable[[Event], None]]] = []
+
+    @property
+    def hybrid_clock(self) -> HybridClock:
+        """Clock whose stamps travel on peer messages."""
+        return self._hybrid_clock
+
+    def connect(
+        self, kind: EventKind, listener: Callable[[Event], None]
+    ) -> None:
+        """Call `listener` with each later event of `kind`."""
+        self._listeners.append((kind.name, listener))
+
+    def emit(
+        self,
+        kind: EventKind,
+        subject: str = "",
+        peer: str = "",
+        detail: str = "",
+    ) -> Event:
+        """Record an event and return it."""
+        with self._lock:
+            event = Event(
+                stamp=self._hybrid_clock.now(),
+                process=self._process,
+                sequence=self._next_sequence,
+                name=kind.name,
+                subject=subject,
+                peer=peer,
+                detail=detail,
+            )
+            self._next_sequence += 1
+            self._events.append(event)
+        for name, listener in self._listeners:
+            if name == kind.name:
+                listener(event)
+        return event
+
+    def since(self, sequence: int) -> tuple[Event, ...]:
+        """Return the retained events from `sequence` on."""
+        with self._lock:
+            return tuple(e for e in self._events if e.sequence >= sequence)
--- /dev/null
+++ b/trefoilwind/log/fold.py
@@ -0,0 +1,227 @@
+"""Fold of the log: accepts or rejects whole records, the same on every node."""
+
+from collections.abc import Callable
+import dataclasses
+
+from trefoilwind import codec
+from trefoilwind import errors
+from trefoilwind.log import validation
+from trefoilwind.model import moves
+from trefoilwind.model import records
+from trefoilwind.model import state as state_lib
+
+_STEP = "log.fold"
+RECENT_IDS_KEPT = 4096
+ENDED_MOVES_KEPT = 64
+
+_Handler = Callable[
+    [state_lib.State, int, records.Record, object],
+    state_lib.State | errors.RecordError,
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Folded:
+    """Result of folding one record.
+
+    Attributes:
+        state: The new state; it has moved past the record in any case.
+        error: Why the record was rejected, or None.
+        body: The decoded body, or None if it was not decodable.
+    """
+
+    state: state_lib.State
+    error: errors.RecordError | None
+    body: object | None = None
+
+
+def fold(state: state_lib.State, offset: int, payload: bytes) -> Folded:
+    """Fold one record into the state.
+
+    Args:
+        state: State before the record; `offset` is not before its next offset.
+        offset: Offset of the record.
+        payload: Bytes of the record.
+    """
+    passed = dataclasses.replace(state, next_offset=offset + 1)
+    record = codec.decode(payload, _STEP)
+    if not isinstance(record, records.Record):
+        return Folded(
+            passed, _error(errors.Reason.UNDECODABLE, "", str(offset))
+        )
+    if record.record_id in state.recent_ids:
+        reason = errors.Reason.REPEATED_RECORD
+        return Folded(passed, _error(reason, record.writer, record.record_id))
+    passed = _remember(passed, record.record_id)
+    body = codec.decode(record.body, _STEP, record.writer)
+    handler = _HANDLERS.get(type(body))
+    if handler is None or type(body).__name__ != record.kind:
+        reason = errors.Reason.UNDECODABLE
+        return Folded(passed, _error(reason, record.writer, record.kind))
+    result = handler(passed, offset, record, body)
+    if isinstance(result, errors.RecordError):
+        return Folded(passed, result, body)
+    return Folded(result, None, body)
+
+
+def _error(
+    reason: errors.Reason, peer: str, detail: str = ""
+) -> errors.RecordError:
+    return errors.RecordError(reason, _STEP, peer, detail)
+
+
+def _remember(state: state_lib.State, record_id: str) -> state_lib.State:
+    ids = (*state.recent_ids, record_id)[-RECENT_IDS_KEPT:]
+    return dataclasses.replace(state, recent_ids=ids)
+
+
+def _fold_publication(
+    state: state_lib.State,
+    offset: int,
+    record: records.Record,
+    body: records.Publication,
+) -> state_lib.State | errors.RecordError:
+    if body.base_version != state.version:
+        return _error(
+            errors.Reason.STALE_BASE,
+            record.writer,
+            f"based on {body.base_version}, current is {state.version}",
+        )
+    problems = validation.validate(body.configuration)
+    if problems:
+        return _error(problems[0].reason, record.writer, str(problems[0]))
+    return dataclasses.replace(
+        state, version=offset, configuration=body.configuration
+    )
+
+
+def _fold_move(
+    state: state_lib.State,
+    offset: int,
+    record: records.Record,
+    body: records.MoveRequest,
+) -> state_lib.State | errors.RecordError:
+    problem = validation.validate_move(state, body)
+    if problem is not None:
+        return dataclasses.replace(problem, peer=record.writer)
+    move = moves.Move(
+        move_id=record.record_id,
+        service=body.service,
+        version=body.version,
+        from_version=state.stable_version(body.service, body.half),
+        deadline=body.deadline,
+        started=body.started,
+        half=body.half,
+        to_half=body.to_half,
+    )
+    kept = _trim_ended(state.moves)
+    return dataclasses.replace(state, moves=(*kept, moves.MoveStatus(move)))
+
+
+def _trim_ended(
+    statuses: tuple[moves.MoveStatus, ...],
+) -> tuple[moves.MoveStatus, ...]:
+    ended = [status for status in statuses if not status.is_open]
+    dropped = {s.move.move_id for s in ended[:-ENDED_MOVES_KEPT]}
+    return tuple(s for s in statuses if s.move.move_id not in dropped)
+
+
+def _fold_outcome(
+    state: state_lib.State,
+    offset: int,
+    record: records.Record,
+    body: moves.Outcome,
+) -> state_lib.State | errors.RecordError:
+    status = next(
+        (s for s in state.moves if s.move.move_id == body.move_id), None
+    )
+    if status is None:
+        reason = errors.Reason.MOVE_UNKNOWN
+        return _error(reason, record.writer, body.move_id)
+    if not status.is_open:
+        reason = errors.Reason.MOVE_ENDED
+        return _error(reason, record.writer, body.move_id)
+    ended = moves.MoveStatus(status.move, body)
+    statuses = tuple(ended if s is status else s for s in state.moves)
+    state = dataclasses.replace(state, moves=statuses)
+    if body.result is moves.Result.UNDONE:
+        return state
+    return dataclasses.replace(
+        state, stable=_with_stable(state.stable, status.move)
+    )
+
+
+def _with_stable(
+    stable: tuple[state_lib.StableVersion, ...], move: moves.Move
+) -> tuple[state_lib.StableVersion, ...]:
+    # A move of both halves replaces what was set for one half.
+    kept = tuple(
+        s
+        for s in stable
+        if s.service != move.service or (move.half and s.half != move.half)
+    )
+    entry = state_lib.StableVersion(
+        move.service, move.half, move.version, move.to_half
+    )
+    return (*kept, entry)
+
+
+def _fold_lease(
+    state: state_lib.State,
+    offset: int,
+    record: records.Record,
+    body: records.LeaseClaim,
+) -> state_lib.State | errors.RecordError:
+    current = state.lease(body.name)
+    is_held = current is not None and body.claimed_at < current.expires_at
+    if is_held and current.holder != body.holder:
+        return _error(errors.Reason.LEASE_HELD, record.writer, current.holder)
+    epoch = current.epoch if is_held else offset
+    lease = state_lib.Lease(body.name, body.holder, epoch, body.expires_at)
+    others = tuple(x for x in state.leases if x.name != body.name)
+    return dataclasses.replace(state, leases=(*others, lease))
+
+
+def _fold_checkpoint(
+    state: state_lib.State,
+    offset: int,
+    record: records.Record,
+    body: records.Checkpoint,
+) -> state_lib.State | errors.RecordError:
+    lease = state.lease(CHECKPOINT_LEASE)
+    if lease is None or lease.epoch != body.epoch:
+        return _error(errors.Reason.STALE_EPOCH, record.writer)
+    return state
+
+
+def _fold_contacts(
+    state: state_lib.State,
+    offset: int,
+    record: records.Record,
+    body: records.Contacts,
+) -> state_lib.State | errors.RecordError:
+    lease = state.lease(registrar_lease(body.data_centre))
+    if lease is None or lease.epoch != body.epoch:
+        return _error(errors.Reason.STALE_EPOCH, record.writer)
+    others = tuple(
+        c for c in state.contacts if c.data_centre != body.data_centre
+    )
+    return dataclasses.replace(state, contacts=(*others, body))
+
+
+CHECKPOINT_LEASE = "checkpoint"
+
+
+def registrar_lease(data_centre: str) -> str:
+    """Return the name of the lease of a data centre's registrar."""
+    return f"registrar/{data_centre}"
+
+
+_HANDLERS: dict[type, _Handler] = {
+    records.Publication: _fold_publication,
+    records.MoveRequest: _fold_move,
+    moves.Outcome: _fold_outcome,
+    records.LeaseClaim: _fold_lease,
+    records.Checkpoint: _fold_checkpoint,
+    records.Contacts: _fold_contacts,
+}
--- /dev/null
+++ b/trefoilwind/membership/directory.py
@@ -0,0 +1,50 @@
+"""Immutable snapshots of the membership."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+import functools
+
+from trefoilwind.model import members as members_lib
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """All live members, sorted by node id."""
+
+    members: tuple[members_lib.Member, ...] = ()
+
+    @functools.cached_property
+    def by_node(self) -> dict[str, members_lib.Member]:
+        """Members by node id."""
+        return {member.node_id: member for member in self.members}
+
+    @functools.cached_property
+    def by_version(
+        self,
+    ) -> dict[tuple[str, str], tuple[members_lib.Member, ...]]:
+        """Members that take new work, by (service, version)."""
+        groups = collections.defaultdict(list)
+        for member in self.members:
+            if member.service and not member.leaving:
+                groups[member.service, member.version].append(member)
+        return {key: tuple(group) for key, group in groups.items()}
+
+    def serving(
+        self, service: str, version: str
+    ) -> tuple[members_lib.Member, ...]:
+        """Return the members of a version that take new work."""
+        return self.by_version.get((service, version), ())
+
+    def in_data_centre(self, data_centre: str) -> tuple[str, ...]:
+        """Return the ids of the live nodes of a data centre, sorted."""
+        return tuple(
+            member.node_id
+            for member in self.members
+            if member.data_centre == data_centre
+        )
+
+
+def snapshot(entries: Iterable[members_lib.Member]) -> Snapshot:
+    """Return a snapshot of entries in any order."""
+    return Snapshot(tuple(sorted(entries, key=lambda m: m.node_id)))
--- /dev/null
+++ b/trefoilwind/model/records.py
@@ -0,0 +1,131 @@
+"""Records of the platform's log."""
+
+import dataclasses
+
+from trefoilwind import codec
+from trefoilwind.model import addresses
+from trefoilwind.model import configuration as configuration_lib
+from trefoilwind.model import moves
+
+
+@dataclasses.dataclass(frozen=True)
+class Publication:
+    """An operator's new configuration.
+
+    Attributes:
+        base_version: Version that the operator changed; -1 for the first.
+        configuration: The whole new configuration.
+    """
+
+    base_version: int
+    configuration: configuration_lib.Configuration
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveRequest:
+    """An operator's request for a move; fields as in `moves.Move`."""
+
+    service: str
+    version: str
+    deadline: float
+    started: float
+    half: str = ""
+    to_half: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseClaim:
+    """A claim or renewal of a lease.
+
+    Attributes:
+        name: Name of the lease.
+        holder: Node that claims it.
+        expires_at: Wall time in seconds at which it ends.
+        claimed_at: Wall time in seconds of the claim.
+    """
+
+    name: str
+    holder: str
+    expires_at: float
+    claimed_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Checkpoint:
+    """The folded state of all records before `next_offset`.
+
+    Attributes:
+        epoch: Epoch of the writer's lease.
+        next_offset: Offset of the first record that is not in the state.
+        state: Encoded state.
+    """
+
+    epoch: int
+    next_offset: int
+    state: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Contact:
+    """A node that newcomers can ask for peers."""
+
+    node_id: str
+    data_centre: str
+    peer_address: addresses.Address
+
+
+@dataclasses.dataclass(frozen=True)
+class Contacts:
+    """Contact list of one data centre, written by its registrar.
+
+    Attributes:
+        epoch: Epoch of the writer's lease.
+        data_centre: Data centre of all contacts.
+        contacts: A few live nodes.
+    """
+
+    epoch: int
+    data_centre: str
+    contacts: tuple[Contact, ...]
+
+
+Body = (
+    Publication
+    | MoveRequest
+    | moves.Outcome
+    | LeaseClaim
+    | Checkpoint
+    | Contacts
+)
+
+
+@codec.message("record")
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """One record.
+
+    Attributes:
+        record_id: Unique id made by the writer; repeats are ignored.
+        writer: Node or operator that appended it.
+        kind: Name of the body's class.
+        body: Encoded body.
+    """
+
+    record_id: str
+    writer: str
+    kind: str
+    body: bytes
+
+
+def _register_bodies() -> None:
+    for body in Body.__args__:
+        codec.message(f"record.{body.__name__}")(body)
+
+
+_register_bodies()
+
+
+def encode(record_id: str, writer: str, body: Body) -> bytes:
+    """Return the bytes of a record for the log."""
+    record = Record(record_id, writer, type(body).__name__, codec.encode(body))
+    return codec.encode(record)
--- /dev/null
+++ b/trefoilwind/model/state.py
@@ -0,0 +1,95 @@
+"""State folded from the log: equal on every node that read as far."""
+
+import dataclasses
+
+from trefoilwind import codec
+from trefoilwind.model import configuration as configuration_lib
+from trefoilwind.model import moves as moves_lib
+from trefoilwind.model import records
+
+NO_VERSION = -1
+
+
+@dataclasses.dataclass(frozen=True)
+class StableVersion:
+    """Version that serves a service's traffic outside of open moves.
+
+    Attributes:
+        service: Name of the service.
+        half: Half whose traffic this is about; empty for both.
+        version: The version.
+        to_half: Half that this traffic was moved to; empty if none.
+    """
+
+    service: str
+    half: str
+    version: str
+    to_half: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Lease:
+    """A lease as the log last gave it.
+
+    Attributes:
+        name: Name of the lease.
+        holder: Node that holds it.
+        epoch: Offset of the claim that began the holder's tenure.
+        expires_at: Wall time in seconds at which it ends.
+    """
+
+    name: str
+    holder: str
+    epoch: int
+    expires_at: float
+
+
+@codec.message("state")
+@dataclasses.dataclass(frozen=True)
+class State:
+    """Everything that a prefix of the log determines.
+
+    Attributes:
+        next_offset: Offset of the first record that is not folded yet.
+        version: Offset of the accepted publication; NO_VERSION before one.
+        configuration: The accepted configuration.
+        stable: Stable versions that ended moves left behind.
+        moves: Open and recently ended moves, oldest first.
+        leases: Leases by name.
+        contacts: Contact lists by data centre.
+        recent_ids: Ids of recent records, oldest first.
+    """
+
+    next_offset: int = 0
+    version: int = NO_VERSION
+    configuration: configuration_lib.Configuration = dataclasses.field(
+        default_factory=configuration_lib.Configuration
+    )
+    stable: tuple[StableVersion, ...] = ()
+    moves: tuple[moves_lib.MoveStatus, ...] = ()
+    leases: tuple[Lease, ...] = ()
+    contacts: tuple[records.Contacts, ...] = ()
+    recent_ids: tuple[str, ...] = ()
+
+    def stable_version(self, service: str, half: str) -> str:
+        """Return the version that serves a half's traffic of a service."""
+        for stable in reversed(self.stable):
+            if stable.service == service and stable.half in ("", half):
+                return stable.version
+        found = self.configuration.service(service)
+        return found.version if found else ""
+
+    def open_move(self, service: str) -> moves_lib.Move | None:
+        """Return the open move of a service, or None."""
+        return next(
+            (
+                status.move
+                for status in self.moves
+                if status.is_open and status.move.service == service
+            ),
+            None,
+        )
+
+    def lease(self, name: str) -> Lease | None:
+        """Return the lease of that name, or None."""
+        return next((x for x in self.leases if x.name == name), None)
--- /dev/null
+++ b/trefoilwind/node/control.py
@@ -0,0 +1,173 @@
+"""Actor that runs all controllers of a node on one thread."""
+
+import logging
+from typing import Any
+
+import pykka
+
+from trefoilwind import environment as environment_lib
+from trefoilwind import events
+from trefoilwind.distribution import ports
+from trefoilwind.distribution import spreader as spreader_lib
+from trefoilwind.distribution import transport as transport_lib
+from trefoilwind.membership import controller as membership_lib
+from trefoilwind.model import lifecycle
+from trefoilwind.model import records
+from trefoilwind.node import messages
+from trefoilwind.proxy import backend as backend_lib
+from trefoilwind.proxy import target as target_lib
+from trefoilwind.rollout import controller as rollout_lib
+from trefoilwind.routing import table
+
+logger = logging.getLogger(__name__)
+
+
+class ControlActor(pykka.ThreadingActor):
+    """Passes messages and time to the controllers, sends what they return."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        environment: environment_lib.Environment,
+        transport: transport_lib.Transport,
+        target: target_lib.Target,
+        rollout: rollout_lib.RolloutController,
+        log_actor: pykka.ActorRef,
+    ):
+        super().__init__()
+        self._environment = environment
+        self._board = environment.blackboard
+        self._transport = transport
+        self._target = target
+        self._log_actor = log_actor
+        self._spreader = spreader_lib.Spreader(environment)
+        self._membership = membership_lib.MembershipController(environment)
+        self._rollout = rollout
+        self._controllers = (self._spreader, self._membership, rollout)
+        self._controller_by_message = {
+            cls: controller
+            for controller in self._controllers
+            for cls in controller.handles
+        }
+        self._publish_routes = self._board.routes.claim("control")
+        self._publish_lifecycle = self._board.lifecycle.claim("control")
+        self._announcement_deadline = 0.0
+        self._announcement: messages.Announcement | None = None
+
+    def on_receive(self, message: Any) -> None:
+        """React to a message and send what the controllers return."""
+        for envelope in self._react(message):
+            self._transport.send(envelope)
+        self._rebuild_routes()
+
+    def on_failure(self, exception_type, exception_value, traceback) -> None:
+        """Log a defect; the process supervisor of the VM restarts the node."""
+        logger.critical("control: failed: %s", exception_value)
+
+    def _react(self, message: Any) -> list[ports.Envelope]:
+        if isinstance(message, messages.PeerMessage):
+            return self._take_peer_message(message)
+        if isinstance(message, messages.Tick):
+            return self._tick()
+        if isinstance(message, messages.PeerConnected):
+            return self._from_all("peer_connected", message.peer)
+        if isinstance(message, messages.PeerLost):
+            return self._from_all("peer_lost", message.peer)
+        if isinstance(message, messages.PageRead):
+            return self._spreader.take_page(message.from_offset, message.page)
+        if isinstance(message, messages.Announcement):
+            return self._announce(message)
+        if isinstance(message, messages.Withdrawal):
+            return self._membership.leave()
+        if isinstance(message, messages.Drain):
+            return self._drain(message)
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    def _from_all(self, method: str, *args: Any) -> list[ports.Envelope]:
+        return [
+            envelope
+            for controller in self._controllers
+            for envelope in getattr(controller, method)(*args)
+        ]
+
+    def _take_peer_message(
+        self, message: messages.PeerMessage
+    ) -> list[ports.Envelope]:
+        controller = self._controller_by_message.get(type(message.message))
+        if controller is None:
+            logger.warning("control: peer %s sent no message", message.peer)
+            return []
+        return controller.handle(message.peer, message.message)
+
+    def _tick(self) -> list[ports.Envelope]:
+        self._expire_announcement()
+        envelopes = self._from_all("tick")
+        self._log_actor.tell(messages.Tick())
+        for outcome in self._rollout.take_outcomes():
+            self._append_outcome(outcome)
+        self._connect_members()
+        return envelopes
+
+    def _append_outcome(self, outcome) -> None:
+        node_id = self._environment.node_id
+        record_id = f"outcome/{outcome.move_id}/{node_id}"
+        payload = records.encode(record_id, node_id, outcome)
+        self._log_actor.tell(messages.Append(record_id, payload))
+
+    def _connect_members(self) -> None:
+        """Keep a stream to every other member."""
+        own = self._environment.node_id
+        connected = set(self._transport.peers)
+        for member in self._board.members.value.members:
+            # One side connects, so that two nodes share one stream.
+            if member.node_id > own and member.node_id not in connected:
+                self._transport.connect_later(member.node_id)
+
+    def _announce(
+        self, announcement: messages.Announcement
+    ) -> list[ports.Envelope]:
+        now = self._environment.clock.monotonic()
+        lease_s = self._environment.settings.membership.announcement_lease_s
+        self._announcement_deadline = now + lease_s
+        if announcement != self._announcement:
+            self._announcement = announcement
+            self._target.set_backend(
+                backend_lib.BackendClient(
+                    announcement.address, 2 * announcement.slots
+                )
+            )
+        if self._board.lifecycle.value.draining:
+            return []
+        return self._membership.announce(
+            announcement.service,
+            announcement.version,
+            announcement.slots,
+            announcement.labels,
+        )
+
+    def _expire_announcement(self) -> None:
+        now = self._environment.clock.monotonic()
+        if self._announcement is None or now < self._announcement_deadline:
+            return
+        logger.warning("control: the backend server stopped announcing")
+        self._announcement = None
+        self._target.set_backend(None)
+        for envelope in self._membership.announce("", "", 0):
+            self._transport.send(envelope)
+
+    def _drain(self, message: messages.Drain) -> list[ports.Envelope]:
+        self._publish_lifecycle(
+            lifecycle.Lifecycle(True, message.stop_deadline)
+        )
+        self._environment.events.emit(events.NODE_DRAINING)
+        return self._membership.leave()
+
+    def _rebuild_routes(self) -> None:
+        routes = table.build(
+            self._board.state.value,
+            self._board.members.value,
+            self._board.shares.value,
+        )
+        if routes != self._board.routes.value:
+            self._publish_routes(routes)
--- /dev/null
+++ b/trefoilwind/node/messages.py
@@ -0,0 +1,93 @@
+"""Messages to a node's actors."""
+
+import dataclasses
+from typing import Any
+
+from trefoilwind.log import port
+from trefoilwind.model import addresses
+from trefoilwind.model import members
+
+
+@dataclasses.dataclass(frozen=True)
+class Tick:
+    """Time passed."""
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerMessage:
+    """A control message of a peer."""
+
+    peer: str
+    message: Any
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerConnected:
+    """A stream with a peer opened."""
+
+    peer: str
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerLost:
+    """The last stream with a peer ended."""
+
+    peer: str
+
+
+@dataclasses.dataclass(frozen=True)
+class PageRead:
+    """Records were read from the log."""
+
+    from_offset: int
+    page: port.Page
+
+
+@dataclasses.dataclass(frozen=True)
+class Announcement:
+    """A backend server announced itself.
+
+    Attributes:
+        service: Service of the backend server.
+        version: Version of the backend server.
+        port: Port of its HTTP server.
+        host: Address of its HTTP server.
+        slots: Calls that it runs at once.
+        labels: Labels for ownership rules.
+    """
+
+    service: str
+    version: str
+    port: int
+    host: str = "127.0.0.1"
+    slots: int = 16
+    labels: tuple[members.Label, ...] = ()
+
+    @property
+    def address(self) -> addresses.Address:
+        """Address of the backend server's HTTP server."""
+        return addresses.Address(self.host, self.port)
+
+
+@dataclasses.dataclass(frozen=True)
+class Withdrawal:
+    """The backend server leaves."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Append:
+    """A record to append to the log until that is known to have worked."""
+
+    record_id: str
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Drain:
+    """The node takes no new work from now on.
+
+    Attributes:
+        stop_deadline: Monotonic time at which whatever is left ends.
+    """
+
+    stop_deadline: float
--- /dev/null
+++ b/trefoilwind/node/process.py
@@ -0,0 +1,222 @@
+"""A whole node: stages fill the environment, then threads start."""
+
+import contextlib
+import dataclasses
+import logging
+import threading
+
+from cheroot import wsgi
+import pykka
+
+from trefoilwind import clock as clock_lib
+from trefoilwind import environment as environment_lib
+from trefoilwind import errors
+from trefoilwind import events
+from trefoilwind import settings as settings_lib
+from trefoilwind.admin import api as api_lib
+from trefoilwind.distribution import frames
+from trefoilwind.distribution import transport as transport_lib
+from trefoilwind.log import port
+from trefoilwind.model import addresses
+from trefoilwind.node import control as control_lib
+from trefoilwind.node import log_actor as log_actor_lib
+from trefoilwind.node import messages
+from trefoilwind.proxy import callers as callers_lib
+from trefoilwind.proxy import dispatcher as dispatcher_lib
+from trefoilwind.proxy import remote as remote_lib
+from trefoilwind.proxy import target as target_lib
+from trefoilwind.rollout import controller as rollout_lib
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.1
+ADMIN_THREADS = 4
+SERVER_STOP_TIMEOUT_S = 1.0
+_TARGET_FRAMES = (frames.CallOpen, frames.CallBody, frames.Cancel)
+
+
+@dataclasses.dataclass(frozen=True)
+class Addresses:
+    """Addresses on which a node listens."""
+
+    caller: addresses.Address
+    peer: addresses.Address
+    admin: addresses.Address
+
+
+class Node:
+    """One node of the mesh."""
+
+    def __init__(
+        self,
+        settings: settings_lib.NodeSettings,
+        log: port.LogPort,
+        clock: clock_lib.Clock | None = None,
+    ):
+        self._environment = environment_lib.make(
+            settings, clock or clock_lib.SystemClock()
+        )
+        self._log = log
+        self._stopped = threading.Event()
+        self._transport = transport_lib.Transport(self._environment)
+        self._target = target_lib.Target(self._environment)
+        self._remote = remote_lib.RemoteCaller(self._transport)
+        self._rollout = rollout_lib.RolloutController(self._environment)
+        self._dispatcher = dispatcher_lib.Dispatcher(
+            self._environment, self._target, self._remote, self._rollout.observe
+        )
+        self._servers: list[wsgi.Server] = []
+
+    @property
+    def environment(self) -> environment_lib.Environment:
+        """Environment of the node's parts."""
+        return self._environment
+
+    def start(self) -> Addresses | errors.Error:
+        """Listen, start all threads and return the addresses."""
+        peer_address = self._transport.listen()
+        if isinstance(peer_address, errors.Error):
+            return peer_address
+        self._start_actors()
+        servers = self._start_servers()
+        if isinstance(servers, errors.Error):
+            self.stop()
+            return servers
+        self._connect_transport()
+        self._start_threads()
+        self._environment.events.emit(events.NODE_STARTED)
+        caller_address, admin_address = servers
+        return Addresses(caller_address, peer_address, admin_address)
+
+    def drain(self) -> None:
+        """Take no new work from now on."""
+        timeout_s = self._environment.settings.proxy.stop_timeout_s
+        deadline = self._environment.clock.monotonic() + timeout_s
+        self._control.ask(messages.Drain(deadline))
+
+    def stop(self) -> None:
+        """End all threads at once."""
+        self._environment.events.emit(events.NODE_STOPPED)
+        self._stopped.set()
+        stoppers = [
+            threading.Thread(target=server.stop) for server in self._servers
+        ]
+        for stopper in stoppers:
+            stopper.start()
+        for stopper in stoppers:
+            stopper.join()
+        self._transport.stop()
+        self._control.stop(block=False)
+        self._log_actor.stop(block=False)
+
+    def _start_actors(self) -> None:
+        self._log_actor = log_actor_lib.LogActor.start(
+            self._environment, self._log
+        )
+        self._control = control_lib.ControlActor.start(
+            self._environment,
+            self._transport,
+            self._target,
+            self._rollout,
+            self._log_actor,
+        )
+
+    def _start_servers(
+        self,
+    ) -> tuple[addresses.Address, addresses.Address] | errors.Error:
+        settings = self._environment.settings
+        caller_application = callers_lib.CallerApplication(
+            self._environment, self._dispatcher
+        )
+        admin_application = api_lib.AdminApplication(
+            self._environment, self._control, self._log_actor
+        )
+        bound = []
+        for address, application, threads in (
+            (
+                settings.caller_address,
+                caller_application,
+                settings.proxy.caller_threads,
+            ),
+            (settings.admin_address, admin_application, ADMIN_THREADS),
+        ):
+            result = self._serve(address, application, threads)
+            if isinstance(result, errors.Error):
+                return result
+            bound.append(result)
+        return bound[0], bound[1]
+
+    def _serve(
+        self, address: addresses.Address, application, threads: int
+    ) -> addresses.Address | errors.Error:
+        server = wsgi.Server(
+            (address.host, address.port),
+            application,
+            numthreads=threads,
+            max=threads,
+        )
+        server.shutdown_timeout = SERVER_STOP_TIMEOUT_S
+        server.max_request_header_size = (
+            self._environment.settings.proxy.max_header_bytes
+        )
+        try:
+            server.prepare()
+        except OSError as error:
+            return errors.Error(
+                errors.Reason.ADDRESS_IN_USE,
+                "node.listen",
+                str(address),
+                error.strerror or str(error),
+            )
+        self._servers.append(server)
+        threading.Thread(
+            target=server.serve, name=f"http-{address}", daemon=True
+        ).start()
+        return addresses.Address(address.host, server.bind_addr[1])
+
+    def _connect_transport(self) -> None:
+        self._transport.on_message = lambda peer, message: self._tell(
+            messages.PeerMessage(peer, message)
+        )
+        self._transport.on_connected = lambda peer: self._tell(
+            messages.PeerConnected(peer)
+        )
+        self._transport.on_lost = lambda peer: self._tell(
+            messages.PeerLost(peer)
+        )
+        self._transport.on_call_frame = self._take_call_frame
+        self._transport.on_stream_closed = self._remote.stream_closed
+        self._transport.start()
+
+    def _take_page(self, message: messages.PageRead) -> None:
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._control.ask(message)
+
+    def _tell(self, message) -> None:
+        # Streams and timers may outlive the actor while the node stops.
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._control.tell(message)
+
+    def _take_call_frame(self, stream, frame) -> None:
+        if isinstance(frame, _TARGET_FRAMES):
+            self._target.take_frame(stream, frame)
+        elif not isinstance(frame, (frames.GoAway, frames.Credit)):
+            self._remote.take_frame(stream, frame)
+
+    def _start_threads(self) -> None:
+        for contact in self._environment.settings.contacts:
+            self._transport.connect_later(str(contact), contact)
+        for target in (self._tick, self._read_log):
+            threading.Thread(
+                target=target, name=target.__name__, daemon=True
+            ).start()
+
+    def _tick(self) -> None:
+        while not self._stopped.wait(TICK_S):
+            self._tell(messages.Tick())
+
+    def _read_log(self) -> None:
+        reader = log_actor_lib.Reader(self._environment, self._log)
+        while not self._stopped.is_set():
+            if not reader.read_for(self._take_page):
+                self._stopped.wait(log_actor_lib.IDLE_WAIT_S)
