--- /dev/null
+++ b/trefoilwind/cmd/standin_caller.py
@@ -0,0 +1,50 @@
+"""Program `trefoilwind-standin-caller`: a caller for trials."""
+
+import sys
+import time
+
+import cyclopts
+
+from trefoilwind.cmd import common
+from trefoilwind.standins import caller
+
+app = cyclopts.App(help="Stand-in of a caller.")
+
+_MAX_SECONDS = 600.0
+
+
+@app.default
+def run(
+    path: str,
+    *entry: str,
+    seconds: float = 10.0,
+    method: str = "GET",
+) -> None:
+    """Call entries in turn for a time; exit with 1 if an answer was lost.
+
+    Args:
+        path: Path to call, such as /catalogue/proofs/7.
+        entry: URLs of the nodes' callers' addresses.
+        seconds: Time in seconds to go on.
+        method: HTTP method.
+    """
+    if not entry:
+        common.fail("no entry given")
+    if not 0 < seconds <= _MAX_SECONDS:
+        common.fail(f"--seconds: not in 0 to {_MAX_SECONDS}")
+    user = caller.Caller(entry, (caller.Call(method, path),))
+    user.start()
+    time.sleep(seconds)
+    user.stop()
+    print(f"{user.answered} answered, {user.failed} failed, {user.lost} lost")
+    if user.lost:
+        sys.exit(common.EXIT_FAILED)
+
+
+def main() -> None:
+    """Run the program."""
+    common.run(app)
+
+
+if __name__ == "__main__":
+    main()
