Split the controllers from the actor that runs them

Cause: whole nodes are to be fuzzed on a virtual clock, without threads. Conclusion: a test can drive a node's controllers one message at a time.

--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -1,10 +1,9 @@
-"""Actor that runs all controllers of a node on one thread."""
+"""All controllers of a node, run by one actor; no input or output here."""
 
+from collections.abc import Callable
 import logging
 from typing import Any
 
-import pykka
-
 from trefoilwind import environment as environment_lib
 from trefoilwind import events
 from trefoilwind.distribution import ports
@@ -22,25 +21,22 @@
 logger = logging.getLogger(__name__)
 
 
-class ControlActor(pykka.ThreadingActor):
+class Control:
     """Passes messages and time to the controllers, sends what they return."""
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         environment: environment_lib.Environment,
         transport: transport_lib.Transport,
         target: target_lib.Target,
         rollout: rollout_lib.RolloutController,
-        log_actor: pykka.ActorRef,
+        tell_log: Callable[[Any], None],
     ):
-        super().__init__()
         self._environment = environment
         self._board = environment.blackboard
         self._transport = transport
         self._target = target
-        self._log_actor = log_actor
+        self._tell_log = tell_log
         self._spreader = spreader_lib.Spreader(environment)
         self._membership = membership_lib.MembershipController(environment)
         self._rollout = rollout
@@ -55,16 +51,12 @@
         self._announcement_deadline = 0.0
         self._announcement: messages.Announcement | None = None
 
-    def on_receive(self, message: Any) -> None:
+    def receive(self, message: Any) -> None:
         """React to a message and send what the controllers return."""
         for envelope in self._react(message):
             self._transport.send(envelope)
         self._rebuild_routes()
 
-    def on_failure(self, exception_type, exception_value, traceback) -> None:
-        """Log a defect; the process supervisor of the VM restarts the node."""
-        logger.critical("control: failed: %s", exception_value)
-
     def _react(self, message: Any) -> list[ports.Envelope]:
         if isinstance(message, messages.PeerMessage):
             return self._take_peer_message(message)
@@ -103,7 +95,7 @@
     def _tick(self) -> list[ports.Envelope]:
         self._expire_announcement()
         envelopes = self._from_all("tick")
-        self._log_actor.tell(messages.Tick())
+        self._tell_log(messages.Tick())
         for outcome in self._rollout.take_outcomes():
             self._append_outcome(outcome)
         self._connect_members()
@@ -113,7 +105,7 @@
         node_id = self._environment.node_id
         record_id = f"outcome/{outcome.move_id}/{node_id}"
         payload = records.encode(record_id, node_id, outcome)
-        self._log_actor.tell(messages.Append(record_id, payload))
+        self._tell_log(messages.Append(record_id, payload))
 
     def _connect_members(self) -> None:
         """Keep a stream to every other member."""
--- a/trefoilwind/node/process.py
+++ b/trefoilwind/node/process.py
@@ -19,6 +19,7 @@
 from trefoilwind.log import port
 from trefoilwind.model import addresses
 from trefoilwind.node import control as control_lib
+from trefoilwind.node import control_actor
 from trefoilwind.node import log_actor as log_actor_lib
 from trefoilwind.node import messages
 from trefoilwind.proxy import callers as callers_lib
@@ -113,13 +114,14 @@
         self._log_actor = log_actor_lib.LogActor.start(
             self._environment, self._log
         )
-        self._control = control_lib.ControlActor.start(
+        control = control_lib.Control(
             self._environment,
             self._transport,
             self._target,
             self._rollout,
-            self._log_actor,
+            self._log_actor.tell,
         )
+        self._control = control_actor.ControlActor.start(control)
 
     def _start_servers(
         self,
