Judge moves by sequential tests over merged evidence

Cause: shares rose by a count of calls and braked on a fixed margin. Change: evidence counters per route, class, data centre, entry, arm and target with latency buckets; sums by data centre cross regions; one sequential comparison per move against the old arm at the same time; stages worked back from the deadline; bounds in requests; done needs a proposal and a confirmation in the log.

--- a/trefoilwind/distribution/spreader.py
+++ b/trefoilwind/distribution/spreader.py
@@ -137,7 +137,8 @@
         if folded.state.version == offset:
             emit(events.CONFIGURATION_APPLIED, subject=str(offset))
         elif isinstance(folded.body, moves.Outcome):
-            self._report_outcome(folded.body)
+            if not folded.state.is_open(folded.body.move_id):
+                self._report_outcome(folded.body)
         elif folded.state.moves and folded.state.moves[-1].is_open:
             emit(
                 events.MOVE_STARTED,
--- a/trefoilwind/log/fold.py
+++ b/trefoilwind/log/fold.py
@@ -141,14 +141,33 @@
     if not status.is_open:
         reason = errors.Reason.MOVE_ENDED
         return _error(reason, record.writer, body.move_id)
-    ended = moves.MoveStatus(status.move, body)
-    statuses = tuple(ended if s is status else s for s in state.moves)
-    state = dataclasses.replace(state, moves=statuses)
     if body.result is moves.Result.UNDONE:
-        return state
+        return _with_status(
+            state, dataclasses.replace(status, outcome=body, proposal=None)
+        )
+    if status.proposal is None:
+        if body.at > status.move.deadline:
+            reason = errors.Reason.DEADLINE_EXCEEDED
+            return _error(reason, record.writer, body.move_id)
+        return _with_status(state, dataclasses.replace(status, proposal=body))
+    if body.at < status.proposal.at + moves.CONFIRMATION_DELAY_S:
+        reason = errors.Reason.REPEATED_RECORD
+        return _error(reason, record.writer, body.move_id)
+    ended = dataclasses.replace(status, outcome=status.proposal, proposal=None)
     return dataclasses.replace(
-        state, stable=_with_stable(state.stable, status.move)
+        _with_status(state, ended),
+        stable=_with_stable(state.stable, status.move),
+    )
+
+
+def _with_status(
+    state: state_lib.State, changed: moves.MoveStatus
+) -> state_lib.State:
+    statuses = tuple(
+        changed if s.move.move_id == changed.move.move_id else s
+        for s in state.moves
     )
+    return dataclasses.replace(state, moves=statuses)
 
 
 def _with_stable(
--- a/trefoilwind/model/moves.py
+++ b/trefoilwind/model/moves.py
@@ -3,6 +3,9 @@
 import dataclasses
 import enum
 
+# Seconds between the record that proposes "done" and the one that confirms it.
+CONFIRMATION_DELAY_S = 3.0
+
 
 @enum.unique
 class Result(enum.Enum):
@@ -63,10 +66,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class MoveStatus:
-    """A move and, once it ended, its outcome."""
+    """A move and, once it ended, its outcome.
+
+    Attributes:
+        move: The move.
+        outcome: How it ended; None while it is open.
+        proposal: First record that calls the move done. The move stays open
+            until a second one confirms it, so that a brake set meanwhile
+            anywhere can still be recorded first.
+    """
 
     move: Move
     outcome: Outcome | None = None
+    proposal: Outcome | None = None
 
     @property
     def is_open(self) -> bool:
--- a/trefoilwind/model/state.py
+++ b/trefoilwind/model/state.py
@@ -90,6 +90,13 @@
             None,
         )
 
+    def is_open(self, move_id: str) -> bool:
+        """Return True if the move is known and has no outcome."""
+        return any(
+            status.is_open and status.move.move_id == move_id
+            for status in self.moves
+        )
+
     def lease(self, name: str) -> Lease | None:
         """Return the lease of that name, or None."""
         return next((x for x in self.leases if x.name == name), None)
--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -103,7 +103,9 @@
 
     def _append_outcome(self, outcome) -> None:
         node_id = self._environment.node_id
-        record_id = f"outcome/{outcome.move_id}/{node_id}"
+        # A proposal and its confirmation are two records of one node.
+        stamp_ms = int(outcome.at * 1000)
+        record_id = f"outcome/{outcome.move_id}/{node_id}/{stamp_ms}"
         payload = records.encode(record_id, node_id, outcome)
         self._tell_log(messages.Append(record_id, payload))
 
--- a/trefoilwind/proxy/calls.py
+++ b/trefoilwind/proxy/calls.py
@@ -76,6 +76,8 @@
         latency_s: Time in seconds until the answer's head.
         failed: True if the answer counts as a failure of the backend server.
         shed: True if the backend server or its node refused it as not run.
+        is_new: True if it ran on the side that the move brings in.
+        cut: True if it failed as the backend server died or was not reached.
     """
 
     move_id: str
@@ -88,3 +90,5 @@
     latency_s: float
     failed: bool
     shed: bool = False
+    is_new: bool = False
+    cut: bool = False
--- a/trefoilwind/proxy/dispatcher.py
+++ b/trefoilwind/proxy/dispatcher.py
@@ -13,6 +13,7 @@
 from trefoilwind.proxy import calls
 from trefoilwind.proxy import remote as remote_lib
 from trefoilwind.proxy import target as target_lib
+from trefoilwind.rollout import budget
 from trefoilwind.routing import pick
 from trefoilwind.routing import table
 
@@ -22,6 +23,12 @@
 MAX_ATTEMPTS = 3
 _FAILURE_STATUS = 500
 _UNAVAILABLE_STATUS = 503
+_CUT_REASONS = (
+    errors.Reason.BACKEND_UNREACHABLE,
+    errors.Reason.BACKEND_FAILED,
+    errors.Reason.PEER_UNREACHABLE,
+    errors.Reason.PEER_SILENT,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +57,7 @@
         self._remote = remote
         self._observe = observe
         self._loads = pick.LoadTracker()
+        self._budget = budget.CallBudget()
         self._random = random.Random(environment.random.random())
 
     def route(self, service: str, method: str, path: str) -> table.Entry | None:
@@ -94,7 +102,9 @@
     def _attempt(
         self, entry: table.Entry, request: calls.Request, tried: set[str]
     ) -> calls.Answer | errors.CallError:
-        split = pick.choose_split(entry.splits, self._random)
+        split = self._budget.choose(
+            self._board.shares.value, entry, self._random
+        )
         if split is None:
             return self._refusal(errors.Reason.NO_BACKEND, entry.service)
         serving = self._board.members.value.serving(
@@ -138,8 +148,9 @@
                 node_id=attempt.member.node_id,
                 latency_s=latency_s,
                 failed=is_error or status >= _FAILURE_STATUS,
-                shed=(is_error and result.not_run)
-                or status == _UNAVAILABLE_STATUS,
+                shed=_is_shed(result),
+                is_new=bool(attempt.split.move_id),
+                cut=is_error and result.reason in _CUT_REASONS,
             )
         )
 
@@ -151,3 +162,10 @@
     def _report(self, error: errors.CallError) -> None:
         kind = events.CALL_REFUSED if error.not_run else events.CALL_UNKNOWN
         self._environment.events.emit(kind, peer=error.peer, detail=str(error))
+
+
+def _is_shed(result: calls.Answer | errors.CallError) -> bool:
+    """Return True if the attempt says nothing about the backend server."""
+    if not isinstance(result, errors.CallError):
+        return result.status == _UNAVAILABLE_STATUS
+    return result.not_run or result.reason is errors.Reason.CANCELLED
--- /dev/null
+++ b/trefoilwind/rollout/comparison.py
@@ -0,0 +1,122 @@
+"""Sequential test of the new arm of a move against the old one.
+
+Within a stratum (a short time, one route, one data centre) both arms see the
+same load and the same callers. Given the number of events there, such as
+failures, each of them fell on the new arm with a probability that depends on
+the calls of both arms and on the ratio of their odds only. The base rate
+cancels out, so trouble that is common to both arms is no evidence.
+
+The likelihood ratios of several alternatives against the largest tolerated
+ratio are averaged, and so are the times at which a fault may have begun. The
+average has expectation of at most one without a fault, at any time it is
+looked at, so that it exceeds 1/p with a probability of at most p.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import functools
+import math
+
+# Odds ratio up to which the new arm counts as no worse than the old one.
+TOLERATED_RATIO = 1.25
+_ALTERNATIVES = (1.7, 2.5, 5.0, 15.0, 60.0)
+_START_WEIGHT = 0.5
+_LATER_WEIGHT = 0.5 / 64
+
+
+@dataclasses.dataclass(frozen=True)
+class Stratum:
+    """Counts that are compared with each other.
+
+    Attributes:
+        new_calls: Calls of the new arm.
+        new_events: Events among them.
+        old_calls: Calls of the old arm.
+        old_events: Events among them.
+    """
+
+    new_calls: int
+    new_events: int
+    old_calls: int
+    old_events: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Running:
+    """Evidence of the blocks up to some time.
+
+    Attributes:
+        log_sums: Logarithm of the likelihood ratio by alternative, averaged
+            over the times at which a fault may have begun.
+        log_weight: Logarithm of the weight of a fault that begins next.
+    """
+
+    log_sums: tuple[float, ...] = (-math.inf,) * len(_ALTERNATIVES)
+    log_weight: float = math.log(_START_WEIGHT)
+
+    @property
+    def log_evidence(self) -> float:
+        """Logarithm of the evidence against the new arm."""
+        return log_mean(self.log_sums)
+
+    def advance(self, block: Iterable[Stratum]) -> "Running":
+        """Return the evidence after one more block."""
+        ratios = _log_ratios_of_block(block)
+        sums = tuple(
+            _log_add(total, self.log_weight) + ratio
+            for total, ratio in zip(self.log_sums, ratios, strict=True)
+        )
+        return Running(sums, math.log(_LATER_WEIGHT))
+
+
+def log_evidence(blocks: Iterable[Iterable[Stratum]]) -> float:
+    """Return the logarithm of the evidence against the new arm.
+
+    Args:
+        blocks: Strata by time, the oldest first.
+    """
+    running = Running()
+    for block in blocks:
+        running = running.advance(block)
+    return running.log_evidence
+
+
+def log_mean(logs: Iterable[float]) -> float:
+    """Return the logarithm of the mean of numbers given by logarithms."""
+    values = tuple(logs)
+    top = max(values, default=-math.inf)
+    if top == -math.inf:
+        return 0.0
+    total = sum(math.exp(value - top) for value in values)
+    return top + math.log(total / len(values))
+
+
+def _log_add(first: float, second: float) -> float:
+    low, high = sorted((first, second))
+    return high + math.log1p(math.exp(low - high))
+
+
+def _log_ratios_of_block(block: Iterable[Stratum]) -> list[float]:
+    totals = [0.0] * len(_ALTERNATIVES)
+    for stratum in block:
+        if stratum.new_events + stratum.old_events == 0:
+            continue
+        ratios = _log_ratios(stratum)
+        totals = [a + b for a, b in zip(totals, ratios, strict=True)]
+    return totals
+
+
+@functools.lru_cache(maxsize=16384)
+def _log_ratios(stratum: Stratum) -> tuple[float, ...]:
+    if not stratum.new_calls or not stratum.old_calls:
+        return (0.0,) * len(_ALTERNATIVES)
+    return tuple(_log_ratio(stratum, ratio) for ratio in _ALTERNATIVES)
+
+
+def _log_ratio(stratum: Stratum, ratio: float) -> float:
+    new, old = stratum.new_calls, stratum.old_calls
+    tolerated = TOLERATED_RATIO * new + old
+    alternative = ratio * new + old
+    on_new = math.log(ratio * tolerated / (TOLERATED_RATIO * alternative))
+    on_old = math.log(tolerated / alternative)
+    return stratum.new_events * on_new + stratum.old_events * on_old
--- a/trefoilwind/rollout/controller.py
+++ b/trefoilwind/rollout/controller.py
@@ -3,25 +3,34 @@
 import collections
 import dataclasses
 import logging
-from typing import Any
 
 from trefoilwind import environment as environment_lib
 from trefoilwind import events
 from trefoilwind.distribution import ports
+from trefoilwind.log import readers
+from trefoilwind.membership import directory
 from trefoilwind.model import moves
 from trefoilwind.model import state as state_lib
 from trefoilwind.proxy import calls
+from trefoilwind.rollout import budget
 from trefoilwind.rollout import evidence
+from trefoilwind.rollout import messages
+from trefoilwind.rollout import observer as observer_lib
 from trefoilwind.rollout import shares
+from trefoilwind.rollout import spread
+from trefoilwind.rollout import verdicts
+from trefoilwind.rollout import watch as watch_lib
 
 logger = logging.getLogger(__name__)
 
-STAGES = (0.05, 0.25, 0.5, 1.0)
-CALLS_PER_STAGE = 10
-FAILURES_TO_BRAKE = 3
-EXTRA_FAILURE_SHARE = 0.2
-FANOUT = 3
-SPREAD_INTERVAL_S = 0.5
+JUDGE_INTERVAL_S = 0.25
+BRAKE_FANOUT = 4
+BRAKE_REPEAT_S = 1.0
+# Nodes append an outcome one after the other until one shows in the log.
+APPEND_STAGGER_S = 0.5
+MAX_APPEND_RANKS = 20
+# Time after the deadline that a proposed end has to be confirmed.
+PROPOSAL_GRACE_S = 10.0
 
 
 class RolloutController:
@@ -31,101 +40,164 @@
         self._environment = environment
         self._board = environment.blackboard
         self._publish = self._board.shares.claim("rollout")
-        self._observations: collections.deque[calls.Observation] = (
-            collections.deque()
-        )
-        self._counters: dict[evidence.Key, evidence.Counter] = {}
+        self._ledger = evidence.Ledger()
+        self._observer = observer_lib.Observer(self._ledger, self._place)
+        self._sender = spread.Sender(self._ledger)
+        self._watches: dict[str, watch_lib.MoveWatch] = {}
         self._brakes: dict[str, evidence.Brake] = {}
         self._connected: set[str] = set()
-        self._next_spread = 0.0
         self._outcomes: list[moves.Outcome] = []
-        self._decided: set[str] = set()
+        self._appended: set[tuple[str, str, bool]] = set()
+        self._next_judgement = 0.0
+        self._next_repeat = 0.0
+        self._window = 0
+        self._window_ends_at = 0.0
+        self._window_calls: collections.Counter[evidence.RouteKey] = (
+            collections.Counter()
+        )
+        self._calls_before: collections.Counter[evidence.RouteKey] = (
+            collections.Counter()
+        )
 
     @property
     def handles(self) -> tuple[type, ...]:
         """Classes of the messages that this controller takes."""
-        return (evidence.EvidenceUpdate,)
+        return (messages.EvidenceUpdate,)
 
     def observe(self, observation: calls.Observation) -> None:
         """Take what a call saw; may be called by any thread."""
-        if observation.move_id and not observation.shed:
-            self._observations.append(observation)
+        self._observer.observe(observation)
 
     def take_outcomes(self) -> list[moves.Outcome]:
         """Return the outcomes that this node should append to the log."""
-        outcomes = self._outcomes
+        found = self._outcomes
         self._outcomes = []
-        return outcomes
+        return found
 
     def handle(
-        self, peer: str, message: evidence.EvidenceUpdate
+        self, peer: str, message: messages.EvidenceUpdate
     ) -> list[ports.Envelope]:
         """Merge a peer's counters and brakes."""
-        changed = [e for e in message.entries if self._merge(e)]
-        braked = [b for b in message.brakes if self._set_brake(b)]
-        if not changed and not braked:
+        self._ledger.merge(messages.unpack(message))
+        fresh = [b for b in message.brakes if self._set_brake(b)]
+        if not fresh:
             return []
-        update = evidence.EvidenceUpdate(tuple(changed), tuple(braked))
-        return self._to_some(update, exclude=peer)
+        self._publish_shares_of_braked()
+        return self._flood(tuple(fresh), exclude=peer)
 
     def peer_connected(self, peer: str) -> list[ports.Envelope]:
-        """Send all evidence to a new peer."""
+        """Send all brakes to a new peer."""
         self._connected.add(peer)
-        return [ports.Envelope(peer, self._update())]
+        self._sender.lost(peer)
+        if not self._brakes:
+            return []
+        update = messages.pack((), self._brakes.values())
+        return [ports.Envelope(peer, update)]
 
     def peer_lost(self, peer: str) -> list[ports.Envelope]:
         """Forget a peer."""
         self._connected.discard(peer)
+        self._sender.lost(peer)
         return []
 
     def tick(self) -> list[ports.Envelope]:
         """Count, judge, publish shares and spread evidence."""
-        self._count()
-        brakes_before = len(self._brakes)
-        self._judge()
         now = self._environment.clock.monotonic()
-        urgent = len(self._brakes) > brakes_before
-        if not urgent and now < self._next_spread:
+        self._turn_window(now)
+        self._window_calls.update(self._observer.count(now))
+        if now < self._next_judgement:
             return []
-        self._next_spread = now + SPREAD_INTERVAL_S
-        if not self._counters and not self._brakes:
+        self._next_judgement = now + JUDGE_INTERVAL_S
+        if not self._follow_state():
             return []
-        return self._to_some(self._update(), exclude="")
+        roles = self._roles()
+        if roles.is_aggregator:
+            self._ledger.aggregate(roles.data_centre)
+        known = set(self._brakes)
+        self._judge()
+        fresh = tuple(b for m, b in self._brakes.items() if m not in known)
+        envelopes = self._flood(fresh, exclude="") if fresh else []
+        return envelopes + self._repeat_brakes(now) + self._spread(now, roles)
 
-    def _update(self) -> evidence.EvidenceUpdate:
-        entries = (evidence.Entry(k, c) for k, c in self._counters.items())
-        return evidence.EvidenceUpdate(
-            tuple(entries), tuple(self._brakes.values())
+    def _place(self) -> observer_lib.Place:
+        environment = self._environment
+        return observer_lib.Place(
+            environment.settings.data_centre,
+            f"{environment.node_id}@{environment.incarnation}",
         )
 
-    def _to_some(self, message: Any, exclude: str) -> list[ports.Envelope]:
-        peers = sorted(self._connected - {exclude})
-        chosen = self._environment.random.sample(peers, min(FANOUT, len(peers)))
-        return [ports.Envelope(peer, message) for peer in chosen]
-
-    def _count(self) -> None:
-        while self._observations:
-            seen = self._observations.popleft()
-            key = evidence.Key(
-                seen.move_id,
-                seen.path_prefix,
-                seen.version,
-                self._environment.settings.data_centre,
-                self._environment.node_id,
-            )
-            old = self._counters.get(key, evidence.Counter())
-            self._counters[key] = evidence.Counter(
-                old.calls + 1, old.failures + int(seen.failed)
-            )
+    def _turn_window(self, now: float) -> None:
+        if now < self._window_ends_at:
+            return
+        self._window += 1
+        self._window_ends_at = now + budget.WINDOW_S
+        self._calls_before = self._window_calls
+        self._window_calls = collections.Counter()
+
+    def _follow_state(self) -> bool:
+        """Start and end watches; return True if a move is open."""
+        open_moves = {
+            s.move.move_id: s.move
+            for s in self._board.state.value.moves
+            if s.is_open
+        }
+        if set(self._watches) - set(open_moves):
+            self._forget(frozenset(open_moves))
+        wall = self._environment.clock.wall()
+        for move_id, move in open_moves.items():
+            if move_id not in self._watches:
+                self._watches[move_id] = watch_lib.MoveWatch(move, wall)
+        return bool(open_moves)
+
+    def _forget(self, open_moves: frozenset[str]) -> None:
+        for table in (self._watches, self._brakes):
+            for move_id in [m for m in table if m not in open_moves]:
+                del table[move_id]
+        self._ledger.forget(open_moves)
+        self._observer.forget(open_moves)
+        self._publish_table(())
 
-    def _merge(self, entry: evidence.Entry) -> bool:
-        known = self._counters.get(entry.key)
-        merged = known.merge(entry.counter) if known else entry.counter
-        self._counters[entry.key] = merged
-        return merged != known
+    def _roles(self) -> spread.Topology:
+        return spread.topology(
+            self._environment.node_id,
+            self._environment.settings.data_centre,
+            self._board.members.value,
+            self._board.state.value.configuration,
+        )
+
+    def _spread(
+        self, now: float, roles: spread.Topology
+    ) -> list[ports.Envelope]:
+        due = self._sender.deliveries(now, spread.links(roles))
+        return [
+            ports.Envelope(d.peer, messages.pack(d.entries, ())) for d in due
+        ]
+
+    def _flood(
+        self, brakes: tuple[evidence.Brake, ...], exclude: str
+    ) -> list[ports.Envelope]:
+        """Return the brakes for the aggregators, own nodes, and a few more."""
+        roles = self._roles()
+        receivers = {n for group in roles.aggregators.values() for n in group}
+        if roles.is_aggregator:
+            receivers.update(roles.nodes)
+        others = sorted(self._connected - receivers)
+        count = min(BRAKE_FANOUT, len(others))
+        receivers.update(self._environment.random.sample(others, count))
+        receivers -= {exclude, self._environment.node_id}
+        update = messages.pack((), brakes)
+        return [ports.Envelope(peer, update) for peer in sorted(receivers)]
+
+    def _repeat_brakes(self, now: float) -> list[ports.Envelope]:
+        """Return all brakes for one peer, in case a message was lost."""
+        if not self._brakes or not self._connected or now < self._next_repeat:
+            return []
+        self._next_repeat = now + BRAKE_REPEAT_S
+        peer = self._environment.random.choice(sorted(self._connected))
+        return [ports.Envelope(peer, messages.pack((), self._brakes.values()))]
 
     def _set_brake(self, brake: evidence.Brake) -> bool:
-        if brake.move_id in self._brakes:
+        if brake.move_id in self._brakes or self._has_ended(brake.move_id):
             return False
         self._brakes[brake.move_id] = brake
         self._environment.events.emit(
@@ -134,91 +206,154 @@
             peer=brake.peer,
             detail=f"{brake.reason} on {brake.step}",
         )
+        logger.info("rollout: move %s is braked", brake.move_id)
         return True
 
+    def _has_ended(self, move_id: str) -> bool:
+        return any(
+            status.move.move_id == move_id and not status.is_open
+            for status in self._board.state.value.moves
+        )
+
     def _judge(self) -> None:
         state = self._board.state.value
         entries: list[shares.RouteShare] = []
         for status in state.moves:
             if status.is_open:
-                entries.extend(self._judge_move(state, status.move))
-        table = shares.ShareTable(tuple(entries), frozenset(self._brakes))
-        if table != self._board.shares.value:
-            self._publish(table)
+                entries.extend(self._judge_move(state, status))
+        self._publish_table(tuple(entries))
 
     def _judge_move(
-        self, state: state_lib.State, move: moves.Move
+        self, state: state_lib.State, status: moves.MoveStatus
     ) -> list[shares.RouteShare]:
-        service = state.configuration.service(move.service)
-        entries = [
-            self._judge_route(move, route.path_prefix)
-            for route in service.routes
+        move = status.move
+        watch = self._watches[move.move_id]
+        wall = self._environment.clock.wall()
+        routes = watch_lib.route_classes(state.configuration, move.service)
+        cells = self._ledger.view(move.move_id)
+        servers = new_servers(state, self._board.members.value, move)
+        view = watch.update(wall, cells, routes, servers)
+        if view.verdict.is_faulty:
+            self._brake_by(move, view.verdict)
+        brake = self._brakes.get(move.move_id)
+        if not self._awaits_confirmation(status, wall, brake):
+            decided = watch.decide(wall, view, brake)
+            self._propose(status, decided, wall)
+        return [
+            self._route_share(move, stage.route, stage.share)
+            for stage in view.plan.routes
         ]
-        self._decide(move, entries)
-        return entries
 
-    def _judge_route(
-        self, move: moves.Move, path_prefix: str
-    ) -> shares.RouteShare:
-        new = self._total(move, path_prefix, move.version)
-        old = self._total(move, path_prefix, move.from_version)
-        old_share = old.failures / old.calls if old.calls else 0.0
-        new_share = new.failures / new.calls if new.calls else 0.0
-        if (
-            new.failures >= FAILURES_TO_BRAKE
-            and new_share > old_share + EXTRA_FAILURE_SHARE
-        ):
-            brake = evidence.Brake(
-                move.move_id, "failures", path_prefix, self._environment.node_id
+    def _brake_by(self, move: moves.Move, verdict: verdicts.Verdict) -> None:
+        self._set_brake(
+            evidence.Brake(
+                move.move_id,
+                verdict.reason,
+                verdict.step,
+                self._environment.node_id,
             )
-            self._set_brake(brake)
-        stage = min(new.calls // CALLS_PER_STAGE, len(STAGES) - 1)
-        return shares.RouteShare(
-            move.move_id, move.service, path_prefix, STAGES[stage]
         )
 
-    def _total(
-        self, move: moves.Move, path_prefix: str, version: str
-    ) -> evidence.Counter:
-        chosen = [
-            counter
-            for key, counter in self._counters.items()
-            if key.move_id == move.move_id
-            and key.path_prefix == path_prefix
-            and key.version == version
-        ]
-        return evidence.Counter(
-            sum(c.calls for c in chosen), sum(c.failures for c in chosen)
-        )
+    def _awaits_confirmation(
+        self,
+        status: moves.MoveStatus,
+        wall: float,
+        brake: evidence.Brake | None,
+    ) -> bool:
+        """Confirm a proposed end once it is due; True while it stands."""
+        proposal = status.proposal
+        if proposal is None or brake is not None:
+            return False
+        confirm_at = proposal.at + moves.CONFIRMATION_DELAY_S
+        if wall >= confirm_at:
+            confirmed = dataclasses.replace(proposal, at=wall)
+            self._append(confirmed, True, wall - confirm_at)
+        return wall < status.move.deadline + PROPOSAL_GRACE_S
+
+    def _propose(
+        self,
+        status: moves.MoveStatus,
+        decided: moves.Outcome | None,
+        wall: float,
+    ) -> None:
+        if decided is not None:
+            self._append(decided, False, wall - decided.at)
 
-    def _decide(
-        self, move: moves.Move, entries: list[shares.RouteShare]
+    def _append(
+        self, outcome: moves.Outcome, confirms: bool, waited_s: float
     ) -> None:
-        if move.move_id in self._decided:
+        key = (outcome.move_id, outcome.result.value, confirms)
+        if key in self._appended:
             return
-        outcome = self._outcome(move, entries)
-        if outcome is not None:
-            self._decided.add(move.move_id)
-            self._outcomes.append(outcome)
-
-    def _outcome(
-        self, move: moves.Move, entries: list[shares.RouteShare]
-    ) -> moves.Outcome | None:
-        now = self._environment.clock.wall()
-        undone = moves.Outcome(
-            move.move_id, moves.Result.UNDONE, "deadline", "", "", now
+        if outcome.peer != self._environment.node_id:
+            rank = self._append_rank(outcome.move_id)
+            if waited_s < rank * APPEND_STAGGER_S:
+                return
+        self._appended.add(key)
+        self._outcomes.append(outcome)
+
+    def _append_rank(self, move_id: str) -> int:
+        nodes = tuple(self._board.members.value.by_node)
+        ranked = readers.rendezvous(move_id, nodes, MAX_APPEND_RANKS)
+        own = self._environment.node_id
+        return ranked.index(own) if own in ranked else MAX_APPEND_RANKS
+
+    def _route_share(
+        self, move: moves.Move, route: evidence.RouteKey, share: float
+    ) -> shares.RouteShare:
+        is_stopped = move.move_id in self._stopped()
+        return shares.RouteShare(
+            move.move_id,
+            move.service,
+            route.path_prefix,
+            route.class_name,
+            0.0 if is_stopped else share,
+            budget.calls_per_window(share, self._calls_before[route]),
         )
-        brake = self._brakes.get(move.move_id)
-        if brake is not None:
-            return dataclasses.replace(
-                undone, reason=brake.reason, step=brake.step, peer=brake.peer
-            )
-        if all(self._is_complete(move, entry) for entry in entries):
-            return dataclasses.replace(
-                undone, result=moves.Result.DONE, reason="full-share"
-            )
-        return undone if now >= move.deadline else None
 
-    def _is_complete(self, move: moves.Move, entry: shares.RouteShare) -> bool:
-        new = self._total(move, entry.path_prefix, move.version)
-        return new.calls >= CALLS_PER_STAGE * len(STAGES)
+    def _stopped(self) -> frozenset[str]:
+        """Return the moves whose version gets no call from this node."""
+        undone = {
+            move_id
+            for move_id, watch in self._watches.items()
+            if watch.decided and watch.decided.result is moves.Result.UNDONE
+        }
+        return frozenset(undone | set(self._brakes))
+
+    def _publish_shares_of_braked(self) -> None:
+        """Stop calls to braked versions before the next judgement."""
+        self._publish_table(self._board.shares.value.entries)
+
+    def _publish_table(self, entries: tuple[shares.RouteShare, ...]) -> None:
+        stopped = self._stopped()
+        kept = tuple(
+            dataclasses.replace(e, share=0.0) if e.move_id in stopped else e
+            for e in entries
+        )
+        table = shares.ShareTable(kept, stopped, self._window)
+        self._report_stages(table)
+        if table != self._board.shares.value:
+            self._publish(table)
+
+    def _report_stages(self, table: shares.ShareTable) -> None:
+        before = self._board.shares.value.by_route
+        for key, entry in table.by_route.items():
+            old = before.get(key)
+            if old is None or abs(old.share - entry.share) > 1e-3:
+                self._environment.events.emit(
+                    events.MOVE_STAGE,
+                    subject=entry.move_id,
+                    detail=f"{entry.path_prefix} {entry.class_name} "
+                    f"{entry.share:.3f}",
+                )
+
+
+def new_servers(
+    state: state_lib.State, members: directory.Snapshot, move: moves.Move
+) -> int:
+    """Return how many live backend servers the new arm of a move has."""
+    serving = members.serving(move.service, move.version)
+    if not move.to_half:
+        return len(serving)
+    halves = (member.half(state.configuration) for member in serving)
+    return sum(1 for half in halves if half == move.to_half)
--- a/trefoilwind/rollout/evidence.py
+++ b/trefoilwind/rollout/evidence.py
@@ -1,27 +1,56 @@
-"""Evidence about versions: grow-only counters that merge by maximum."""
+"""Evidence about moves: grow-only counters that merge by maximum."""
 
+import bisect
+from collections.abc import Iterable
 import dataclasses
+import enum
 
-from trefoilwind import codec
+# Upper bounds of the latency buckets in seconds; one more bucket follows.
+LATENCY_EDGES_S = tuple(0.001 * 2**power for power in range(12))
+NO_CALLS = (0,) * (len(LATENCY_EDGES_S) + 1)
+
+
+@enum.unique
+class Arm(enum.Enum):
+    """Side of a move that ran a call."""
+
+    OLD = 0
+    NEW = 1
 
 
 @dataclasses.dataclass(frozen=True, order=True)
+class RouteKey:
+    """A route of a move's service, with the class of its calls."""
+
+    path_prefix: str
+    class_name: str
+
+
+@dataclasses.dataclass(frozen=True)
 class Key:
     """What a counter counts.
 
     Attributes:
         move_id: Open move.
-        path_prefix: Route.
-        version: Version that ran the calls.
-        data_centre: Data centre of the entry node.
-        node_id: Entry node; only it counts here.
+        route: Route and class.
+        data_centre: Data centre of the entry nodes.
+        entry: Entry node and its incarnation, the only writer; empty for
+            the sum over the data centre's entry nodes.
+        arm: Side of the move that ran the calls.
+        target: Node whose backend server ran the calls.
     """
 
     move_id: str
-    path_prefix: str
-    version: str
+    route: RouteKey
     data_centre: str
-    node_id: str
+    entry: str
+    arm: Arm
+    target: str
+
+    @property
+    def cell(self) -> "Key":
+        """Key of the sum over the data centre's entry nodes."""
+        return dataclasses.replace(self, entry="") if self.entry else self
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,23 +58,71 @@
     """Counts of calls; they never fall.
 
     Attributes:
-        calls: Attempts that ran.
         failures: Attempts that failed.
+        untimed: Successes whose latency does not count, as of cold servers.
+        buckets: Other successes by latency, see `LATENCY_EDGES_S`.
     """
 
-    calls: int = 0
     failures: int = 0
+    untimed: int = 0
+    buckets: tuple[int, ...] = NO_CALLS
+
+    @property
+    def timed(self) -> int:
+        """Successes whose latency counts."""
+        return sum(self.buckets)
+
+    @property
+    def calls(self) -> int:
+        """All attempts."""
+        return self.failures + self.untimed + sum(self.buckets)
+
+    def slower_than(self, edge: int) -> int:
+        """Return the timed successes above the edge of that index."""
+        return sum(self.buckets[edge + 1 :])
 
     def merge(self, other: "Counter") -> "Counter":
         """Return the counter that holds both."""
+        return self._combine(other, max)
+
+    def plus(self, other: "Counter") -> "Counter":
+        """Return the sum of counts of different calls."""
+        return self._combine(other, int.__add__)
+
+    def minus(self, other: "Counter") -> "Counter":
+        """Return what was counted since `other`."""
+        return self._combine(other, int.__sub__)
+
+    def _combine(self, other: "Counter", operation) -> "Counter":
         return Counter(
-            max(self.calls, other.calls), max(self.failures, other.failures)
+            operation(self.failures, other.failures),
+            operation(self.untimed, other.untimed),
+            tuple(map(operation, self.buckets, other.buckets)),
         )
 
 
+def bucket(latency_s: float) -> int:
+    """Return the index of the bucket of a latency in seconds."""
+    return bisect.bisect_left(LATENCY_EDGES_S, latency_s)
+
+
+def failure() -> Counter:
+    """Return the count of one failed call."""
+    return Counter(failures=1)
+
+
+def success(latency_s: float, is_cold: bool = False) -> Counter:
+    """Return the count of one successful call."""
+    if is_cold:
+        return Counter(untimed=1)
+    buckets = list(NO_CALLS)
+    buckets[bucket(latency_s)] = 1
+    return Counter(buckets=tuple(buckets))
+
+
 @dataclasses.dataclass(frozen=True)
 class Entry:
-    """One counter on the wire."""
+    """One counter and what it counts."""
 
     key: Key
     counter: Counter
@@ -68,15 +145,73 @@
     peer: str
 
 
-@codec.message("evidence")
-@dataclasses.dataclass(frozen=True)
-class EvidenceUpdate:
-    """Counters and brakes that the receiver may not have.
+class Ledger:
+    """All counters that a node knows.
 
-    Attributes:
-        entries: Counters.
-        brakes: Moves whose version was shown to be faulty.
+    A data centre's sum is a lower bound of the truth whichever node made it,
+    so the maximum of two such sums is one too: nothing counts twice when the
+    aggregating node changes.
     """
 
-    entries: tuple[Entry, ...]
-    brakes: tuple[Brake, ...] = ()
+    def __init__(self) -> None:
+        self._counters: dict[Key, Counter] = {}
+        self._sums: dict[Key, Counter] = {}
+        self._revisions: dict[Key, int] = {}
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Number that grows with each change."""
+        return self._revision
+
+    def add(self, key: Key, counter: Counter) -> None:
+        """Count calls of the own entry node."""
+        old = self._counters.get(key)
+        self._store(key, old.plus(counter) if old else counter)
+
+    def merge(self, entries: Iterable[Entry]) -> None:
+        """Take in the counters of a peer."""
+        for entry in entries:
+            old = self._counters.get(entry.key)
+            merged = old.merge(entry.counter) if old else entry.counter
+            if merged != old:
+                self._store(entry.key, merged)
+
+    def aggregate(self, data_centre: str) -> None:
+        """Take the sums of a data centre's entry nodes as its counters."""
+        for key, total in list(self._sums.items()):
+            if key.data_centre == data_centre:
+                self.merge((Entry(key, total),))
+
+    def view(self, move_id: str) -> dict[Key, Counter]:
+        """Return the best known counters of a move by cell."""
+        cells = {k: c for k, c in self._sums.items() if k.move_id == move_id}
+        for key, counter in self._counters.items():
+            if key.entry or key.move_id != move_id:
+                continue
+            known = cells.get(key)
+            cells[key] = known.merge(counter) if known else counter
+        return cells
+
+    def changed_since(self, revision: int) -> list[Entry]:
+        """Return the counters that changed after a revision."""
+        return [
+            Entry(key, self._counters[key])
+            for key, changed in self._revisions.items()
+            if changed > revision
+        ]
+
+    def forget(self, open_moves: frozenset[str]) -> None:
+        """Drop the counters of all moves but the open ones."""
+        for table in (self._counters, self._sums, self._revisions):
+            for key in [k for k in table if k.move_id not in open_moves]:
+                del table[key]
+
+    def _store(self, key: Key, counter: Counter) -> None:
+        old = self._counters.get(key, Counter())
+        self._counters[key] = counter
+        self._revision += 1
+        self._revisions[key] = self._revision
+        if key.entry:
+            total = self._sums.get(key.cell, Counter())
+            self._sums[key.cell] = total.plus(counter.minus(old))
--- a/trefoilwind/rollout/shares.py
+++ b/trefoilwind/rollout/shares.py
@@ -12,14 +12,16 @@
         move_id: Id of the move.
         service: Service of the route.
         path_prefix: Prefix of the route.
+        class_name: Class of the route's calls.
         share: Share of calls, 0 to 1, that go to the move's version.
-        calls_left: Calls that this node may still send to the version at
-            this stage; -1 for no bound.
+        calls_left: Calls that this node may send to the version within the
+            window; -1 for no bound.
     """
 
     move_id: str
     service: str
     path_prefix: str
+    class_name: str
     share: float
     calls_left: int = -1
 
@@ -31,15 +33,22 @@
     Attributes:
         entries: One entry per move and route.
         braked: Ids of moves whose version must get no new call.
+        window: Number of the window that the bounds on calls belong to.
     """
 
     entries: tuple[RouteShare, ...] = ()
     braked: frozenset[str] = frozenset()
+    window: int = 0
 
     @functools.cached_property
-    def by_route(self) -> dict[tuple[str, str, str], RouteShare]:
-        """Entries by (move id, service, path prefix)."""
+    def by_route(self) -> dict[tuple[str, str, str, str], RouteShare]:
+        """Entries by (move id, service, path prefix, class)."""
         return {
-            (entry.move_id, entry.service, entry.path_prefix): entry
+            (
+                entry.move_id,
+                entry.service,
+                entry.path_prefix,
+                entry.class_name,
+            ): entry
             for entry in self.entries
         }
--- a/trefoilwind/routing/table.py
+++ b/trefoilwind/routing/table.py
@@ -173,7 +173,12 @@
     stable = Split(state.stable_version(service.name, half), 1.0)
     splits = (stable,)
     if move is not None and move.move_id not in shares.braked:
-        key = (move.move_id, service.name, route.path_prefix)
+        key = (
+            move.move_id,
+            service.name,
+            route.path_prefix,
+            route.class_name,
+        )
         entry = shares.by_route.get(key)
         share = entry.share if entry else 0.0
         if share > 0:
