--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module is run by hand and prints its figures."""
--- a/trefoilwind/rollout/evidence.py
+++ b/trefoilwind/rollout/evidence.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+import functools
+import operator
 
 # Upper bounds of the latency buckets in seconds; one more bucket follows.
 LATENCY_EDGES_S = tuple(0.001 * 2**power for power in range(12))
@@ -47,11 +49,20 @@
     arm: Arm
     target: str
 
-    @property
+    def __hash__(self) -> int:
+        """Return the hash, worked out once as keys are looked up often."""
+        return self._hash
+
+    @functools.cached_property
     def cell(self) -> "Key":
         """Key of the sum over the data centre's entry nodes."""
         return dataclasses.replace(self, entry="") if self.entry else self
 
+    @functools.cached_property
+    def _hash(self) -> int:
+        fields = (self.route, self.data_centre, self.entry, self.target)
+        return hash((self.move_id, self.arm.value, fields))
+
 
 @dataclasses.dataclass(frozen=True)
 class Counter:
@@ -87,11 +98,11 @@
 
     def plus(self, other: "Counter") -> "Counter":
         """Return the sum of counts of different calls."""
-        return self._combine(other, int.__add__)
+        return self._combine(other, operator.add)
 
     def minus(self, other: "Counter") -> "Counter":
         """Return what was counted since `other`."""
-        return self._combine(other, int.__sub__)
+        return self._combine(other, operator.sub)
 
     def _combine(self, other: "Counter", operation) -> "Counter":
         return Counter(
@@ -208,10 +219,11 @@
                 del table[key]
 
     def _store(self, key: Key, counter: Counter) -> None:
-        old = self._counters.get(key, Counter())
+        old = self._counters.get(key)
         self._counters[key] = counter
         self._revision += 1
         self._revisions[key] = self._revision
         if key.entry:
-            total = self._sums.get(key.cell, Counter())
-            self._sums[key.cell] = total.plus(counter.minus(old))
+            added = counter.minus(old) if old else counter
+            total = self._sums.get(key.cell)
+            self._sums[key.cell] = total.plus(added) if total else added
