Encode messages by generated field hooks, rebuild routes on change only

Cause: a profile of 69 virtual seconds of seven nodes spent 1.2 of 1.9 s in building route tables, one per message received, and most of the rest in the serializer's generic path for tuples. Ruled out: msgpack itself (under 3 percent). Change: per-class hooks with scalars checked in place; the route table is built when state, members or shares changed.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module prints one table."""
--- a/trefoilwind/codec.py
+++ b/trefoilwind/codec.py
@@ -18,6 +18,7 @@
 _T = TypeVar("_T")
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+_PLAIN_SCALARS = frozenset({str, bool, bytes, int})
 
 _classes_by_tag: dict[str, type] = {}
 _tags_by_class: dict[type, str] = {}
@@ -33,15 +34,85 @@
 
 
 def _make_converter() -> cattrs.Converter:
-    converter = cattrs_msgpack.make_converter(
-        unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE
-    )
+    converter = cattrs_msgpack.make_converter(detailed_validation=False)
     for scalar in (str, bool, bytes, int):
         converter.register_structure_hook(scalar, _strict(scalar))
     converter.register_structure_hook(float, _strict(float, int))
+    converter.register_structure_hook_factory(
+        dataclasses.is_dataclass, _structure_fields(converter)
+    )
+    converter.register_unstructure_hook_factory(
+        dataclasses.is_dataclass, _unstructure_fields(converter)
+    )
     return converter
 
 
+def _structure_fields(converter: cattrs.Converter):
+    """Return a factory of hooks that build a data class from a list."""
+
+    def factory(cls: type):
+        fields = dataclasses.fields(cls)
+        # Scalars are checked in place: a call for each is half of the time.
+        hooks = [
+            (
+                None
+                if field.type in _PLAIN_SCALARS
+                else converter.get_structure_hook(field.type),
+                field.type,
+            )
+            for field in fields
+        ]
+        required = sum(
+            field.default is dataclasses.MISSING
+            and field.default_factory is dataclasses.MISSING
+            for field in fields
+        )
+
+        def structure(values: Any, _: Any) -> Any:
+            if type(values) is not list:
+                raise TypeError("list expected")
+            if not required <= len(values) <= len(hooks):
+                raise ValueError("wrong number of fields")
+            items = []
+            for value, (hook, type_) in zip(values, hooks, strict=False):
+                if hook is not None:
+                    items.append(hook(value, type_))
+                elif type(value) is type_:
+                    items.append(value)
+                else:
+                    raise TypeError(f"{type_.__name__} expected")
+            return cls(*items)
+
+        return structure
+
+    return factory
+
+
+def _unstructure_fields(converter: cattrs.Converter):
+    """Return a factory of hooks that list the fields of a data class."""
+
+    def factory(cls: type):
+        hooks = [
+            (
+                field.name,
+                None
+                if field.type in _PLAIN_SCALARS
+                else converter.get_unstructure_hook(field.type),
+            )
+            for field in dataclasses.fields(cls)
+        ]
+
+        def unstructure(value: Any) -> list:
+            return [
+                hook(getattr(value, name)) if hook else getattr(value, name)
+                for name, hook in hooks
+            ]
+
+        return unstructure
+
+    return factory
+
+
 _converter = _make_converter()
 
 
@@ -86,8 +157,6 @@
             raise ValueError("too large")
         tag, fields = msgpack.unpackb(data)
         cls = _classes_by_tag[tag]
-        if len(fields) > len(dataclasses.fields(cls)):
-            raise ValueError("too many fields")
         return _converter.structure(fields, cls)
     except Exception as error:  # Input of a peer; any failure is its fault.
         return errors.StreamError(
--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import operator
 from typing import Any
 
 from trefoilwind import environment as environment_lib
@@ -48,6 +49,7 @@
         }
         self._publish_routes = self._board.routes.claim("control")
         self._publish_lifecycle = self._board.lifecycle.claim("control")
+        self._route_inputs: tuple[Any, ...] = (None, None, None)
         self._announcement_deadline = 0.0
         self._announcement: messages.Announcement | None = None
 
@@ -156,10 +158,15 @@
         return self._membership.leave()
 
     def _rebuild_routes(self) -> None:
-        routes = table.build(
+        inputs = (
             self._board.state.value,
             self._board.members.value,
             self._board.shares.value,
         )
+        # Snapshots are immutable, so identity tells whether one changed.
+        if all(map(operator.is_, inputs, self._route_inputs)):
+            return
+        self._route_inputs = inputs
+        routes = table.build(*inputs)
         if routes != self._board.routes.value:
             self._publish_routes(routes)
