--- a/trefoilwind/distribution/messages.py
+++ b/trefoilwind/distribution/messages.py
@@ -1,9 +1,15 @@
-"""Messages that spread the log between nodes."""
+"""Messages that link nodes and spread the log between them."""
 
 import dataclasses
+import zlib
 
 from trefoilwind import codec
+from trefoilwind import errors
 from trefoilwind.log import port
+from trefoilwind.model import records
+
+COMPRESS_FROM_BYTES = 256
+_STEP = "distribution.unpack"
 
 
 @codec.message("batch")
@@ -23,6 +29,18 @@
     next_offset: int
 
 
+@codec.message("packed")
+@dataclasses.dataclass(frozen=True)
+class Packed:
+    """Another message, compressed.
+
+    Attributes:
+        data: Compressed bytes of the encoded message.
+    """
+
+    data: bytes
+
+
 @codec.message("digest")
 @dataclasses.dataclass(frozen=True)
 class Digest:
@@ -47,3 +65,65 @@
     """
 
     state: bytes
+
+
+@codec.message("record-link")
+@dataclasses.dataclass(frozen=True)
+class RecordLink:
+    """Asks the receiver to send records (eager) or digests only (lazy)."""
+
+    is_eager: bool
+
+
+@codec.message("link-open")
+@dataclasses.dataclass(frozen=True)
+class LinkOpen:
+    """The sender wants a control link; repeated while it does."""
+
+
+@codec.message("link-close")
+@dataclasses.dataclass(frozen=True)
+class LinkClose:
+    """The sender wants no control link any more."""
+
+
+@codec.message("refusal")
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """The sender takes no further link now.
+
+    Attributes:
+        contacts: Other nodes to try.
+    """
+
+    contacts: tuple[records.Contact, ...]
+
+
+def pack(message: RecordBatch | StateTransfer):
+    """Return the message, compressed if that makes it smaller."""
+    data = codec.encode(message)
+    if len(data) < COMPRESS_FROM_BYTES:
+        return message
+    compressed = zlib.compress(data)
+    return Packed(compressed) if len(compressed) < len(data) else message
+
+
+def unpack(
+    packed: Packed, peer: str
+) -> RecordBatch | StateTransfer | errors.StreamError:
+    """Return the message inside; never raises."""
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(packed.data, codec.MAX_MESSAGE_BYTES)
+    except zlib.error as error:
+        return _undecodable(peer, str(error))
+    if not decompressor.eof:
+        return _undecodable(peer, "too large or cut off")
+    message = codec.decode(data, _STEP, peer)
+    if isinstance(message, (RecordBatch, StateTransfer, errors.StreamError)):
+        return message
+    return _undecodable(peer, type(message).__name__)
+
+
+def _undecodable(peer: str, detail: str) -> errors.StreamError:
+    return errors.StreamError(errors.Reason.UNDECODABLE, _STEP, peer, detail)
--- a/trefoilwind/distribution/spreader.py
+++ b/trefoilwind/distribution/spreader.py
@@ -1,6 +1,7 @@
 """Controller that folds records and spreads them to peers."""
 
 import collections
+import dataclasses
 import logging
 from typing import Any
 
@@ -8,33 +9,54 @@
 from trefoilwind import environment as environment_lib
 from trefoilwind import errors
 from trefoilwind import events
+from trefoilwind.distribution import links as links_lib
 from trefoilwind.distribution import messages
 from trefoilwind.distribution import ports
+from trefoilwind.distribution import tree as tree_lib
 from trefoilwind.log import fold
 from trefoilwind.log import port
 from trefoilwind.model import moves
+from trefoilwind.model import records
 from trefoilwind.model import state as state_lib
 
 logger = logging.getLogger(__name__)
 
 _STEP = "distribution.spread"
 DIGEST_INTERVAL_S = 1.0
+# Time for a record to come on an eager link before a gap is asked for.
+GRAFT_WAIT_S = 0.3
 RECENT_ENTRIES_KEPT = 2048
-FANOUT = 3
+RECENT_BYTES_KEPT = 4 * 1024 * 1024
+CATCH_UP_BYTES = 512 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class _Gap:
+    """A peer that has records which this node lacks."""
+
+    peer: str
+    deadline: float
 
 
 class Spreader:
     """Folds records in offset order, whatever order they arrive in."""
 
-    def __init__(self, environment: environment_lib.Environment):
+    def __init__(
+        self,
+        environment: environment_lib.Environment,
+        links: links_lib.LinkController,
+    ):
         self._environment = environment
+        self._links = links
         self._board = environment.blackboard
         self._publish = self._board.state.claim("spreader")
-        self._recent: collections.deque[port.Entry] = collections.deque(
-            maxlen=RECENT_ENTRIES_KEPT
-        )
+        self._recent: collections.deque[port.Entry] = collections.deque()
+        self._recent_bytes = 0
+        # There is no record between this offset and the first recent one.
         self._recent_from = 0
-        self._connected: set[str] = set()
+        self._tree = tree_lib.Tree()
+        self._greeted: frozenset[str] = frozenset()
+        self._gap: _Gap | None = None
         self._next_digest = 0.0
 
     @property
@@ -42,8 +64,10 @@
         """Classes of the messages that this controller takes."""
         return (
             messages.RecordBatch,
+            messages.Packed,
             messages.Digest,
             messages.StateTransfer,
+            messages.RecordLink,
         )
 
     @property
@@ -58,32 +82,54 @@
         )
         return self._take_batch(batch, sender="")
 
+    def take_checkpoint(self, state: state_lib.State) -> list[ports.Envelope]:
+        """Go on from a checkpoint of the log."""
+        return self._replace_state(state, sender="")
+
     def handle(self, peer: str, message: Any) -> list[ports.Envelope]:
         """React to a message of a peer."""
+        if isinstance(message, messages.Packed):
+            message = messages.unpack(message, peer)
+        if isinstance(message, errors.Error):
+            logger.warning("distribution: %s", message)
+            return []
         if isinstance(message, messages.RecordBatch):
             return self._take_batch(message, peer)
         if isinstance(message, messages.StateTransfer):
             return self._take_state(peer, message)
+        if isinstance(message, messages.RecordLink):
+            self._tree.set_eager(peer, message.is_eager)
+            return []
         return self._answer_digest(peer, message)
 
     def peer_connected(self, peer: str) -> list[ports.Envelope]:
-        """Ask a new peer for what is missing here."""
-        self._connected.add(peer)
-        return [ports.Envelope(peer, self._digest(wants_answer=True))]
+        """Start with an eager link."""
+        self._tree.set_eager(peer, True)
+        return []
 
     def peer_lost(self, peer: str) -> list[ports.Envelope]:
         """Forget a peer."""
-        self._connected.discard(peer)
+        self._tree.set_eager(peer, True)
+        if self._gap is not None and self._gap.peer == peer:
+            self._gap = None
         return []
 
     def tick(self) -> list[ports.Envelope]:
-        """Send a digest to one peer at a time, in turns chosen at random."""
+        """Send digests to new links, to a random one, and ask for a gap."""
+        links = self._links.active
+        digest = self._digest(wants_answer=True)
+        envelopes = [
+            ports.Envelope(peer, digest)
+            for peer in sorted(links - self._greeted)
+        ]
+        self._greeted = links
+        envelopes += self._ask_for_gap()
         now = self._environment.clock.monotonic()
-        if now < self._next_digest or not self._connected:
-            return []
+        if now < self._next_digest or not links:
+            return envelopes
         self._next_digest = now + DIGEST_INTERVAL_S
-        peer = self._environment.random.choice(sorted(self._connected))
-        return [ports.Envelope(peer, self._digest(wants_answer=True))]
+        peer = self._environment.random.choice(sorted(links))
+        return [*envelopes, ports.Envelope(peer, digest)]
 
     def _digest(self, wants_answer: bool) -> messages.Digest:
         return messages.Digest(self.state.next_offset, wants_answer)
@@ -93,37 +139,77 @@
     ) -> list[ports.Envelope]:
         state = self.state
         if batch.from_offset > state.next_offset:
-            if not sender:
-                return []
-            return [ports.Envelope(sender, self._digest(wants_answer=False))]
+            return self._ask(sender) if sender else []
         fresh = tuple(e for e in batch.entries if e.offset >= state.next_offset)
         if not fresh:
-            return []
+            return self._prune(sender) if sender else []
+        if not self._recent:
+            self._recent_from = state.next_offset
         for entry in fresh:
             state = self._fold_entry(state, entry)
         self._publish(state)
+        self._gap = None
         relayed = messages.RecordBatch(
-            batch.from_offset, batch.entries, batch.next_offset
+            max(batch.from_offset, 0), fresh, state.next_offset
         )
+        return self._spread(relayed, sender)
+
+    def _spread(
+        self, batch: messages.RecordBatch, sender: str
+    ) -> list[ports.Envelope]:
+        links = self._links.active
+        packed = messages.pack(batch)
+        envelopes = [
+            ports.Envelope(peer, packed)
+            for peer in self._tree.eager(links, exclude=sender)
+        ]
+        digest = self._digest(wants_answer=False)
+        envelopes += [
+            ports.Envelope(peer, digest)
+            for peer in self._tree.lazy(links, exclude=sender)
+        ]
+        return envelopes
+
+    def _prune(self, sender: str) -> list[ports.Envelope]:
+        now = self._environment.clock.monotonic()
+        if not self._tree.prune(sender, self._links.active, now):
+            return []
+        return [ports.Envelope(sender, messages.RecordLink(is_eager=False))]
+
+    def _ask(self, peer: str) -> list[ports.Envelope]:
+        self._tree.set_eager(peer, True)
         return [
-            ports.Envelope(peer, relayed)
-            for peer in self._choose_receivers(sender)
+            ports.Envelope(peer, messages.RecordLink(is_eager=True)),
+            ports.Envelope(peer, self._digest(wants_answer=False)),
         ]
 
-    def _choose_receivers(self, sender: str) -> list[str]:
-        peers = sorted(self._connected - {sender})
-        count = min(FANOUT, len(peers))
-        return self._environment.random.sample(peers, count)
+    def _ask_for_gap(self) -> list[ports.Envelope]:
+        gap = self._gap
+        now = self._environment.clock.monotonic()
+        if gap is None or now < gap.deadline:
+            return []
+        self._gap = None
+        return self._ask(gap.peer)
 
     def _fold_entry(
         self, state: state_lib.State, entry: port.Entry
     ) -> state_lib.State:
         folded = fold.fold(state, entry.offset, entry.payload)
-        self._recent.append(entry)
-        self._recent_from = self._recent[0].offset
+        self._keep_recent(entry)
         self._report(folded, entry.offset)
         return folded.state
 
+    def _keep_recent(self, entry: port.Entry) -> None:
+        self._recent.append(entry)
+        self._recent_bytes += len(entry.payload)
+        while (
+            len(self._recent) > RECENT_ENTRIES_KEPT
+            or self._recent_bytes > RECENT_BYTES_KEPT
+        ):
+            dropped = self._recent.popleft()
+            self._recent_bytes -= len(dropped.payload)
+            self._recent_from = dropped.offset + 1
+
     def _report(self, folded: fold.Folded, offset: int) -> None:
         emit = self._environment.events.emit
         if folded.error is not None:
@@ -138,11 +224,9 @@
             emit(events.CONFIGURATION_APPLIED, subject=str(offset))
         elif isinstance(folded.body, moves.Outcome):
             self._report_outcome(folded.body)
-        elif folded.state.moves and folded.state.moves[-1].is_open:
-            emit(
-                events.MOVE_STARTED,
-                subject=folded.state.moves[-1].move.move_id,
-            )
+        elif isinstance(folded.body, records.MoveRequest):
+            move_id = folded.state.moves[-1].move.move_id
+            emit(events.MOVE_STARTED, subject=move_id)
 
     def _report_outcome(self, outcome: moves.Outcome) -> None:
         is_done = outcome.result is moves.Result.DONE
@@ -155,24 +239,22 @@
     def _answer_digest(
         self, peer: str, digest: messages.Digest
     ) -> list[ports.Envelope]:
-        envelopes = []
-        if digest.next_offset < self.state.next_offset:
-            envelopes.append(self._catch_up(peer, digest.next_offset))
-        elif digest.wants_answer and (
-            digest.next_offset > self.state.next_offset
-        ):
-            envelopes.append(
-                ports.Envelope(peer, self._digest(wants_answer=False))
-            )
-        return envelopes
+        own = self.state.next_offset
+        if digest.next_offset < own:
+            return [self._catch_up(peer, digest.next_offset)]
+        if digest.next_offset > own and self._gap is None:
+            now = self._environment.clock.monotonic()
+            self._gap = _Gap(peer, now + GRAFT_WAIT_S)
+        return []
 
     def _catch_up(self, peer: str, offset: int) -> ports.Envelope:
-        if not self._recent or offset < self._recent_from:
-            transfer = messages.StateTransfer(codec.encode(self.state))
-            return ports.Envelope(peer, transfer)
         entries = tuple(e for e in self._recent if e.offset >= offset)
+        size = sum(len(e.payload) for e in entries)
+        if offset < self._recent_from or not entries or size > CATCH_UP_BYTES:
+            transfer = messages.StateTransfer(codec.encode(self.state))
+            return ports.Envelope(peer, messages.pack(transfer))
         batch = messages.RecordBatch(offset, entries, self.state.next_offset)
-        return ports.Envelope(peer, batch)
+        return ports.Envelope(peer, messages.pack(batch))
 
     def _take_state(
         self, peer: str, transfer: messages.StateTransfer
@@ -181,19 +263,29 @@
         if not isinstance(state, state_lib.State):
             logger.warning("distribution: peer %s sent no state", peer)
             return []
-        if state.next_offset <= self.state.next_offset:
+        return self._replace_state(state, peer)
+
+    def _replace_state(
+        self, state: state_lib.State, sender: str
+    ) -> list[ports.Envelope]:
+        known = self.state
+        if state.next_offset <= known.next_offset:
             return []
         self._recent.clear()
+        self._recent_bytes = 0
+        self._recent_from = state.next_offset
+        self._gap = None
         self._publish(state)
-        self._environment.events.emit(
-            events.CHECKPOINT_LOADED, subject=str(state.version), peer=peer
+        emit = self._environment.events.emit
+        emit(
+            events.CHECKPOINT_LOADED,
+            subject=str(state.next_offset),
+            peer=sender,
         )
-        return []
-
-
-def is_expired(result: Any) -> bool:
-    """Return True if a read failed because retention removed its offset."""
-    return (
-        isinstance(result, errors.LogError)
-        and result.reason is errors.Reason.OFFSET_EXPIRED
-    )
+        if state.version != known.version:
+            emit(events.CONFIGURATION_APPLIED, subject=str(state.version))
+        digest = self._digest(wants_answer=False)
+        return [
+            ports.Envelope(peer, digest)
+            for peer in sorted(self._links.active - {sender})
+        ]
--- /dev/null
+++ b/trefoilwind/distribution/topology.py
@@ -0,0 +1,128 @@
+"""Choice of the peers that a node keeps a control link with.
+
+Nodes of a data centre form two rings in the order of two hashes: a random
+graph of degree four with a logarithmic diameter. A few relays link the data
+centres of a region; a few gateways link the regions. All of it is a pure
+function of the membership, so that both ends of a link agree.
+"""
+
+from collections.abc import Iterable
+import functools
+
+import xxhash
+
+from trefoilwind.membership import directory
+from trefoilwind.model import members as members_lib
+
+RINGS = 2
+RELAYS_PER_DATA_CENTRE = 2
+GATEWAYS_PER_REGION = 2
+_RANK_CACHE_ENTRIES = 65536
+
+
+@functools.lru_cache(maxsize=_RANK_CACHE_ENTRIES)
+def rank(key: str, node: str) -> int:
+    """Return the rank of a node for a key, the same on every node."""
+    return xxhash.xxh3_64_intdigest(f"{key}\0{node}".encode())
+
+
+def rendezvous(key: str, nodes: Iterable[str], count: int) -> tuple[str, ...]:
+    """Return the `count` nodes that rank highest for a key.
+
+    Args:
+        key: What the nodes are chosen for.
+        nodes: Ids of the candidates.
+        count: Largest number of nodes to return.
+    """
+    ranked = sorted(nodes, key=lambda node: rank(key, node), reverse=True)
+    return tuple(ranked[:count])
+
+
+def relays(
+    members: directory.Snapshot, data_centre: str, count: int
+) -> tuple[str, ...]:
+    """Return the nodes that act for a data centre, the first one first."""
+    nodes = _staying(members, lambda m: m.data_centre == data_centre)
+    return rendezvous(f"relay/{data_centre}", nodes, count)
+
+
+def gateways(
+    members: directory.Snapshot, region: str, count: int
+) -> tuple[str, ...]:
+    """Return the nodes that act for a region, the first one first."""
+    nodes = _staying(members, lambda m: m.region == region)
+    return rendezvous(f"gateway/{region}", nodes, count)
+
+
+def neighbours(members: directory.Snapshot, own_id: str) -> frozenset[str]:
+    """Return the peers that a node should be linked with."""
+    own = members.by_node.get(own_id)
+    if own is None:
+        return frozenset()
+    chosen = _ring_neighbours(members, own)
+    chosen |= _relay_neighbours(members, own)
+    chosen |= _gateway_neighbours(members, own)
+    return frozenset(chosen - {own_id})
+
+
+def acts_for_others(members: directory.Snapshot, own_id: str) -> bool:
+    """Return True if a node is a relay or a gateway."""
+    own = members.by_node.get(own_id)
+    if own is None:
+        return False
+    acting = relays(members, own.data_centre, RELAYS_PER_DATA_CENTRE)
+    return own_id in acting + gateways(members, own.region, GATEWAYS_PER_REGION)
+
+
+def _staying(members: directory.Snapshot, condition) -> list[str]:
+    return [
+        m.node_id for m in members.members if condition(m) and not m.leaving
+    ]
+
+
+def _ring_neighbours(
+    members: directory.Snapshot, own: members_lib.Member
+) -> set[str]:
+    nodes = members.in_data_centre(own.data_centre)
+    chosen = set()
+    for ring in range(RINGS):
+        key = f"ring/{ring}"
+        ordered = sorted(nodes, key=lambda node, key=key: rank(key, node))
+        index = ordered.index(own.node_id)
+        chosen.add(ordered[index - 1])
+        chosen.add(ordered[(index + 1) % len(ordered)])
+    return chosen
+
+
+def _relay_neighbours(
+    members: directory.Snapshot, own: members_lib.Member
+) -> set[str]:
+    """Link the relays of equal position in the region's data centres."""
+    by_data_centre = sorted(
+        {m.data_centre for m in members.members if m.region == own.region}
+    )
+    groups = [
+        relays(members, data_centre, RELAYS_PER_DATA_CENTRE)
+        for data_centre in by_data_centre
+    ]
+    return _counterparts(groups, own.node_id)
+
+
+def _gateway_neighbours(
+    members: directory.Snapshot, own: members_lib.Member
+) -> set[str]:
+    """Link the gateways of equal position in all regions."""
+    groups = [
+        gateways(members, region, GATEWAYS_PER_REGION)
+        for region in sorted({m.region for m in members.members})
+    ]
+    return _counterparts(groups, own.node_id)
+
+
+def _counterparts(groups: list[tuple[str, ...]], own_id: str) -> set[str]:
+    own_group = next((group for group in groups if own_id in group), ())
+    if not own_group:
+        return set()
+    position = own_group.index(own_id)
+    # A group may be smaller; its last node then takes the link.
+    return {group[min(position, len(group) - 1)] for group in groups if group}
--- a/trefoilwind/distribution/transport.py
+++ b/trefoilwind/distribution/transport.py
@@ -1,9 +1,9 @@
 """Streams of a node: listening, connecting, heartbeats."""
 
+import collections
 from collections.abc import Callable
 import contextlib
 import logging
-import random
 import socket
 import threading
 
@@ -11,8 +11,10 @@
 from trefoilwind import environment as environment_lib
 from trefoilwind import errors
 from trefoilwind import events
-from trefoilwind.distribution import backoff
+from trefoilwind.distribution import admission
 from trefoilwind.distribution import frames
+from trefoilwind.distribution import links
+from trefoilwind.distribution import messages
 from trefoilwind.distribution import ports
 from trefoilwind.distribution import stream as stream_lib
 from trefoilwind.model import addresses
@@ -22,6 +24,7 @@
 _STEP = "stream.connect"
 _LISTEN_BACKLOG = 128
 _HEARTBEAT_CHECK_S = 0.25
+_REFUSED_KEPT = 32
 
 
 class Transport:
@@ -31,12 +34,15 @@
         self._environment = environment
         self._settings = environment.settings.streams
         self._clock = environment.clock
-        self._random = random.Random(environment.random.random())
         self._lock = threading.Lock()
         self._streams: dict[str, list[stream_lib.PeerStream]] = {}
         self._connecting: set[str] = set()
         self._stopped = threading.Event()
         self._listener: socket.socket | None = None
+        self._accept_limit = admission.AcceptLimit(
+            self._clock, self._settings.max_accepts_per_s
+        )
+        self._refused: collections.deque[socket.socket] = collections.deque()
         self.on_message: Callable = lambda peer, message: None
         self.on_call_frame: Callable = lambda stream, frame: None
         self.on_connected: Callable = lambda peer: None
@@ -132,7 +138,10 @@
     def connect_later(
         self, peer: str, address: addresses.Address | None = None
     ) -> None:
-        """Connect on a thread of its own unless that is under way."""
+        """Try to connect, on a thread of its own unless that is under way.
+
+        There is one attempt: who wants a stream repeats it with a backoff.
+        """
         member = self._environment.blackboard.members.value.by_node.get(peer)
         target = address or (member.peer_address if member else None)
         key = str(target)
@@ -143,28 +152,16 @@
                 return
             self._connecting.add(key)
         threading.Thread(
-            target=self._connect_with_backoff,
+            target=self._connect_once,
             args=(target, key),
             name=f"connect-{key}",
             daemon=True,
         ).start()
 
-    def _connect_with_backoff(
-        self, address: addresses.Address, key: str
-    ) -> None:
-        attempts = 4
-        for attempt in range(attempts):
-            result = self.connect(address)
-            if not isinstance(result, errors.Error):
-                break
-            delay_s = backoff.full_jitter_s(
-                attempt,
-                self._settings.backoff_base_s,
-                self._settings.backoff_cap_s,
-                self._random,
-            )
-            if self._stopped.wait(delay_s):
-                break
+    def _connect_once(self, address: addresses.Address, key: str) -> None:
+        result = self.connect(address)
+        if isinstance(result, errors.Error):
+            logger.debug("stream: %s", result)
         with self._lock:
             self._connecting.discard(key)
 
@@ -183,15 +180,17 @@
                 return
             self._dispatch(stream, frame)
 
-        hello = frames.Hello(
+        # The hello goes first: once the reader runs, others may send.
+        stream.send(self._hello())
+        stream.start(on_frame, self._unregister)
+        return stream
+
+    def _hello(self) -> frames.Hello:
+        return frames.Hello(
             frames.PROTOCOL_VERSION,
             self._environment.node_id,
             self._environment.settings.data_centre,
         )
-        # The hello goes first: once the reader runs, others may send.
-        stream.send(hello)
-        stream.start(on_frame, self._unregister)
-        return stream
 
     def _register(self, stream: stream_lib.PeerStream) -> None:
         with self._lock:
@@ -245,7 +244,28 @@
                 connection, _ = self._listener.accept()
             except OSError:
                 return
-            self._adopt(connection)
+            if self._accept_limit.admit():
+                self._adopt(connection)
+            else:
+                self._refuse(connection)
+
+    def _refuse(self, connection: socket.socket) -> None:
+        """Tell a peer to try others; no thread is spent on it."""
+        contacts = links.sample_contacts(
+            self._environment, exclude="", count=links.CONTACTS_IN_REFUSAL
+        )
+        payload = codec.encode(messages.Refusal(contacts))
+        stamp = self._environment.events.hybrid_clock.now()
+        control = frames.Control(stamp.wall_ms, stamp.counter, payload)
+        data = frames.encode(self._hello()) + frames.encode(control)
+        with contextlib.suppress(OSError):
+            connection.setblocking(False)
+            connection.send(data)
+            connection.shutdown(socket.SHUT_WR)
+        # Closing at once could reset the connection before it was read.
+        self._refused.append(connection)
+        while len(self._refused) > _REFUSED_KEPT:
+            self._refused.popleft().close()
 
     def _all_streams(self) -> list[stream_lib.PeerStream]:
         with self._lock:
--- a/trefoilwind/log/fold.py
+++ b/trefoilwind/log/fold.py
@@ -6,12 +6,15 @@
 from trefoilwind import codec
 from trefoilwind import errors
 from trefoilwind.log import validation
+from trefoilwind.model import configuration as configuration_lib
 from trefoilwind.model import moves
 from trefoilwind.model import records
 from trefoilwind.model import state as state_lib
 
 _STEP = "log.fold"
-RECENT_IDS_KEPT = 4096
+RECENT_IDS_KEPT = 1024
+MAX_LEASE_S = 600.0
+MAX_RECORD_BYTES = 2 * 1024 * 1024
 ENDED_MOVES_KEPT = 64
 
 _Handler = Callable[
@@ -44,6 +47,10 @@
         payload: Bytes of the record.
     """
     passed = dataclasses.replace(state, next_offset=offset + 1)
+    if len(payload) > MAX_RECORD_BYTES:
+        return Folded(
+            passed, _error(errors.Reason.UNDECODABLE, "", "too large")
+        )
     record = codec.decode(payload, _STEP)
     if not isinstance(record, records.Record):
         return Folded(
@@ -52,12 +59,13 @@
     if record.record_id in state.recent_ids:
         reason = errors.Reason.REPEATED_RECORD
         return Folded(passed, _error(reason, record.writer, record.record_id))
-    passed = _remember(passed, record.record_id)
     body = codec.decode(record.body, _STEP, record.writer)
     handler = _HANDLERS.get(type(body))
     if handler is None or type(body).__name__ != record.kind:
         reason = errors.Reason.UNDECODABLE
         return Folded(passed, _error(reason, record.writer, record.kind))
+    if type(body) in _REMEMBERED:
+        passed = _remember(passed, record.record_id)
     result = handler(passed, offset, record, body)
     if isinstance(result, errors.RecordError):
         return Folded(passed, result, body)
@@ -88,10 +96,28 @@
             f"based on {body.base_version}, current is {state.version}",
         )
     problems = validation.validate(body.configuration)
+    problems += validation.validate_open_moves(state, body.configuration)
     if problems:
         return _error(problems[0].reason, record.writer, str(problems[0]))
     return dataclasses.replace(
-        state, version=offset, configuration=body.configuration
+        state,
+        version=offset,
+        configuration=body.configuration,
+        stable=_stable_within(state.stable, body.configuration),
+    )
+
+
+def _stable_within(
+    stable: tuple[state_lib.StableVersion, ...],
+    configuration: configuration_lib.Configuration,
+) -> tuple[state_lib.StableVersion, ...]:
+    halves = ("", *configuration.halves)
+    return tuple(
+        s
+        for s in stable
+        if configuration.service(s.service) is not None
+        and s.half in halves
+        and s.to_half in halves
     )
 
 
@@ -172,10 +198,15 @@
     record: records.Record,
     body: records.LeaseClaim,
 ) -> state_lib.State | errors.RecordError:
+    length_s = body.expires_at - body.claimed_at
+    if not 0.0 < length_s <= MAX_LEASE_S or not body.holder:
+        return _error(errors.Reason.OUT_OF_RANGE, record.writer, body.name)
     current = state.lease(body.name)
     is_held = current is not None and body.claimed_at < current.expires_at
     if is_held and current.holder != body.holder:
         return _error(errors.Reason.LEASE_HELD, record.writer, current.holder)
+    if is_held and body.expires_at <= current.expires_at:
+        return _error(errors.Reason.REPEATED_RECORD, record.writer, body.name)
     epoch = current.epoch if is_held else offset
     lease = state_lib.Lease(body.name, body.holder, epoch, body.expires_at)
     others = tuple(x for x in state.leases if x.name != body.name)
@@ -191,7 +222,7 @@
     lease = state.lease(CHECKPOINT_LEASE)
     if lease is None or lease.epoch != body.epoch:
         return _error(errors.Reason.STALE_EPOCH, record.writer)
-    return state
+    return dataclasses.replace(state, checkpoint_offset=offset)
 
 
 def _fold_contacts(
@@ -225,3 +256,6 @@
     records.Checkpoint: _fold_checkpoint,
     records.Contacts: _fold_contacts,
 }
+
+# Repeats of the others change nothing, so their ids need not be kept.
+_REMEMBERED = (records.Publication, records.MoveRequest, moves.Outcome)
--- a/trefoilwind/log/http_client.py
+++ b/trefoilwind/log/http_client.py
@@ -36,9 +36,14 @@
             reason = errors.Reason.LOG_UNKNOWN_RESULT
             return self._error(reason, "log.append", type(error).__name__)
         if response.status != _OK:
-            reason = errors.Reason.LOG_UNAVAILABLE
+            # A server's failure may come after the record was stored.
+            reason = errors.Reason.LOG_UNKNOWN_RESULT
             return self._error(reason, "log.append", str(response.status))
-        return self._offset(response.data, "log.append")
+        offset = self._offset(response.data, "log.append")
+        if isinstance(offset, errors.LogError):
+            reason = errors.Reason.LOG_UNKNOWN_RESULT
+            return self._error(reason, "log.append", str(offset))
+        return offset
 
     def read(
         self, offset: int, limit: int, wait_s: float = 0.0
--- a/trefoilwind/log/validation.py
+++ b/trefoilwind/log/validation.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import math
 
 from trefoilwind import errors
 from trefoilwind.model import configuration as configuration_lib
@@ -33,13 +34,34 @@
             )
     if not request.version:
         return _move_error(errors.Reason.MISSING_KEY, "version")
-    if request.deadline <= request.started:
+    if not request.started < request.deadline < math.inf:
         return _move_error(errors.Reason.OUT_OF_RANGE, "deadline has passed")
     if state.open_move(request.service) is not None:
         return _move_error(errors.Reason.MOVE_OPEN, request.service)
     return None
 
 
+def validate_open_moves(
+    state: state_lib.State, configuration: configuration_lib.Configuration
+) -> tuple[errors.SettingsError, ...]:
+    """Return what a configuration takes away from under an open move."""
+    halves = ("", *configuration.halves)
+    problems = []
+    for status in state.moves:
+        move = status.move
+        if not status.is_open:
+            continue
+        if configuration.service(move.service) is None:
+            problems.append(
+                _error(errors.Reason.MOVE_OPEN, "services", move.service)
+            )
+        if move.half not in halves or move.to_half not in halves:
+            problems.append(
+                _error(errors.Reason.MOVE_OPEN, "halves", move.move_id)
+            )
+    return tuple(problems)
+
+
 def _move_error(reason: errors.Reason, detail: str) -> errors.RecordError:
     return errors.RecordError(reason, "move.validate", detail=detail)
 
--- a/trefoilwind/membership/controller.py
+++ b/trefoilwind/membership/controller.py
@@ -6,48 +6,78 @@
 
 from trefoilwind import environment as environment_lib
 from trefoilwind import events
+from trefoilwind.distribution import links as links_lib
 from trefoilwind.distribution import ports
+from trefoilwind.distribution import tree as tree_lib
 from trefoilwind.membership import directory
+from trefoilwind.membership import leases as leases_lib
 from trefoilwind.membership import messages
 from trefoilwind.model import members
 
 logger = logging.getLogger(__name__)
 
-FANOUT = 3
-
-
-@dataclasses.dataclass(frozen=True)
-class _Lease:
-    """An entry and the monotonic time at which its lease ends."""
-
-    member: members.Member
-    deadline: float
+COALESCE_S = 0.5
+DIGEST_INTERVAL_S = 2.0
+OVERDUE_INTERVAL_S = 1.0
+# Rest of a lease at which a missing renewal is asked for.
+OVERDUE_RATIO = 0.15
+MAX_REQUESTED = 256
+SUSPECT_AFTER_S = 3.0
+SUSPECT_LEASE_S = 4.0
+_MILLISECONDS_PER_SECOND = 1000
 
 
 class MembershipController:
     """Owns this node's entry and keeps the entries of all others."""
 
-    def __init__(self, environment: environment_lib.Environment):
+    def __init__(
+        self,
+        environment: environment_lib.Environment,
+        links: links_lib.LinkController,
+    ):
         self._environment = environment
         self._settings = environment.settings.membership
+        self._links = links
         self._publish = environment.blackboard.members.claim("membership")
-        self._leases: dict[str, _Lease] = {}
+        self._table = leases_lib.LeaseTable()
+        self._tree = tree_lib.Tree()
         self._connected: set[str] = set()
+        self._greeted: frozenset[str] = frozenset()
+        self._lost_links: dict[str, float] = {}
+        # Renewals to pass on, with the peer that each came from.
+        self._outbox: dict[str, str] = {}
         self._next_refresh = 0.0
+        self._next_flush = 0.0
+        self._next_digest = 0.0
+        self._next_overdue = 0.0
+        self._renewal = 0
         self._own = members.Member(
             node_id=environment.node_id,
             incarnation=environment.incarnation,
             sequence=0,
             data_centre=environment.settings.data_centre,
             peer_address=environment.peer_address,
+            region=environment.settings.region,
         )
-        self._keep(self._own, self._settings.lease_s)
+        self._keep_own()
         self._publish_snapshot()
 
     @property
     def handles(self) -> tuple[type, ...]:
         """Classes of the messages that this controller takes."""
-        return (messages.MemberUpdate,)
+        return tuple(self._handlers)
+
+    @property
+    def _handlers(self) -> dict:
+        return {
+            messages.MemberUpdate: self._take_update,
+            messages.RenewalUpdate: self._take_renewals,
+            messages.Suspicion: self._take_suspicion,
+            messages.MemberRequest: self._answer_request,
+            messages.MemberDigest: self._answer_digest,
+            messages.BucketDigest: self._answer_buckets,
+            messages.MemberLink: self._take_link,
+        }
 
     def announce(
         self,
@@ -70,65 +100,359 @@
         return self._change_own(changed)
 
     def leave(self) -> list[ports.Envelope]:
-        """Mark the own entry as leaving and push that to all peers."""
+        """Mark the own entry as leaving and push that to all links."""
         if self._own.leaving:
             return []
         return self._change_own(dataclasses.replace(self._own, leaving=True))
 
-    def handle(
-        self, peer: str, message: messages.MemberUpdate
-    ) -> list[ports.Envelope]:
-        """Take entries of a peer and pass on those that are new."""
-        fresh = tuple(e for e in message.entries if self._take(e))
-        if not fresh:
-            return []
-        self._publish_snapshot()
-        update = messages.MemberUpdate(fresh)
-        return self._to_some(update, exclude=peer)
+    def handle(self, peer: str, message: Any) -> list[ports.Envelope]:
+        """React to a message of a peer."""
+        return self._handlers[type(message)](peer, message)
 
     def peer_connected(self, peer: str) -> list[ports.Envelope]:
-        """Send all entries to a new peer."""
+        """Note that a peer can be reached; links start eager."""
         self._connected.add(peer)
-        entries = tuple(self._leased(x) for x in self._leases.values())
-        return [ports.Envelope(peer, messages.MemberUpdate(entries))]
+        self._lost_links.pop(peer, None)
+        self._tree.set_eager(peer, True)
+        return []
 
     def peer_lost(self, peer: str) -> list[ports.Envelope]:
-        """Forget a stream; the entry stays until its lease ends."""
+        """Note the loss; the entry stays until its lease ends."""
         self._connected.discard(peer)
+        self._tree.set_eager(peer, True)
+        if peer in self._greeted:
+            now = self._environment.clock.monotonic()
+            self._lost_links[peer] = now + SUSPECT_AFTER_S
         return []
 
     def tick(self) -> list[ports.Envelope]:
-        """Drop expired entries and refresh the own lease."""
+        """Expire, refresh, compare with peers and pass on what waits."""
         now = self._environment.clock.monotonic()
         self._expire(now)
-        if now < self._next_refresh:
-            return []
-        return self._change_own(self._own)
+        envelopes = self._greet()
+        envelopes += self._suspect(now)
+        if now >= self._next_refresh:
+            self._renew_own(now)
+        if now >= self._next_flush:
+            self._next_flush = now + COALESCE_S
+            envelopes += self._flush(now)
+        if now >= self._next_overdue:
+            self._next_overdue = now + OVERDUE_INTERVAL_S
+            envelopes += self._request_overdue(now)
+        if now >= self._next_digest:
+            self._next_digest = now + DIGEST_INTERVAL_S
+            envelopes += self._send_digest()
+        return envelopes
+
+    def _greet(self) -> list[ports.Envelope]:
+        """Compare entries with each new link, after sending the own one."""
+        links = self._links.active
+        fresh = sorted(links - self._greeted)
+        self._greeted = links
+        now = self._environment.clock.monotonic()
+        own = leases_lib.leased(self._table.leases[self._own.node_id], now)
+        envelopes = []
+        for peer in fresh:
+            update = messages.MemberUpdate((own,), is_repair=True)
+            envelopes.append(ports.Envelope(peer, update))
+            digest = messages.MemberDigest(self._table.digest)
+            envelopes.append(ports.Envelope(peer, digest))
+        return envelopes
 
     def _change_own(self, member: members.Member) -> list[ports.Envelope]:
         self._own = dataclasses.replace(member, sequence=self._own.sequence + 1)
-        self._keep(self._own, self._settings.lease_s)
-        now = self._environment.clock.monotonic()
-        refresh_s = self._settings.lease_s * self._settings.refresh_ratio
-        self._next_refresh = now + refresh_s
+        self._keep_own()
         self._publish_snapshot()
+        return self._push((self._own.node_id,), exclude="", urgent=True)
+
+    def _renew_own(self, now: float) -> None:
+        self._keep_own()
+        self._outbox[self._own.node_id] = ""
+
+    def _keep_own(self) -> None:
+        now = self._environment.clock.monotonic()
+        lease_s = self._settings.lease_s
+        self._renewal += 1
+        self._table.keep(self._own, self._renewal, now + lease_s)
+        # The jitter keeps nodes that started together from staying in step.
+        jitter = self._environment.random.uniform(0.9, 1.0)
+        refresh_s = lease_s * self._settings.refresh_ratio
+        self._next_refresh = now + refresh_s * jitter
+
+    def _push(
+        self, node_ids: tuple[str, ...], exclude: str, urgent: bool = False
+    ) -> list[ports.Envelope]:
+        """Send whole entries on the tree, or on all links if urgent."""
+        now = self._environment.clock.monotonic()
         update = messages.MemberUpdate(
-            (self._leased(self._leases[self._own.node_id]),)
+            tuple(
+                leases_lib.leased(self._table.leases[node_id], now)
+                for node_id in node_ids
+            )
         )
-        return [ports.Envelope(p, update) for p in sorted(self._connected)]
+        links = self._links.active
+        peers = self._tree.eager(links, exclude)
+        if urgent:
+            peers = sorted(links - {exclude})
+        return [ports.Envelope(peer, update) for peer in peers]
 
-    def _take(self, leased: messages.LeasedMember) -> bool:
-        member = leased.member
-        if member.node_id == self._own.node_id or leased.remaining_s <= 0:
-            return False
-        known = self._leases.get(member.node_id)
-        if known and known.member.precedence >= member.precedence:
+    def _take_update(
+        self, peer: str, message: messages.MemberUpdate
+    ) -> list[ports.Envelope]:
+        changed = []
+        news = 0
+        for entry in message.entries:
+            if entry.member.node_id == self._own.node_id:
+                self._refute(entry.member.precedence, entry.renewal)
+                news += 1
+                continue
+            if not self._is_valid(entry):
+                continue
+            is_change = self._is_change(entry.member)
+            if not self._take(entry):
+                continue
+            news += 1
+            if is_change:
+                changed.append(entry.member.node_id)
+            else:
+                self._outbox[entry.member.node_id] = peer
+        if changed:
+            self._publish_snapshot()
+        envelopes = []
+        if message.is_repair and changed:
+            envelopes += self._graft(peer)
+        elif not message.is_repair and not news:
+            envelopes += self._prune(peer)
+        if changed:
+            leases = self._table.leases
+            urgent = any(leases[x].member.leaving for x in changed)
+            envelopes += self._push(tuple(changed), peer, urgent)
+        return envelopes
+
+    def _is_valid(self, entry: messages.LeasedMember) -> bool:
+        return 0.0 < entry.remaining_s < float("inf")
+
+    def _is_change(self, member: members.Member) -> bool:
+        known = self._table.leases.get(member.node_id)
+        return known is None or known.member != member
+
+    def _take(self, entry: messages.LeasedMember) -> bool:
+        member = entry.member
+        if not self._table.is_news(member, entry.renewal):
             return False
-        remaining_s = min(leased.remaining_s, self._settings.lease_s)
-        self._keep(member, remaining_s)
+        known = self._table.leases.get(member.node_id)
+        remaining_s = min(entry.remaining_s, self._settings.lease_s)
+        now = self._environment.clock.monotonic()
+        self._table.keep(member, entry.renewal, now + remaining_s)
         self._report(known.member if known else None, member)
         return True
 
+    def _refute(self, precedence: tuple[int, int], renewal: int) -> None:
+        """Outdo an entry under this node's id that is later than its own."""
+        own = self._own
+        if precedence <= own.precedence and (
+            precedence[0] < own.incarnation or renewal <= self._renewal
+        ):
+            return
+        # An earlier process had the id and a later wall clock.
+        incarnation = max(precedence[0] + 1, own.incarnation)
+        self._own = dataclasses.replace(own, incarnation=incarnation)
+        self._renewal = max(self._renewal, renewal)
+        self._keep_own()
+        self._publish_snapshot()
+        self._outbox[own.node_id] = ""
+
+    def _take_renewals(
+        self, peer: str, message: messages.RenewalUpdate
+    ) -> list[ports.Envelope]:
+        unknown = []
+        repeats = 0
+        now = self._environment.clock.monotonic()
+        for entry in message.entries:
+            known = self._table.leases.get(entry.node_id)
+            if entry.node_id == self._own.node_id:
+                continue
+            precedence = (entry.incarnation, entry.sequence)
+            if known is None or precedence > known.member.precedence:
+                unknown.append(entry.node_id)
+            elif precedence < known.member.precedence or (
+                entry.renewal <= known.renewal
+            ):
+                repeats += 1
+            else:
+                self._take_renewal(known, entry, now)
+                self._outbox[entry.node_id] = peer
+        envelopes = []
+        if unknown:
+            request = messages.MemberRequest(tuple(unknown[:MAX_REQUESTED]))
+            envelopes.append(ports.Envelope(peer, request))
+        if repeats:
+            envelopes += self._prune(peer)
+        return envelopes
+
+    def _take_renewal(
+        self, known: leases_lib.Lease, entry: messages.Renewal, now: float
+    ) -> None:
+        remaining_s = min(
+            entry.remaining_ms / _MILLISECONDS_PER_SECOND,
+            self._settings.lease_s,
+        )
+        self._table.renew(known, entry.renewal, now + remaining_s)
+
+    def _take_suspicion(
+        self, peer: str, message: messages.Suspicion
+    ) -> list[ports.Envelope]:
+        if message.node_id == self._own.node_id:
+            if message.incarnation < self._own.incarnation:
+                return []
+            self._renewal = max(self._renewal, message.renewal)
+            self._keep_own()
+            return self._push((self._own.node_id,), exclude="", urgent=True)
+        if not self._shorten(message):
+            return []
+        links = self._links.active
+        return [
+            ports.Envelope(p, message)
+            for p in self._tree.eager(links, exclude=peer)
+        ]
+
+    def _shorten(self, suspicion: messages.Suspicion) -> bool:
+        lease = self._table.leases.get(suspicion.node_id)
+        if lease is None:
+            return False
+        known = (lease.member.incarnation, lease.renewal)
+        if known > (suspicion.incarnation, suspicion.renewal):
+            return False
+        deadline = self._environment.clock.monotonic() + SUSPECT_LEASE_S
+        if lease.deadline <= deadline:
+            return False
+        self._table.renew(lease, lease.renewal, deadline)
+        return True
+
+    def _suspect(self, now: float) -> list[ports.Envelope]:
+        """Spread the suspicion of links that did not come back."""
+        envelopes = []
+        for peer in [p for p, due in self._lost_links.items() if due <= now]:
+            del self._lost_links[peer]
+            lease = self._table.leases.get(peer)
+            if lease is None:
+                continue
+            suspicion = messages.Suspicion(
+                peer, lease.member.incarnation, lease.renewal
+            )
+            self._shorten(suspicion)
+            links = self._links.active
+            envelopes += [
+                ports.Envelope(p, suspicion) for p in self._tree.eager(links)
+            ]
+        return envelopes
+
+    def _flush(self, now: float) -> list[ports.Envelope]:
+        """Send the gathered renewals on the tree."""
+        outbox = self._outbox
+        self._outbox = {}
+        envelopes = []
+        for peer in self._tree.eager(self._links.active):
+            entries = tuple(
+                leases_lib.renewal_of(self._table.leases[node_id], now)
+                for node_id, source in outbox.items()
+                if source != peer and node_id in self._table.leases
+            )
+            if entries:
+                update = messages.RenewalUpdate(entries)
+                envelopes.append(ports.Envelope(peer, update))
+        return envelopes
+
+    def _request_overdue(self, now: float) -> list[ports.Envelope]:
+        """Ask a peer for leases that near their end without a renewal."""
+        links = sorted(self._links.active)
+        limit = now + OVERDUE_RATIO * self._settings.lease_s
+        overdue = [
+            node_id
+            for node_id, lease in self._table.leases.items()
+            if lease.deadline < limit
+            and node_id != self._own.node_id
+            and not lease.member.leaving
+        ]
+        if not overdue or not links:
+            return []
+        peer = self._environment.random.choice(links)
+        request = messages.MemberRequest(tuple(overdue[:MAX_REQUESTED]))
+        return [ports.Envelope(peer, request)]
+
+    def _answer_request(
+        self, peer: str, message: messages.MemberRequest
+    ) -> list[ports.Envelope]:
+        now = self._environment.clock.monotonic()
+        entries = tuple(
+            leases_lib.leased(self._table.leases[node_id], now)
+            for node_id in message.node_ids
+            if node_id in self._table.leases
+        )
+        if not entries:
+            return []
+        update = messages.MemberUpdate(entries, is_repair=True)
+        return [ports.Envelope(peer, update)]
+
+    def _send_digest(self) -> list[ports.Envelope]:
+        links = sorted(self._links.active)
+        if not links:
+            return []
+        peer = self._environment.random.choice(links)
+        digest = messages.MemberDigest(self._table.digest)
+        envelopes = [ports.Envelope(peer, digest)]
+        if self._tree.is_cut_off(links):
+            envelopes += self._graft(peer)
+        return envelopes
+
+    def _answer_digest(
+        self, peer: str, message: messages.MemberDigest
+    ) -> list[ports.Envelope]:
+        if message.value == self._table.digest:
+            return []
+        buckets = messages.BucketDigest(self._table.bucket_hashes, True)
+        return [ports.Envelope(peer, buckets)]
+
+    def _answer_buckets(
+        self, peer: str, message: messages.BucketDigest
+    ) -> list[ports.Envelope]:
+        own = self._table.bucket_hashes
+        if len(message.values) != len(own):
+            return []
+        pairs = zip(own, message.values, strict=True)
+        differing = {i for i, (a, b) in enumerate(pairs) if a != b}
+        if not differing:
+            return []
+        now = self._environment.clock.monotonic()
+        entries = tuple(
+            leases_lib.leased(lease, now)
+            for lease in self._table.in_buckets(differing)
+        )
+        envelopes = []
+        if entries:
+            update = messages.MemberUpdate(entries, is_repair=True)
+            envelopes.append(ports.Envelope(peer, update))
+        if message.wants_answer:
+            digest = messages.BucketDigest(own, False)
+            envelopes.append(ports.Envelope(peer, digest))
+        return envelopes
+
+    def _take_link(
+        self, peer: str, message: messages.MemberLink
+    ) -> list[ports.Envelope]:
+        self._tree.set_eager(peer, message.is_eager)
+        return []
+
+    def _prune(self, peer: str) -> list[ports.Envelope]:
+        now = self._environment.clock.monotonic()
+        if not self._tree.prune(peer, self._links.active, now):
+            return []
+        return [ports.Envelope(peer, messages.MemberLink(is_eager=False))]
+
+    def _graft(self, peer: str) -> list[ports.Envelope]:
+        self._tree.set_eager(peer, True)
+        return [ports.Envelope(peer, messages.MemberLink(is_eager=True))]
+
     def _report(self, known: members.Member | None, member: members.Member):
         emit = self._environment.events.emit
         if member.leaving and not (known and known.leaving):
@@ -137,22 +461,9 @@
             detail = f"{member.service} {member.version}".strip()
             emit(events.MEMBER_JOINED, subject=member.node_id, detail=detail)
 
-    def _keep(self, member: members.Member, remaining_s: float) -> None:
-        deadline = self._environment.clock.monotonic() + remaining_s
-        self._leases[member.node_id] = _Lease(member, deadline)
-
-    def _leased(self, lease: _Lease) -> messages.LeasedMember:
-        remaining_s = lease.deadline - self._environment.clock.monotonic()
-        return messages.LeasedMember(lease.member, remaining_s)
-
     def _expire(self, now: float) -> None:
-        expired = [
-            node_id
-            for node_id, lease in self._leases.items()
-            if lease.deadline <= now and node_id != self._own.node_id
-        ]
+        expired = self._table.expire(now, self._own.node_id)
         for node_id in expired:
-            del self._leases[node_id]
             self._environment.events.emit(
                 events.MEMBER_EXPIRED, subject=node_id
             )
@@ -160,10 +471,5 @@
             self._publish_snapshot()
 
     def _publish_snapshot(self) -> None:
-        entries = (lease.member for lease in self._leases.values())
+        entries = (lease.member for lease in self._table.leases.values())
         self._publish(directory.snapshot(entries))
-
-    def _to_some(self, message: Any, exclude: str) -> list[ports.Envelope]:
-        peers = sorted(self._connected - {exclude})
-        chosen = self._environment.random.sample(peers, min(FANOUT, len(peers)))
-        return [ports.Envelope(peer, message) for peer in chosen]
--- /dev/null
+++ b/trefoilwind/membership/leases.py
@@ -0,0 +1,145 @@
+"""Leased entries of all members, and the hashes that compare them."""
+
+import dataclasses
+
+import xxhash
+
+from trefoilwind.membership import messages
+from trefoilwind.model import members
+
+BUCKETS = 32
+TOMBSTONE_S = 180.0
+_MILLISECONDS_PER_SECOND = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Lease:
+    """An entry and the monotonic time at which its lease ends."""
+
+    member: members.Member
+    renewal: int
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Tombstone:
+    """The last renewal of an entry whose lease ended."""
+
+    renewal_order: tuple[int, int]
+    deadline: float
+
+
+class LeaseTable:
+    """Entries by node id; a later renewal or sequence replaces an earlier."""
+
+    def __init__(self) -> None:
+        self._leases: dict[str, Lease] = {}
+        self._tombstones: dict[str, _Tombstone] = {}
+        self._hashes = [0] * BUCKETS
+        self._entry_hashes: dict[str, int] = {}
+
+    @property
+    def leases(self) -> dict[str, Lease]:
+        """Leases by node id."""
+        return self._leases
+
+    @property
+    def bucket_hashes(self) -> tuple[int, ...]:
+        """Hash of the entries of each bucket."""
+        return tuple(self._hashes)
+
+    @property
+    def digest(self) -> int:
+        """Hash of all entries."""
+        data = repr(self._hashes).encode()
+        return xxhash.xxh3_64_intdigest(data)
+
+    def keep(self, member: members.Member, renewal: int, deadline: float):
+        """Set the entry of a node."""
+        old_hash = self._entry_hashes.get(member.node_id, 0)
+        new_hash = _entry_hash(member)
+        self._hashes[bucket_of(member.node_id)] ^= old_hash ^ new_hash
+        self._entry_hashes[member.node_id] = new_hash
+        self._leases[member.node_id] = Lease(member, renewal, deadline)
+
+    def renew(self, lease: Lease, renewal: int, deadline: float) -> None:
+        """Replace the lease of an entry that stays as it is."""
+        self._leases[lease.member.node_id] = Lease(
+            lease.member, renewal, deadline
+        )
+
+    def is_news(self, member: members.Member, renewal: int) -> bool:
+        """Return True if an entry or its renewal is later than the known."""
+        order = (member.incarnation, renewal)
+        known = self._leases.get(member.node_id)
+        if known is not None:
+            return (
+                member.precedence > known.member.precedence
+                or member.precedence == known.member.precedence
+                and renewal > known.renewal
+            )
+        tombstone = self._tombstones.get(member.node_id)
+        return tombstone is None or order > tombstone.renewal_order
+
+    def expire(self, now: float, own_id: str) -> list[str]:
+        """Remove and return the nodes whose lease has ended.
+
+        Args:
+            now: Monotonic time in seconds.
+            own_id: Node whose entry stays.
+        """
+        for node_id, tombstone in list(self._tombstones.items()):
+            if tombstone.deadline <= now:
+                del self._tombstones[node_id]
+        expired = [
+            node_id
+            for node_id, lease in self._leases.items()
+            if lease.deadline <= now and node_id != own_id
+        ]
+        for node_id in expired:
+            self._remove(node_id, now)
+        return expired
+
+    def in_buckets(self, buckets: set[int]) -> list[Lease]:
+        """Return the leases of some buckets."""
+        return [
+            lease
+            for node_id, lease in self._leases.items()
+            if bucket_of(node_id) in buckets
+        ]
+
+    def _remove(self, node_id: str, now: float) -> None:
+        lease = self._leases.pop(node_id)
+        entry_hash = self._entry_hashes.pop(node_id)
+        self._hashes[bucket_of(node_id)] ^= entry_hash
+        order = (lease.member.incarnation, lease.renewal)
+        self._tombstones[node_id] = _Tombstone(order, now + TOMBSTONE_S)
+
+
+def bucket_of(node_id: str) -> int:
+    """Return the bucket of a node."""
+    return xxhash.xxh3_64_intdigest(node_id.encode()) % BUCKETS
+
+
+def leased(lease: Lease, now: float) -> messages.LeasedMember:
+    """Return an entry for the wire."""
+    return messages.LeasedMember(
+        lease.member, lease.deadline - now, lease.renewal
+    )
+
+
+def renewal_of(lease: Lease, now: float) -> messages.Renewal:
+    """Return a renewal for the wire."""
+    member = lease.member
+    return messages.Renewal(
+        member.node_id,
+        member.incarnation,
+        member.sequence,
+        lease.renewal,
+        int((lease.deadline - now) * _MILLISECONDS_PER_SECOND),
+    )
+
+
+def _entry_hash(member: members.Member) -> int:
+    data = f"{member.node_id}\0{member.incarnation}\0{member.sequence}"
+    return xxhash.xxh3_64_intdigest(data.encode())
--- a/trefoilwind/model/members.py
+++ b/trefoilwind/model/members.py
@@ -32,6 +32,7 @@
         slots: Calls that the backend server runs at once.
         labels: Labels for ownership rules.
         leaving: True if it takes no new work.
+        region: Region of the data centre.
     """
 
     node_id: str
@@ -44,6 +45,7 @@
     slots: int = 0
     labels: tuple[Label, ...] = ()
     leaving: bool = False
+    region: str = ""
 
     @property
     def precedence(self) -> tuple[int, int]:
--- a/trefoilwind/model/state.py
+++ b/trefoilwind/model/state.py
@@ -57,7 +57,10 @@
         moves: Open and recently ended moves, oldest first.
         leases: Leases by name.
         contacts: Contact lists by data centre.
-        recent_ids: Ids of recent records, oldest first.
+        recent_ids: Ids of recent records of operators and outcomes, oldest
+            first.
+        checkpoint_offset: Offset of the last accepted checkpoint; -1 before
+            one.
     """
 
     next_offset: int = 0
@@ -70,6 +73,7 @@
     leases: tuple[Lease, ...] = ()
     contacts: tuple[records.Contacts, ...] = ()
     recent_ids: tuple[str, ...] = ()
+    checkpoint_offset: int = -1
 
     def stable_version(self, service: str, half: str) -> str:
         """Return the version that serves a half's traffic of a service."""
--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -6,9 +6,11 @@
 
 from trefoilwind import environment as environment_lib
 from trefoilwind import events
+from trefoilwind.distribution import links as links_lib
 from trefoilwind.distribution import ports
 from trefoilwind.distribution import spreader as spreader_lib
 from trefoilwind.distribution import transport as transport_lib
+from trefoilwind.log import coordinator as coordinator_lib
 from trefoilwind.membership import controller as membership_lib
 from trefoilwind.model import lifecycle
 from trefoilwind.model import records
@@ -37,10 +39,19 @@
         self._transport = transport
         self._target = target
         self._tell_log = tell_log
-        self._spreader = spreader_lib.Spreader(environment)
-        self._membership = membership_lib.MembershipController(environment)
+        self._links = links_lib.LinkController(environment)
+        self._spreader = spreader_lib.Spreader(environment, self._links)
+        self._membership = membership_lib.MembershipController(
+            environment, self._links
+        )
+        self._coordinator = coordinator_lib.Coordinator(environment)
         self._rollout = rollout
-        self._controllers = (self._spreader, self._membership, rollout)
+        self._controllers = (
+            self._links,
+            self._spreader,
+            self._membership,
+            rollout,
+        )
         self._controller_by_message = {
             cls: controller
             for controller in self._controllers
@@ -48,6 +59,7 @@
         }
         self._publish_routes = self._board.routes.claim("control")
         self._publish_lifecycle = self._board.lifecycle.claim("control")
+        self._route_inputs: tuple = ()
         self._announcement_deadline = 0.0
         self._announcement: messages.Announcement | None = None
 
@@ -68,6 +80,8 @@
             return self._from_all("peer_lost", message.peer)
         if isinstance(message, messages.PageRead):
             return self._spreader.take_page(message.from_offset, message.page)
+        if isinstance(message, messages.CheckpointRead):
+            return self._spreader.take_checkpoint(message.state)
         if isinstance(message, messages.Announcement):
             return self._announce(message)
         if isinstance(message, messages.Withdrawal):
@@ -95,10 +109,10 @@
     def _tick(self) -> list[ports.Envelope]:
         self._expire_announcement()
         envelopes = self._from_all("tick")
+        self._coordinate()
         self._tell_log(messages.Tick())
         for outcome in self._rollout.take_outcomes():
             self._append_outcome(outcome)
-        self._connect_members()
         return envelopes
 
     def _append_outcome(self, outcome) -> None:
@@ -107,14 +121,14 @@
         payload = records.encode(record_id, node_id, outcome)
         self._tell_log(messages.Append(record_id, payload))
 
-    def _connect_members(self) -> None:
-        """Keep a stream to every other member."""
-        own = self._environment.node_id
-        connected = set(self._transport.peers)
-        for member in self._board.members.value.members:
-            # One side connects, so that two nodes share one stream.
-            if member.node_id > own and member.node_id not in connected:
-                self._transport.connect_later(member.node_id)
+    def _coordinate(self) -> None:
+        self._coordinator.tick()
+        for request in self._coordinator.take_requests():
+            self._tell_log(
+                messages.Append(
+                    request.record_id, request.payload, request.deadline
+                )
+            )
 
     def _announce(
         self, announcement: messages.Announcement
@@ -156,10 +170,15 @@
         return self._membership.leave()
 
     def _rebuild_routes(self) -> None:
-        routes = table.build(
+        inputs = (
             self._board.state.value,
             self._board.members.value,
             self._board.shares.value,
         )
+        pairs = zip(inputs, self._route_inputs, strict=False)
+        if self._route_inputs and all(a is b for a, b in pairs):
+            return
+        self._route_inputs = inputs
+        routes = table.build(*inputs)
         if routes != self._board.routes.value:
             self._publish_routes(routes)
--- a/trefoilwind/node/log_actor.py
+++ b/trefoilwind/node/log_actor.py
@@ -1,8 +1,8 @@
 """Actor that reads the log and appends to it."""
 
-import collections
 from collections.abc import Callable
 import logging
+import random
 from typing import Any
 
 import pykka
@@ -10,6 +10,9 @@
 from trefoilwind import environment as environment_lib
 from trefoilwind import errors
 from trefoilwind import events
+from trefoilwind.distribution import backoff
+from trefoilwind.log import appender as appender_lib
+from trefoilwind.log import checkpoints
 from trefoilwind.log import port
 from trefoilwind.log import readers
 from trefoilwind.node import messages
@@ -17,8 +20,9 @@
 logger = logging.getLogger(__name__)
 
 PAGE_RECORDS = 200
-READ_WAIT_S = 0.2
+READ_WAIT_S = 2.0
 IDLE_WAIT_S = 0.2
+MAX_READ_BACKOFF_S = 2.0
 
 
 class _Availability:
@@ -30,7 +34,9 @@
 
     def note(self, result: Any) -> None:
         """Take the result of a call of the log port."""
-        is_available = not isinstance(result, errors.LogError)
+        is_available = not isinstance(result, errors.LogError) or (
+            result.reason is errors.Reason.OFFSET_EXPIRED
+        )
         if is_available == self._is_available:
             return
         self._is_available = is_available
@@ -53,25 +59,22 @@
         super().__init__()
         self._environment = environment
         self._board = environment.blackboard
-        self._log = log
-        self._pending: collections.deque[messages.Append] = collections.deque()
+        self._appender = appender_lib.Appender(
+            log, environment.clock, random.Random(environment.random.random())
+        )
         self._availability = _Availability(environment)
 
     def on_receive(self, message: Any) -> None:
-        """Queue a record, or do one round of appends and reads."""
+        """Queue a record, or append what is due."""
         if isinstance(message, messages.Append):
-            self._pending.append(message)
-        elif isinstance(message, messages.Tick):
-            self._append_pending()
-
-    def _append_pending(self) -> None:
-        while self._pending:
-            # A repeat after a lost answer is safe: the fold ignores it.
-            result = self._log.append(self._pending[0].payload)
-            self._availability.note(result)
-            if isinstance(result, errors.LogError):
-                return
-            self._pending.popleft()
+            problem = self._appender.add(
+                message.record_id, message.payload, message.deadline
+            )
+            if problem is not None:
+                logger.warning("log: %s", problem)
+        elif isinstance(message, messages.Tick) and self._appender.pending:
+            problem = self._appender.run(self._board.state.value.next_offset)
+            self._availability.note(problem)
 
 
 class Reader:
@@ -84,16 +87,52 @@
         self._board = environment.blackboard
         self._log = log
         self._availability = _Availability(environment)
-
-    def read_for(self, take_page: Callable[[messages.PageRead], None]) -> bool:
-        """Read one page and pass it on; return False if idle."""
+        self._random = random.Random(environment.random.random())
+        self._failures = 0
+
+    @property
+    def idle_wait_s(self) -> float:
+        """Time in seconds to wait after an idle round."""
+        if not self._failures:
+            return IDLE_WAIT_S
+        return backoff.full_jitter_s(
+            self._failures, IDLE_WAIT_S, MAX_READ_BACKOFF_S, self._random
+        )
+
+    def read_for(
+        self,
+        take: Callable[[messages.PageRead | messages.CheckpointRead], None],
+        wait_s: float = READ_WAIT_S,
+    ) -> bool:
+        """Read one page and pass it on; return False if idle.
+
+        Args:
+            take: Called with what was read.
+            wait_s: Longest time in seconds to wait for a record.
+        """
         if not readers.is_reader(self._environment):
+            self._failures = 0
             return False
         offset = self._board.state.value.next_offset
-        page = self._log.read(offset, PAGE_RECORDS, READ_WAIT_S)
+        page = self._log.read(offset, PAGE_RECORDS, wait_s)
         self._availability.note(page)
         if isinstance(page, errors.LogError):
-            return False
+            return self._recover(page, offset, take)
+        self._failures = 0
         if page.entries:
-            take_page(messages.PageRead(offset, page))
+            take(messages.PageRead(offset, page))
+        return True
+
+    def _recover(
+        self, problem: errors.LogError, offset: int, take: Callable
+    ) -> bool:
+        self._failures += 1
+        if problem.reason is not errors.Reason.OFFSET_EXPIRED:
+            return False
+        state = checkpoints.find_next(self._log, offset)
+        if isinstance(state, errors.Error):
+            logger.warning("log: %s", state)
+            return False
+        self._failures = 0
+        take(messages.CheckpointRead(state))
         return True
--- a/trefoilwind/node/messages.py
+++ b/trefoilwind/node/messages.py
@@ -1,11 +1,13 @@
 """Messages to a node's actors."""
 
 import dataclasses
+import math
 from typing import Any
 
 from trefoilwind.log import port
 from trefoilwind.model import addresses
 from trefoilwind.model import members
+from trefoilwind.model import state as state_lib
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,6 +45,13 @@
     page: port.Page
 
 
+@dataclasses.dataclass(frozen=True)
+class CheckpointRead:
+    """A checkpoint was read from the log, as the own offset had expired."""
+
+    state: state_lib.State
+
+
 @dataclasses.dataclass(frozen=True)
 class Announcement:
     """A backend server announced itself.
@@ -76,10 +85,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Append:
-    """A record to append to the log until that is known to have worked."""
+    """A record to append to the log until that is known to have worked.
+
+    Attributes:
+        record_id: Id of the record.
+        payload: Bytes of the record.
+        deadline: Monotonic time at which it is given up; infinity for never.
+    """
 
     record_id: str
     payload: bytes
+    deadline: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True)
--- a/trefoilwind/node/process.py
+++ b/trefoilwind/node/process.py
@@ -190,7 +190,7 @@
         self._transport.on_stream_closed = self._remote.stream_closed
         self._transport.start()
 
-    def _take_page(self, message: messages.PageRead) -> None:
+    def _take_page(self, message) -> None:
         with contextlib.suppress(pykka.ActorDeadError):
             self._control.ask(message)
 
@@ -206,8 +206,6 @@
             self._remote.take_frame(stream, frame)
 
     def _start_threads(self) -> None:
-        for contact in self._environment.settings.contacts:
-            self._transport.connect_later(str(contact), contact)
         for target in (self._tick, self._read_log):
             threading.Thread(
                 target=target, name=target.__name__, daemon=True
@@ -221,4 +219,4 @@
         reader = log_actor_lib.Reader(self._environment, self._log)
         while not self._stopped.is_set():
             if not reader.read_for(self._take_page):
-                self._stopped.wait(log_actor_lib.IDLE_WAIT_S)
+                self._stopped.wait(reader.idle_wait_s)
--- a/trefoilwind/settings.py
+++ b/trefoilwind/settings.py
@@ -40,13 +40,16 @@
     readers_per_data_centre: int = setting(
         "Nodes of a data centre that read the log.", "nodes", 2
     )
+    region: str = setting(
+        "Region of the log; in others one node reads it. Empty for any.", "", ""
+    )
     checkpoint_records: int = setting(
         "Records between two checkpoints.", "records", 1000
     )
     checkpoint_interval_s: float = setting(
         "Longest time between two checkpoints while records come.", "s", 300.0
     )
-    lease_s: float = setting("Length of a lease in the log.", "s", 15.0)
+    lease_s: float = setting("Length of a lease in the log.", "s", 60.0)
     clock_margin_s: float = setting(
         "Largest difference assumed between two wall clocks.", "s", 1.0
     )
@@ -56,9 +59,9 @@
 class MembershipSettings:
     """Leases of members."""
 
-    lease_s: float = setting("Length of a member's lease.", "s", 12.0)
+    lease_s: float = setting("Length of a member's lease.", "s", 60.0)
     refresh_ratio: float = setting(
-        "Part of the lease after which it is refreshed.", "", 0.5
+        "Part of the lease after which it is refreshed.", "", 0.75
     )
     announcement_lease_s: float = setting(
         "Time after which a silent backend server counts as gone.", "s", 5.0
