--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks; each module is run by hand and prints its figures."""
+"""Measurements; each module prints one table."""
