--- a/trefoilwind/rollout/controller.py
+++ b/trefoilwind/rollout/controller.py
@@ -7,7 +7,7 @@
 from trefoilwind import environment as environment_lib
 from trefoilwind import events
 from trefoilwind.distribution import ports
-from trefoilwind.log import readers
+from trefoilwind.distribution import topology as topology_lib
 from trefoilwind.membership import directory
 from trefoilwind.model import moves
 from trefoilwind.model import state as state_lib
@@ -294,7 +294,7 @@
 
     def _append_rank(self, move_id: str) -> int:
         nodes = tuple(self._board.members.value.by_node)
-        ranked = readers.rendezvous(move_id, nodes, MAX_APPEND_RANKS)
+        ranked = topology_lib.rendezvous(move_id, nodes, MAX_APPEND_RANKS)
         own = self._environment.node_id
         return ranked.index(own) if own in ranked else MAX_APPEND_RANKS
 
--- a/trefoilwind/rollout/spread.py
+++ b/trefoilwind/rollout/spread.py
@@ -11,7 +11,7 @@
 import dataclasses
 import functools
 
-from trefoilwind.log import readers
+from trefoilwind.distribution import topology as topology_lib
 from trefoilwind.membership import directory
 from trefoilwind.model import configuration as configuration_lib
 from trefoilwind.rollout import evidence
@@ -83,11 +83,7 @@
     """
     names = {member.data_centre for member in members.members} | {data_centre}
     aggregators = {
-        name: readers.rendezvous(
-            f"evidence/{name}",
-            members.in_data_centre(name),
-            AGGREGATORS_PER_DATA_CENTRE,
-        )
+        name: topology_lib.relays(members, name, AGGREGATORS_PER_DATA_CENTRE)
         for name in names
     }
     return Topology(
