Divide classes over places; judge outliers apart; wait for proof first

Change: only an outlier by odds is left out; failures on all routes together weigh a third; the first two stages wait for 1000 calls in all; the class target controller divides calls over places.

--- a/trefoilwind/rollout/comparison.py
+++ b/trefoilwind/rollout/comparison.py
@@ -19,7 +19,7 @@
 
 # Odds ratio up to which the new arm counts as no worse than the old one.
 TOLERATED_RATIO = 1.25
-_ALTERNATIVES = (1.7, 2.5, 5.0, 15.0, 60.0)
+_ALTERNATIVES = (2.0, 6.0, 40.0)
 _START_WEIGHT = 0.5
 _LATER_WEIGHT = 0.5 / 64
 
@@ -63,7 +63,7 @@
         """Return the evidence after one more block."""
         ratios = _log_ratios_of_block(block)
         sums = tuple(
-            _log_add(total, self.log_weight) + ratio
+            log_sum(total, self.log_weight) + ratio
             for total, ratio in zip(self.log_sums, ratios, strict=True)
         )
         return Running(sums, math.log(_LATER_WEIGHT))
@@ -91,7 +91,8 @@
     return top + math.log(total / len(values))
 
 
-def _log_add(first: float, second: float) -> float:
+def log_sum(first: float, second: float) -> float:
+    """Return the logarithm of the sum of two numbers given by logarithms."""
     low, high = sorted((first, second))
     return high + math.log1p(math.exp(low - high))
 
--- a/trefoilwind/rollout/controller.py
+++ b/trefoilwind/rollout/controller.py
@@ -13,6 +13,7 @@
 from trefoilwind.model import state as state_lib
 from trefoilwind.proxy import calls
 from trefoilwind.rollout import budget
+from trefoilwind.rollout import class_watch
 from trefoilwind.rollout import evidence
 from trefoilwind.rollout import messages
 from trefoilwind.rollout import observer as observer_lib
@@ -23,7 +24,7 @@
 
 logger = logging.getLogger(__name__)
 
-JUDGE_INTERVAL_S = 0.25
+JUDGE_INTERVAL_S = 0.4
 BRAKE_FANOUT = 4
 BRAKE_REPEAT_S = 1.0
 # Nodes append an outcome one after the other until one shows in the log.
@@ -42,6 +43,7 @@
         self._publish = self._board.shares.claim("rollout")
         self._ledger = evidence.Ledger()
         self._observer = observer_lib.Observer(self._ledger, self._place)
+        self._class_watch = class_watch.ClassWatch(environment)
         self._sender = spread.Sender(self._ledger)
         self._watches: dict[str, watch_lib.MoveWatch] = {}
         self._brakes: dict[str, evidence.Brake] = {}
@@ -67,6 +69,7 @@
     def observe(self, observation: calls.Observation) -> None:
         """Take what a call saw; may be called by any thread."""
         self._observer.observe(observation)
+        self._class_watch.observe(observation)
 
     def take_outcomes(self) -> list[moves.Outcome]:
         """Return the outcomes that this node should append to the log."""
@@ -103,6 +106,7 @@
     def tick(self) -> list[ports.Envelope]:
         """Count, judge, publish shares and spread evidence."""
         now = self._environment.clock.monotonic()
+        self._class_watch.tick()
         self._turn_window(now)
         self._window_calls.update(self._observer.count(now))
         if now < self._next_judgement:
--- a/trefoilwind/rollout/stages.py
+++ b/trefoilwind/rollout/stages.py
@@ -17,6 +17,11 @@
 FINAL_STAGE = len(SHARES) - 1
 # Calls of the new arm on the route, since the start, that end each stage.
 CALLS_NEEDED = (400, 900, 2500, 6000)
+# Calls of the new arm on all routes that end the first two stages: before, one
+# failure more in a hundred calls may not have shown.
+CALLS_NEEDED_IN_ALL = 1000
+# Part of those calls below which waiting for them is not worth the time.
+WORTHWHILE_PART = 0.2
 # Parts of the ramp that are planned for each stage but the last.
 RAMP_PARTS = (0.4, 0.2, 0.2, 0.2)
 # Part of the calls planned for a stage that must have come.
@@ -202,18 +207,35 @@
     """Return the stage that the count of calls and the time allow."""
     if not _is_rate_known(pooled, times, now):
         return 0
+    highest = _highest_stage(pooled, times, now)
     if is_low_traffic(progress, times, now):
         progress = pooled
     rate = _rate(progress, times, now)
     ramp_s = times.ramp_end - times.started
     planned = 0.0
-    for stage in range(FINAL_STAGE):
+    for stage in range(highest):
         share = _planned_share(rate, times, stage)
         planned += share * rate * RAMP_PARTS[stage] * ramp_s
         needed = min(CALLS_NEEDED[stage], max(1.0, NEEDED_PART * planned))
         dwell_s = (stage + 1) * MIN_DWELL_PART * times.length_s
         if progress.new_calls < needed or now < times.started + dwell_s:
             return stage
+    return highest
+
+
+def _highest_stage(pooled: Progress, times: Timetable, now: float) -> int:
+    """Return the stage up to which all routes together have shown enough."""
+    if pooled.new_calls >= CALLS_NEEDED_IN_ALL:
+        return FINAL_STAGE
+    ramp_s = times.ramp_end - times.started
+    planned = SHARES[0] * _rate(pooled, times, now) * RAMP_PARTS[0] * ramp_s
+    if planned < CALLS_NEEDED_IN_ALL * WORTHWHILE_PART:
+        return FINAL_STAGE
+    elapsed_s = now - times.started
+    if elapsed_s < RAMP_PARTS[0] * ramp_s:
+        return 0
+    if elapsed_s < (RAMP_PARTS[0] + RAMP_PARTS[1]) * ramp_s:
+        return 1
     return FINAL_STAGE
 
 
--- a/trefoilwind/rollout/verdicts.py
+++ b/trefoilwind/rollout/verdicts.py
@@ -1,7 +1,7 @@
 """Verdict on the version of a move, from the blocks of its evidence."""
 
-import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import math
@@ -11,16 +11,20 @@
 from trefoilwind.rollout import history as history_lib
 
 # Probability of a brake on a version that is no worse than the old one.
-FALSE_BRAKE_PROBABILITY = 0.001
+FALSE_BRAKE_PROBABILITY = 0.004
 BRAKE_LOG_EVIDENCE = -math.log(FALSE_BRAKE_PROBABILITY)
 # Evidence at which the share falls until more is known.
 SUSPICION_LOG_EVIDENCE = math.log(20.0)
 # Shares of the old arm's calls above the edges at which latency is compared.
 _TAIL_SHARES = (0.5, 0.08)
 _MIN_CALLS_FOR_EDGES = 40
+# A target whose odds exceed those of all others by this is judged apart.
+OUTLIER_RATIO = 4.0
 FAILURES = "failures"
 LATENCY = "latency"
 ALL_ROUTES = "all routes"
+# Weight of the failures on all routes together; the rest is shared.
+_ALL_ROUTES_WEIGHT = 1 / 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,18 +67,14 @@
             history: Evidence of the move.
             servers: Live backend servers of the new arm.
         """
-        blocks = (*history.closed, history.open)
-        routes = sorted({route for block in blocks for route in block.routes})
+        routes = tuple(sorted({key.route for key in history.cells}))
         if not routes:
             return Verdict()
         case = _Case(history.closed, history.open, servers)
-        scopes = [((route,), route.path_prefix) for route in routes]
-        scopes.append((tuple(routes), ALL_ROUTES))
-        verdicts = [self._failures(case, *scope) for scope in scopes]
-        verdicts += [self._latency(case, blocks, route) for route in routes]
-        worst = max(verdicts, key=lambda v: v.log_evidence)
-        mean = comparison.log_mean(v.log_evidence for v in verdicts)
-        return dataclasses.replace(worst, log_evidence=mean)
+        found = [self._failures(case, (r,), r.path_prefix) for r in routes]
+        found += [self._latency(case, history.cells, r) for r in routes]
+        everywhere = self._failures(case, routes, ALL_ROUTES)
+        return _combine(everywhere, found)
 
     def _failures(
         self, case: "_Case", routes: tuple[evidence.RouteKey, ...], step: str
@@ -85,13 +85,13 @@
     def _latency(
         self,
         case: "_Case",
-        blocks: Sequence[history_lib.Block],
+        cells: Mapping[evidence.Key, evidence.Counter],
         route: evidence.RouteKey,
     ) -> Verdict:
         edges = latency_edges(
-            site.old
-            for block in blocks
-            for site in block.routes.get(route, {}).values()
+            counter
+            for key, counter in cells.items()
+            if key.arm is evidence.Arm.OLD and key.route == route
         )
         logs = [self._compare(case, (route,), edge) for edge in edges]
         return Verdict(comparison.log_mean(logs), LATENCY, route.path_prefix)
@@ -102,12 +102,13 @@
         routes: tuple[evidence.RouteKey, ...],
         event: int,
     ) -> float:
-        """Return the evidence that remains without the worst target.
+        """Return the evidence that remains without an outlier.
 
-        One bad VM is not the version's fault, so it takes two to convict.
+        One bad VM is not the version's fault: a target that differs from all
+        others is left out.
         """
         prefix = self._prefix(case, routes, event)
-        worst = _worst_target(case, prefix, routes, event)
+        worst = _outlier(case, prefix, routes, event)
         running = prefix.running.get(worst)
         if running is None:
             running = comparison.Running()
@@ -126,7 +127,7 @@
         """Return what is remembered, brought up to the closed blocks."""
         prefix = self._running.setdefault((routes, event), _Prefix())
         for block in case.closed[prefix.blocks :]:
-            _count_events(prefix.events, block, routes, event)
+            _count_targets(prefix.targets, block, routes, event)
             prefix.running = {
                 worst: running.advance(_strata(block, routes, event, worst))
                 for worst, running in prefix.running.items()
@@ -142,19 +143,46 @@
     servers: int
 
 
+@dataclasses.dataclass(frozen=True)
+class _Count:
+    """Calls of a target and the events among them."""
+
+    calls: int = 0
+    events: int = 0
+
+    def __add__(self, other: "_Count") -> "_Count":
+        return _Count(self.calls + other.calls, self.events + other.events)
+
+    @property
+    def odds(self) -> float:
+        """Odds of an event, with half a call added to each side."""
+        return (self.events + 0.5) / (self.calls - self.events + 0.5)
+
+
+_NONE = _Count()
+
+
 @dataclasses.dataclass
 class _Prefix:
     """What is remembered of closed blocks."""
 
     blocks: int = 0
-    events: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
+    targets: dict[str, _Count] = dataclasses.field(default_factory=dict)
     running: dict[str, comparison.Running] = dataclasses.field(
         default_factory=dict
     )
 
 
+def _combine(everywhere: Verdict, found: Sequence[Verdict]) -> Verdict:
+    worst = max((everywhere, *found), key=lambda v: v.log_evidence)
+    mean = comparison.log_mean(v.log_evidence for v in found)
+    log_evidence = comparison.log_sum(
+        everywhere.log_evidence + math.log(_ALL_ROUTES_WEIGHT),
+        mean + math.log(1 - _ALL_ROUTES_WEIGHT),
+    )
+    return dataclasses.replace(worst, log_evidence=log_evidence)
+
+
 def judge(history: history_lib.History, servers: int) -> Verdict:
     """Return the verdict on the new arm; a pure function."""
     return Judge().judge(history, servers)
@@ -184,32 +212,40 @@
     return len(buckets) - 2
 
 
-def _worst_target(
+def _outlier(
     case: _Case,
     prefix: _Prefix,
     routes: Iterable[evidence.RouteKey],
     event: int,
 ) -> str:
+    """Return the target with the most events if it differs from the others."""
     if case.servers < 2:
         return ""
-    events = prefix.events.copy()
-    _count_events(events, case.open, routes, event)
-    if not events:
+    targets = prefix.targets.copy()
+    _count_targets(targets, case.open, routes, event)
+    worst = max(
+        targets, key=lambda name: (targets[name].events, name), default=""
+    )
+    if not worst or not targets[worst].events:
         return ""
-    most = max(events.values())
-    return min(target for target, count in events.items() if count == most)
+    own = targets.pop(worst)
+    others = sum(targets.values(), _Count())
+    return worst if own.odds > OUTLIER_RATIO * others.odds else ""
 
 
-def _count_events(
-    events: collections.Counter[str],
+def _count_targets(
+    targets: dict[str, _Count],
     block: history_lib.Block,
     routes: Iterable[evidence.RouteKey],
     event: int,
 ) -> None:
     for route in routes:
         for tally in block.tallies(route, event):
-            for target, (_, count) in tally.targets.items():
-                events[target] += count
+            for target, (calls, events) in tally.targets.items():
+                known = targets.get(target, _NONE)
+                targets[target] = _Count(
+                    known.calls + calls, known.events + events
+                )
 
 
 def _strata(
--- a/trefoilwind/routing/divisions.py
+++ b/trefoilwind/routing/divisions.py
@@ -17,7 +17,8 @@
         class_name: Name of the class.
         half: Owner of the backend servers.
         data_centre: Data centre of the backend servers.
-        weight: Factor, 0 to 1, on the place's capacity.
+        weight: Factor on the place's capacity; 1 is neutral. A mean below 1
+            over a region sends the rest of the calls to other regions.
     """
 
     service: str
