--- a/tests/joint/world.py
+++ b/tests/joint/world.py
@@ -4,9 +4,7 @@
 backend servers are small fakes whose faults the tests set.
 """
 
-import collections
 from collections.abc import Callable
-from collections.abc import Iterator
 import dataclasses
 import random
 
@@ -16,11 +14,13 @@
 from trefoilwind import errors
 from trefoilwind import settings as settings_lib
 from trefoilwind.distribution import ports
+from trefoilwind.log import appender as appender_lib
 from trefoilwind.model import addresses
 from trefoilwind.model import configuration as configuration_lib
 from trefoilwind.model import members as members_lib
 from trefoilwind.model import records
 from trefoilwind.node import control as control_lib
+from trefoilwind.node import log_actor
 from trefoilwind.node import messages
 from trefoilwind.proxy import calls
 from trefoilwind.proxy import dispatcher as dispatcher_lib
@@ -30,7 +30,7 @@
 
 TICK_S = 0.1
 ANNOUNCE_TICKS = 10
-PAGE_RECORDS = 50
+CHECKPOINT_INTERVAL_S = 20.0
 REGIONS = {"perth-a": "perth", "perth-b": "perth", "pilbara-a": "pilbara"}
 
 
@@ -136,7 +136,11 @@
             node_id=node_id,
             data_centre=data_centre,
             region=REGIONS[data_centre],
-            log=settings_lib.LogSettings(url=""),
+            log=settings_lib.LogSettings(
+                url="",
+                region="perth",
+                checkpoint_interval_s=CHECKPOINT_INTERVAL_S,
+            ),
             peer_address=self.address,
             contacts=world.contacts(),
         )
@@ -146,7 +150,10 @@
         self.transport = FakeTransport(world, node_id)
         self.target = target_lib.Target(self.environment)
         self.rollout = rollout_lib.RolloutController(self.environment)
-        self.appends: collections.deque[messages.Append] = collections.deque()
+        self._appender = appender_lib.Appender(
+            world.log, world.clock, random.Random(port)
+        )
+        self._reader = log_actor.Reader(self.environment, world.log)
         self.control = control_lib.Control(
             self.environment,
             self.transport,
@@ -175,9 +182,17 @@
         self.control.receive(self.announcement)
         self.target.set_backend(self.backend)
 
+    def use_log(self) -> None:
+        """Read and append as the node's log threads would."""
+        self._reader.read_for(self.control.receive, wait_s=0.0)
+        offset = self.environment.blackboard.state.value.next_offset
+        self._appender.run(offset)
+
     def _tell_log(self, message) -> None:
         if isinstance(message, messages.Append):
-            self.appends.append(message)
+            self._appender.add(
+                message.record_id, message.payload, message.deadline
+            )
 
 
 class World:
@@ -188,6 +203,7 @@
         self.rng = random.Random(seed)
         self.log = log_service.MemoryLog()
         self.nodes: dict[str, Node] = {}
+        self.backends: list[FakeBackend] = []
         self.cut_regions = False
         self.message_loss = 0.0
         self.message_repeats = 0.0
@@ -210,6 +226,7 @@
         self._next_port += 1
         self.nodes[node_id] = node
         node.backend = FakeBackend(version, random.Random(self._next_port))
+        self.backends.append(node.backend)
         node.announcement = messages.Announcement(service, version, 1)
         node.announce()
         return node
@@ -276,8 +293,7 @@
             if self._ticks % ANNOUNCE_TICKS == 0:
                 node.announce()
             node.control.receive(messages.Tick())
-            self._read_log(node)
-            self._append(node)
+            node.use_log()
         self._deliver()
 
     def append(self, body: records.Body) -> str:
@@ -325,12 +341,9 @@
     def executions(self, request_id: str) -> int:
         """Return how often backend servers ran a request."""
         return sum(
-            backend.executed.count(request_id) for backend in self._backends()
+            backend.executed.count(request_id) for backend in self.backends
         )
 
-    def _backends(self) -> Iterator[FakeBackend]:
-        return (n.backend for n in self.nodes.values() if n.backend)
-
     def _region(self, node_id: str) -> str:
         return self.nodes[node_id].environment.settings.region
 
@@ -343,19 +356,6 @@
             for contact in node.environment.settings.contacts:
                 self.connect(node.environment.node_id, contact)
 
-    def _read_log(self, node: Node) -> None:
-        offset = node.environment.blackboard.state.value.next_offset
-        page = self.log.read(offset, PAGE_RECORDS)
-        if not isinstance(page, errors.LogError) and page.entries:
-            node.control.receive(messages.PageRead(offset, page))
-
-    def _append(self, node: Node) -> None:
-        while node.appends:
-            result = self.log.append(node.appends[0].payload)
-            if isinstance(result, errors.LogError):
-                return
-            node.appends.popleft()
-
     def _deliver(self) -> None:
         queued, self._queue = self._queue, []
         self.rng.shuffle(queued)
