--- /dev/null
+++ b/tests/test_distribution/oracle.py
@@ -0,0 +1,85 @@
+"""Simple model of what a sequence of records must lead to."""
+
+import dataclasses
+
+from trefoilwind.model import configuration as configuration_lib
+from trefoilwind.model import state as state_lib
+
+SERVICE = "catalogue"
+
+
+@dataclasses.dataclass(frozen=True)
+class Published:
+    """What the test knows of a publication that it made."""
+
+    base: int
+    configuration: configuration_lib.Configuration
+    is_whole: bool
+
+
+def configuration(
+    timeout_s: float, has_service: bool = True
+) -> configuration_lib.Configuration:
+    """Return a small whole configuration."""
+    target = configuration_lib.ClassTarget("lookup", True, 0.2, 0.99, 1, 5.0)
+    target = dataclasses.replace(target, timeout_s=timeout_s)
+    route = configuration_lib.Route("/", "lookup")
+    names = (SERVICE, "artwork") if has_service else ("artwork",)
+    return configuration_lib.Configuration(
+        classes=(target,),
+        services=tuple(
+            configuration_lib.Service(name, "v1", (route,)) for name in names
+        ),
+    )
+
+
+def broken(timeout_s: float) -> configuration_lib.Configuration:
+    """Return a configuration whose last service names a missing class."""
+    whole = configuration(timeout_s)
+    first, last = whole.services
+    route = configuration_lib.Route("/", "missing")
+    last = dataclasses.replace(last, routes=(route,))
+    return dataclasses.replace(whole, services=(first, last))
+
+
+class Oracle:
+    """Accepts or rejects what the test appended, in the log's order."""
+
+    def __init__(self) -> None:
+        self.published: dict[str, Published] = {}
+        self.moves: set[str] = set()
+        self.outcomes: dict[str, str] = {}
+        self.accepted = {
+            state_lib.NO_VERSION: configuration_lib.Configuration()
+        }
+        self.version = state_lib.NO_VERSION
+        self._seen: set[str] = set()
+        self._open_move = ""
+
+    @property
+    def open_move(self) -> str:
+        """Id of the open move; empty if there is none."""
+        return self._open_move
+
+    def take(self, offset: int, record_id: str) -> None:
+        """Judge the next record of the log."""
+        if record_id in self._seen:
+            return
+        self._seen.add(record_id)
+        if record_id in self.published:
+            self._take_publication(offset, self.published[record_id])
+        elif record_id in self.moves:
+            known = self.accepted[self.version].service(SERVICE)
+            if known is not None and not self._open_move:
+                self._open_move = record_id
+        elif self.outcomes.get(record_id) == self._open_move:
+            self._open_move = ""
+
+    def _take_publication(self, offset: int, item: Published) -> None:
+        is_lost = item.configuration.service(SERVICE) is None
+        if item.base != self.version or not item.is_whole:
+            return
+        if is_lost and self._open_move:
+            return
+        self.version = offset
+        self.accepted[offset] = item.configuration
