--- a/trefoilwind/distribution/frames.py
+++ b/trefoilwind/distribution/frames.py
@@ -11,6 +11,8 @@
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 17 * 1024 * 1024
 MAX_CHUNK_BYTES = 64 * 1024
+# What may be sent of a body before the first `Credit` for it.
+INITIAL_CREDIT_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,11 +95,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Status and headers of an answer."""
+    """Status and headers of an answer.
+
+    Attributes:
+        call_id: Id of the call.
+        status: HTTP status.
+        headers: Pairs of names and values.
+        body: First bytes of the body.
+        is_last: True if the body ends here.
+    """
 
     call_id: int
     status: int
     headers: list
+    body: bytes
+    is_last: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/trefoilwind/distribution/stream.py
+++ b/trefoilwind/distribution/stream.py
@@ -1,8 +1,16 @@
-"""One TCP stream to a peer, with a reader thread."""
+"""One TCP stream to a peer, with a reader thread.
 
+Sending never blocks on the socket: what the kernel does not take at once waits
+in a queue that a writer thread empties. Frames of bodies wait for room in that
+queue, heartbeats and credits go ahead of it.
+"""
+
+import collections
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import logging
+import select
 import socket
 import threading
 from typing import Any
@@ -14,6 +22,37 @@
 logger = logging.getLogger(__name__)
 
 _RECEIVE_BYTES = 256 * 1024
+# Frames of calls wait while more than this is queued.
+MAX_QUEUED_BYTES = 1024 * 1024
+# A stream with more than this queued is closed: its peer does not read.
+MAX_BACKLOG_BYTES = 32 * 1024 * 1024
+# Keeps the kernel's queue short, so that heartbeats are not far behind bodies.
+_NOT_SENT_BYTES = 128 * 1024
+_POLL_MS = 200
+_NO_CALL = 0
+
+_URGENT = frozenset({frames.Ping, frames.Pong, frames.Credit, frames.GoAway})
+_OF_CALLS = frozenset(
+    {
+        frames.CallOpen,
+        frames.CallBody,
+        frames.AnswerHead,
+        frames.AnswerBody,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """Bytes that wait to be written.
+
+    Attributes:
+        data: Bytes that are left of one frame.
+        opened: Id of the call that the frame opens; 0 if it opens none.
+    """
+
+    data: memoryview
+    opened: int
 
 
 class PeerStream:
@@ -25,16 +64,30 @@
         clock: clock_lib.Clock,
         peer: str = "",
     ):
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _set_options(connection)
         self._connection = connection
         self._clock = clock
         self._peer = peer
-        self._write_lock = threading.Lock()
+        # Held for calls of the kernel that do not block, never across a wait.
+        self._lock = threading.Lock()
+        self._room = threading.Condition(self._lock)
+        self._work = threading.Condition(self._lock)
+        self._urgent: collections.deque[_Pending] = collections.deque()
+        self._queue: collections.deque[_Pending] = collections.deque()
+        self._queued_bytes = 0
+        self._has_writer = False
         self._is_closed = False
-        self._last_received = clock.monotonic()
-        self._last_sent = clock.monotonic()
+        self._unsent: frozenset[int] = frozenset()
+        now = clock.monotonic()
+        self._last_received = now
+        self._last_sent = now
+        self._stalled_since: float | None = None
+        self._last_ping = now
+        # When the heartbeat was sent that is not yet answered.
+        self._ping_sent: float | None = None
         self._decoder = frames.Decoder()
         self._next_call_id = 1
+        self._last_taken: int | None = None
         # Frames of calls that this side opened, by call id.
         self.answer_sinks: dict[int, Callable[[Any], None]] = {}
 
@@ -48,6 +101,11 @@
         """True once the stream ended."""
         return self._is_closed
 
+    @property
+    def is_leaving(self) -> bool:
+        """True once the peer said that it takes no further calls."""
+        return self._last_taken is not None
+
     @property
     def last_received(self) -> float:
         """Monotonic time of the last received byte."""
@@ -58,6 +116,16 @@
         """Monotonic time of the last sent frame."""
         return self._last_sent
 
+    @property
+    def last_ping(self) -> float:
+        """Monotonic time of the last heartbeat."""
+        return self._last_ping
+
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait to be written."""
+        return self._queued_bytes
+
     def start(
         self,
         on_frame: Callable[["PeerStream", frames.Frame], None],
@@ -66,7 +134,8 @@
         """Start the reader thread.
 
         Args:
-            on_frame: Called on the reader thread with each frame but `Hello`.
+            on_frame: Called on the reader thread with each frame; it must not
+                block.
             on_close: Called once, on the reader thread.
         """
         thread = threading.Thread(
@@ -77,37 +146,220 @@
         )
         thread.start()
 
-    def send(self, frame: frames.Frame) -> errors.StreamError | None:
-        """Send a frame; return an error if the stream is closed."""
+    def send(
+        self, frame: frames.Frame, deadline: float | None = None
+    ) -> errors.StreamError | None:
+        """Send a frame or queue it.
+
+        Args:
+            frame: The frame.
+            deadline: Monotonic time in seconds until which a frame of a call
+                waits for room in the queue; None not to wait.
+
+        Returns:
+            None, or an error if the frame will never be sent as a whole.
+        """
+        kind = type(frame)
         data = frames.encode(frame)
-        try:
-            with self._write_lock:
-                self._connection.sendall(data)
-        except OSError as error:
+        opened = frame.call_id if kind is frames.CallOpen else _NO_CALL
+        with self._lock:
+            if deadline is not None and kind in _OF_CALLS:
+                self._wait_for_room(deadline)
+            if self._is_closed:
+                return self._error(errors.Reason.PEER_UNREACHABLE, "closed")
+            if self._queued_bytes > MAX_QUEUED_BYTES and kind in _OF_CALLS:
+                return self._error(errors.Reason.PEER_SILENT, "queue is full")
+            failed = self._write(data, opened, kind in _URGENT)
+        if failed is not None:
             self.close()
-            return self._error(errors.Reason.PEER_UNREACHABLE, str(error))
-        self._last_sent = self._clock.monotonic()
-        return None
+        return failed
+
+    def ping(self) -> None:
+        """Send a heartbeat; `silence_s` counts until it is answered."""
+        self._last_ping = self._clock.monotonic()
+        if self._ping_sent is None:
+            self._ping_sent = self._last_ping
+        self.send(frames.Ping())
+
+    def silence_s(self, now: float) -> float:
+        """Return for how long nothing has shown that the stream works.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        since = self._last_received
+        for started in (self._ping_sent, self._stalled_since):
+            if started is not None:
+                since = min(since, started)
+        return now - since
+
+    def forgive(self, now: float) -> None:
+        """Start anew to count silence, after a pause of this process."""
+        self._last_received = now
+        self._ping_sent = None
+        if self._stalled_since is not None:
+            self._stalled_since = now
 
     def open_call(self, sink: Callable[[Any], None]) -> int:
         """Register the receiver of a call's frames; return the call's id."""
-        with self._write_lock:
+        with self._lock:
             call_id = self._next_call_id
             self._next_call_id += 1
         self.answer_sinks[call_id] = sink
         return call_id
 
+    def did_not_leave(self, call_id: int) -> bool:
+        """Return True if it is proven that the peer did not take a call.
+
+        Either its first frame was not written as a whole, or the peer said
+        that it did not take it.
+
+        Args:
+            call_id: Id of a call that this side opened.
+        """
+        if call_id in self._unsent:
+            return True
+        return self._last_taken is not None and call_id > self._last_taken
+
+    def finish(self, deadline: float) -> None:
+        """Write what is queued, then end the sending side.
+
+        Args:
+            deadline: Monotonic time in seconds until which to wait.
+        """
+        with self._lock:
+            while self._queued_bytes and not self._is_closed:
+                remaining_s = deadline - self._clock.monotonic()
+                if remaining_s <= 0 or not self._room.wait(remaining_s):
+                    break
+        with contextlib.suppress(OSError):
+            self._connection.shutdown(socket.SHUT_WR)
+
     def close(self) -> None:
         """End the stream; the reader thread reports it."""
-        if self._is_closed:
-            return
-        self._is_closed = True
+        with self._lock:
+            if self._is_closed:
+                return
+            self._is_closed = True
+            self._unsent = frozenset(
+                pending.opened for pending in self._queue if pending.opened
+            )
+            self._queue.clear()
+            self._urgent.clear()
+            self._queued_bytes = 0
+            self._room.notify_all()
+            self._work.notify_all()
         with contextlib.suppress(OSError):
             self._connection.shutdown(socket.SHUT_RDWR)
 
     def _error(self, reason: errors.Reason, detail: str) -> errors.StreamError:
         return errors.StreamError(reason, "stream.send", self._peer, detail)
 
+    def _wait_for_room(self, deadline: float) -> None:
+        while self._queued_bytes > MAX_QUEUED_BYTES and not self._is_closed:
+            remaining_s = deadline - self._clock.monotonic()
+            if remaining_s <= 0 or not self._room.wait(remaining_s):
+                return
+
+    def _write(
+        self, data: bytes, opened: int, is_urgent: bool
+    ) -> errors.StreamError | None:
+        sent = 0
+        if not self._queued_bytes:
+            try:
+                sent = self._connection.send(data, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                pass
+            except OSError as error:
+                return self._error(errors.Reason.PEER_UNREACHABLE, str(error))
+            self._last_sent = self._clock.monotonic()
+            if sent == len(data):
+                return None
+        rest = memoryview(data)[sent:]
+        return self._enqueue(rest, opened, is_urgent and not sent)
+
+    def _enqueue(
+        self, data: memoryview, opened: int, is_urgent: bool
+    ) -> errors.StreamError | None:
+        if self._queued_bytes + len(data) > MAX_BACKLOG_BYTES:
+            return self._error(errors.Reason.PEER_SILENT, "backlog")
+        if not self._queued_bytes:
+            self._stalled_since = self._clock.monotonic()
+        queue = self._urgent if is_urgent else self._queue
+        queue.append(_Pending(data, opened))
+        self._queued_bytes += len(data)
+        if not self._has_writer:
+            self._has_writer = True
+            threading.Thread(
+                target=self._write_queued,
+                name=f"stream-writer-{self._peer}",
+                daemon=True,
+            ).start()
+        self._work.notify()
+        return None
+
+    def _write_queued(self) -> None:
+        poll = select.poll()
+        poll.register(self._connection, select.POLLOUT)
+        while True:
+            with self._lock:
+                while not self._queued_bytes and not self._is_closed:
+                    self._work.wait()
+                if self._is_closed:
+                    return
+            if not poll.poll(_POLL_MS):
+                continue
+            with self._lock:
+                failed = self._write_pending()
+            if failed:
+                self.close()
+                return
+
+    def _write_pending(self) -> bool:
+        """Write until the kernel takes no more; return True on failure."""
+        try:
+            while self._queued_bytes:
+                queue = self._next_queue()
+                pending = queue[0]
+                sent = self._connection.send(pending.data, socket.MSG_DONTWAIT)
+                self._note_written(sent)
+                pending.data = pending.data[sent:]
+                if pending.data:
+                    self._put_first(queue, pending)
+                    return False
+                queue.popleft()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            logger.debug("stream: peer %s ended: %s", self._peer, error)
+            return True
+        return False
+
+    def _next_queue(self) -> collections.deque[_Pending]:
+        # Urgent frames go ahead, but never into the middle of a frame.
+        is_partial = bool(self._queue) and self._is_partial(self._queue[0])
+        return self._queue if is_partial or not self._urgent else self._urgent
+
+    @staticmethod
+    def _is_partial(pending: _Pending) -> bool:
+        return len(pending.data) != len(pending.data.obj)
+
+    def _put_first(
+        self, queue: collections.deque[_Pending], pending: _Pending
+    ) -> None:
+        """Let the rest of a frame go on before any other frame."""
+        if queue is self._urgent:
+            queue.popleft()
+            self._queue.appendleft(pending)
+
+    def _note_written(self, count: int) -> None:
+        now = self._clock.monotonic()
+        self._queued_bytes -= count
+        self._last_sent = now
+        self._stalled_since = now if self._queued_bytes else None
+        if self._queued_bytes <= MAX_QUEUED_BYTES:
+            self._room.notify_all()
+
     def _read(self, on_frame: Any, on_close: Any) -> None:
         try:
             while not self._is_closed:
@@ -117,7 +369,7 @@
         except OSError as error:
             logger.debug("stream: peer %s ended: %s", self._peer, error)
         finally:
-            self._is_closed = True
+            self.close()
             self._connection.close()
             on_close(self)
 
@@ -134,5 +386,16 @@
                 self._peer = frame.node_id
             elif not self._peer:
                 return False
+            elif isinstance(frame, frames.Pong):
+                self._ping_sent = None
+            elif isinstance(frame, frames.GoAway):
+                self._last_taken = frame.last_call_id
             on_frame(self, frame)
         return True
+
+
+def _set_options(connection: socket.socket) -> None:
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _NOT_SENT_BYTES
+    )
--- a/trefoilwind/distribution/transport.py
+++ b/trefoilwind/distribution/transport.py
@@ -22,6 +22,7 @@
 _STEP = "stream.connect"
 _LISTEN_BACKLOG = 128
 _HEARTBEAT_CHECK_S = 0.25
+_FINISH_CHECK_S = 0.01
 
 
 class Transport:
@@ -49,6 +50,12 @@
         with self._lock:
             return tuple(sorted(self._streams))
 
+    @property
+    def streams(self) -> tuple[stream_lib.PeerStream, ...]:
+        """All live streams."""
+        with self._lock:
+            return tuple(s for group in self._streams.values() for s in group)
+
     def listen(self) -> addresses.Address | errors.StreamError:
         """Bind the peer address and return it with its port."""
         address = self._environment.settings.peer_address
@@ -84,9 +91,21 @@
             with contextlib.suppress(OSError):
                 self._listener.shutdown(socket.SHUT_RDWR)
             self._listener.close()
-        for stream in self._all_streams():
+        for stream in self.streams:
             stream.close()
 
+    def finish(self, deadline: float) -> None:
+        """Write what is queued on all streams and end their sending sides.
+
+        Args:
+            deadline: Monotonic time in seconds until which to wait.
+        """
+        for stream in self.streams:
+            stream.finish(deadline)
+        # A peer that has read all closes in its turn.
+        while self.streams and self._clock.monotonic() < deadline:
+            self._stopped.wait(_FINISH_CHECK_S)
+
     def send(self, envelope: ports.Envelope) -> None:
         """Send a control message; it is lost if the peer cannot be reached."""
         stream = self.find(envelope.peer)
@@ -247,19 +266,25 @@
                 return
             self._adopt(connection)
 
-    def _all_streams(self) -> list[stream_lib.PeerStream]:
-        with self._lock:
-            return [s for group in self._streams.values() for s in group]
-
     def _send_heartbeats(self) -> None:
+        checked = self._clock.monotonic()
         while not self._stopped.wait(_HEARTBEAT_CHECK_S):
             now = self._clock.monotonic()
-            for stream in self._all_streams():
+            # After a pause of this process the peers were not silent.
+            was_paused = now - checked > self._settings.silence_timeout_s / 2
+            checked = now
+            for stream in self.streams:
+                if was_paused:
+                    stream.forgive(now)
                 self._check_stream(stream, now)
 
     def _check_stream(self, stream: stream_lib.PeerStream, now: float) -> None:
-        if now - stream.last_received > self._settings.silence_timeout_s:
+        if stream.silence_s(now) > self._settings.silence_timeout_s:
             logger.warning("stream: peer %s is silent", stream.peer)
             stream.close()
-        elif now - stream.last_sent > self._settings.heartbeat_interval_s:
-            stream.send(frames.Ping())
+            return
+        # With calls under way others' frames do not show that ours arrive.
+        is_busy = bool(stream.answer_sinks)
+        since = stream.last_ping if is_busy else stream.last_sent
+        if now - since > self._settings.heartbeat_interval_s:
+            stream.ping()
--- /dev/null
+++ b/trefoilwind/proxy/bodies.py
@@ -0,0 +1,164 @@
+"""Bodies in flight on a peer stream, bounded by credit.
+
+The receiver of a body grants credit as it consumes; the sender waits for it.
+So one body never holds more than one window of memory on either side.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import queue
+import threading
+import time
+
+from trefoilwind import errors
+from trefoilwind.distribution import frames
+from trefoilwind.proxy import calls
+
+
+class ReceivedBody:
+    """Receiving side. Frames are put by a reader thread, never blocking it."""
+
+    def __init__(
+        self,
+        window_bytes: int,
+        deadline: float,
+        grant: Callable[[int], None],
+    ):
+        self._window_bytes = max(window_bytes, frames.INITIAL_CREDIT_BYTES)
+        self._deadline = deadline
+        self._grant = grant
+        self._chunks: queue.SimpleQueue = queue.SimpleQueue()
+        # Written by the reader thread and by the consumer respectively.
+        self._received_bytes = 0
+        self._consumed_bytes = 0
+        self._granted_bytes = frames.INITIAL_CREDIT_BYTES
+
+    def open_window(self) -> None:
+        """Grant the rest of the window."""
+        self._grant_up_to(self._window_bytes)
+
+    def put(self, chunk: bytes, is_last: bool) -> bool:
+        """Take a frame's bytes; return False if they exceed the credit."""
+        self._received_bytes += len(chunk)
+        if self._received_bytes > self._granted_bytes:
+            return False
+        if chunk:
+            self._chunks.put(chunk)
+        if is_last:
+            self._chunks.put(None)
+        return True
+
+    def fail(self, error: errors.CallError) -> None:
+        """End the body early."""
+        self._chunks.put(error)
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the chunks.
+
+        Raises:
+            calls.BodyCut: The deadline passed or the sender failed.
+        """
+        while True:
+            item = self._next()
+            if item is None:
+                return
+            if isinstance(item, errors.Error):
+                raise calls.BodyCut(str(item), item.reason)
+            yield item
+            self._consumed_bytes += len(item)
+            left = self._granted_bytes - self._consumed_bytes
+            if left <= self._window_bytes // 2:
+                self._grant_up_to(self._consumed_bytes + self._window_bytes)
+
+    def _next(self) -> bytes | errors.CallError | None:
+        remaining_s = max(0.0, self._deadline - time.monotonic())
+        try:
+            return self._chunks.get(timeout=remaining_s)
+        except queue.Empty:
+            reason = errors.Reason.DEADLINE_EXCEEDED
+            return errors.CallError(reason, "body.receive")
+
+    def _grant_up_to(self, total_bytes: int) -> None:
+        count = total_bytes - self._granted_bytes
+        if count > 0:
+            # Counted before it is sent: the answer to it may be immediate.
+            self._granted_bytes = total_bytes
+            self._grant(count)
+
+
+class Credit:
+    """Sending side: how many bytes of a body may be sent now."""
+
+    def __init__(self, deadline: float):
+        self._deadline = deadline
+        self._available_bytes = frames.INITIAL_CREDIT_BYTES
+        self._is_stopped = False
+        self._changed = threading.Condition()
+
+    @property
+    def is_stopped(self) -> bool:
+        """True if the receiver wants no more."""
+        return self._is_stopped
+
+    def add(self, count: int) -> None:
+        """Take credit that the receiver granted."""
+        with self._changed:
+            self._available_bytes += count
+            self._changed.notify()
+
+    def stop(self) -> None:
+        """Wake the sender for good."""
+        with self._changed:
+            self._is_stopped = True
+            self._changed.notify()
+
+    def take(self, wanted_bytes: int) -> int:
+        """Wait for credit; return the bytes that may be sent, 0 for never."""
+        with self._changed:
+            while not self._is_stopped and self._available_bytes <= 0:
+                remaining_s = self._deadline - time.monotonic()
+                if remaining_s <= 0 or not self._changed.wait(remaining_s):
+                    return 0
+            if self._is_stopped:
+                return 0
+            count = min(wanted_bytes, self._available_bytes)
+            self._available_bytes -= count
+            return count
+
+
+def send(
+    chunks: Iterator[bytes],
+    credit: Credit,
+    send_chunk: Callable[[bytes], errors.StreamError | None],
+) -> errors.StreamError | None:
+    """Send a body as its receiver grants credit.
+
+    Args:
+        chunks: The body.
+        credit: Credit of the body.
+        send_chunk: Sends bytes that are covered by the credit.
+
+    Returns:
+        None if all was sent or the receiver wants no more; an error if the
+        stream failed or the deadline passed.
+
+    Raises:
+        calls.BodyCut: The body ended early.
+    """
+    for chunk in chunks:
+        rest = memoryview(chunk)
+        while rest:
+            count = credit.take(min(len(rest), frames.MAX_CHUNK_BYTES))
+            if count == 0:
+                return _stopped(credit)
+            error = send_chunk(bytes(rest[:count]))
+            if error is not None:
+                return error
+            rest = rest[count:]
+    return None
+
+
+def _stopped(credit: Credit) -> errors.StreamError | None:
+    if credit.is_stopped:
+        return None
+    return errors.StreamError(errors.Reason.DEADLINE_EXCEEDED, "body.send")
--- a/trefoilwind/proxy/callers.py
+++ b/trefoilwind/proxy/callers.py
@@ -1,49 +1,64 @@
-"""HTTP entry for callers, as a WSGI application."""
+"""HTTP entry for callers, on cheroot's gateway port."""
 
-from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Iterator
-import http
-import json
+import dataclasses
 import time
 from typing import Any
 
+from cheroot import errors as cheroot_errors
+from cheroot import server as cheroot_server
+
 from trefoilwind import environment as environment_lib
 from trefoilwind import errors
 from trefoilwind.proxy import calls
 from trefoilwind.proxy import dispatcher as dispatcher_lib
+from trefoilwind.proxy import problems
+from trefoilwind.proxy import watch as watch_lib
+from trefoilwind.routing import table
 
+_STEP = "entry.call"
 _READ_BYTES = 64 * 1024
+# A body of a known length up to this is read before the call is dispatched.
+HELD_BODY_BYTES = 64 * 1024
+# The server's library holds a chunk of a chunked body whole.
+MAX_CHUNK_BYTES = 1024 * 1024
+TIMEOUT_HEADER = "Trefoilwind-Timeout"
+KEY_HEADER = "Idempotency-Key"
+_TIMEOUT_KEY = TIMEOUT_HEADER.encode()
+_KEY_KEY = KEY_HEADER.encode()
+_MIN_TIMEOUT_S = 0.001
+_MAX_LINE_BYTES = 1024
+_USUAL_CONNECTION = frozenset({b"close", b"keep-alive"})
+
 _HOP_HEADERS = frozenset(
     {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "host",
+        b"connection",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        _TIMEOUT_KEY.lower(),
     }
 )
-RESULT_HEADER = "Trefoilwind-Result"
-TIMEOUT_HEADER = "Trefoilwind-Timeout"
-KEY_HEADER = "idempotency-key"
+_HOP_NAMES = frozenset(name.decode() for name in _HOP_HEADERS)
+
+# Used by the administration API as well.
+StartResponse = problems.StartResponse
+status_line = problems.status_line
 
-_STATUS_BY_REASON = {
-    errors.Reason.NO_ROUTE: 404,
-    errors.Reason.DEADLINE_EXCEEDED: 504,
-    errors.Reason.BACKEND_FAILED: 502,
-    errors.Reason.PEER_UNREACHABLE: 502,
-    errors.Reason.POISON_REQUEST: 422,
-    errors.Reason.DUPLICATE_KEY: 409,
-    errors.Reason.BODY_TOO_LARGE: 413,
-    errors.Reason.BAD_REQUEST: 400,
-}
-_DEFAULT_STATUS = 503
 
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Call:
+    """A request with its route."""
+
+    entry: table.Entry
+    request: calls.Request
 
 
 class CallerApplication:
@@ -55,107 +70,253 @@
         dispatcher: dispatcher_lib.Dispatcher,
     ):
         self._environment = environment
+        self._board = environment.blackboard
         self._dispatcher = dispatcher
+        self._watch = watch_lib.CallWatch()
+
+    @property
+    def in_flight(self) -> int:
+        """Count of the calls under way."""
+        return self._watch.count
+
+    def start(self) -> None:
+        """Watch the calls until `stop`."""
+        self._watch.start()
+
+    def stop(self) -> None:
+        """Cancel the calls that are under way."""
+        self._watch.stop()
 
-    def __call__(
-        self, environ: dict, start_response: StartResponse
-    ) -> Iterable[bytes]:
+    def gateway(
+        self, http_request: cheroot_server.HTTPRequest
+    ) -> cheroot_server.Gateway:
+        """Return the gateway of one request, for cheroot."""
+        return _Gateway(http_request, self)
+
+    def serve(self, http_request: cheroot_server.HTTPRequest) -> None:
         """Answer one request."""
-        result = self._dispatch(environ)
-        if isinstance(result, errors.CallError):
-            return respond_with_error(result, start_response)
-        headers = [
-            (name, value)
-            for name, value in result.headers
-            if name.lower() not in _HOP_HEADERS
-        ]
-        start_response(status_line(result.status), headers)
-        return _ClosingBody(result)
-
-    def _dispatch(self, environ: dict) -> calls.Answer | errors.CallError:
-        service, path = _split_path(environ["PATH_INFO"])
-        method = environ["REQUEST_METHOD"]
+        cancellation = calls.Cancellation()
+        connection = http_request.conn.socket
+        watched = self._watch.add(float("inf"), cancellation, connection)
+        try:
+            call = self._admit(http_request, cancellation)
+            if isinstance(call, errors.CallError):
+                self._respond_with_error(http_request, call, None)
+                return
+            self._watch.set_deadline(watched, call.request.deadline)
+            self._run(http_request, call)
+        finally:
+            self._watch.remove(watched)
+            if connection.gettimeout() != http_request.server.timeout:
+                connection.settimeout(http_request.server.timeout)
+
+    def _admit(
+        self,
+        http_request: cheroot_server.HTTPRequest,
+        cancellation: calls.Cancellation,
+    ) -> _Call | errors.CallError:
+        started = time.monotonic()
+        if self._board.lifecycle.value.draining:
+            return self._refusal(errors.Reason.DRAINING)
+        service, path, forwarded_path = _split_path(http_request)
+        method = http_request.method.decode("latin-1")
         entry = self._dispatcher.route(service, method, path)
         if entry is None:
-            return errors.CallError(
-                errors.Reason.NO_ROUTE,
-                "route",
-                self._environment.node_id,
-                f"{method} {environ['PATH_INFO']}",
-                not_run=True,
-            )
-        timeout_s = _timeout_s(environ, entry.target.timeout_s)
-        length = _body_length(environ)
-        query = environ.get("QUERY_STRING", "")
+            detail = f"{method} /{service}{path}"
+            return self._refusal(errors.Reason.NO_ROUTE, detail)
+        headers = http_request.inheaders
+        deadline = started + _timeout_s(headers, entry.target.timeout_s)
+        length = _body_length(http_request)
+        try:
+            body = _body(http_request, length, deadline)
+        except calls.BodyCut as cut:
+            return errors.CallError(cut.reason, _STEP, "", str(cut), True)
         request = calls.Request(
             service=service,
             method=method,
-            path=f"{path}?{query}" if query else path,
-            headers=_headers(environ),
-            body=_read(environ["wsgi.input"], length),
+            path=forwarded_path,
+            headers=_headers(http_request),
+            body=body,
             body_length=length,
             target=entry.target,
-            deadline=time.monotonic() + timeout_s,
-            idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
+            deadline=deadline,
+            idempotency_key=headers.get(_KEY_KEY, b"").decode("latin-1"),
+            cancellation=cancellation,
         )
-        return self._dispatcher.call(entry, request)
+        return _Call(entry, request)
 
+    def _run(
+        self, http_request: cheroot_server.HTTPRequest, call: _Call
+    ) -> None:
+        result = self._dispatcher.call(call.entry, call.request)
+        if isinstance(result, errors.CallError):
+            self._respond_with_error(http_request, result, call.request)
+            return
+        try:
+            self._respond(http_request, result, call.request)
+        finally:
+            result.close()
 
-class _ClosingBody:
-    """Body that releases the answer when the server is done with it."""
+    def _respond(
+        self,
+        http_request: cheroot_server.HTTPRequest,
+        answer: calls.Answer,
+        request: calls.Request,
+    ) -> None:
+        status = problems.status_line(answer.status)
+        http_request.status = status.encode("latin-1")
+        http_request.outheaders.extend(_answer_headers(answer.headers))
+        self._close_if_needed(http_request, request)
+        if answer.held is not None:
+            _write_at_once(http_request, answer.held)
+            return
+        try:
+            for chunk in answer.body:
+                _limit_wait(http_request, request.deadline)
+                http_request.ensure_headers_sent()
+                http_request.write(chunk)
+        except calls.BodyCut as cut:
+            self._cut(http_request, cut, request)
+
+    def _cut(
+        self,
+        http_request: cheroot_server.HTTPRequest,
+        cut: calls.BodyCut,
+        request: calls.Request,
+    ) -> None:
+        """End an answer so that the caller sees that it is not whole."""
+        if not http_request.sent_headers:
+            http_request.outheaders.clear()
+            error = errors.CallError(cut.reason, _STEP, "", str(cut))
+            self._respond_with_error(http_request, error, request)
+            return
+        http_request.close_connection = True
+        # Without the last chunk, which tells that the answer is whole.
+        http_request.chunked_write = False
+
+    def _respond_with_error(
+        self,
+        http_request: cheroot_server.HTTPRequest,
+        error: errors.CallError,
+        request: calls.Request | None,
+    ) -> None:
+        body = problems.document(error)
+        status = problems.status_line(problems.status(error))
+        http_request.status = status.encode("latin-1")
+        http_request.outheaders.extend(
+            (
+                (b"Content-Type", problems.CONTENT_TYPE.encode()),
+                (b"Content-Length", str(len(body)).encode()),
+                (problems.RESULT_HEADER.encode(), problems.result(error).encode()),
+            )
+        )
+        self._close_if_needed(http_request, request)
+        _write_at_once(http_request, body)
+
+    def _close_if_needed(
+        self,
+        http_request: cheroot_server.HTTPRequest,
+        request: calls.Request | None,
+    ) -> None:
+        """Let the connection end if it cannot carry a further request."""
+        is_read = _is_read(http_request, request)
+        if not is_read or self._board.lifecycle.value.draining:
+            http_request.close_connection = True
+
+    def _refusal(
+        self, reason: errors.Reason, detail: str = ""
+    ) -> errors.CallError:
+        return errors.CallError(
+            reason, _STEP, self._environment.node_id, detail, not_run=True
+        )
 
-    def __init__(self, answer: calls.Answer):
-        self._answer = answer
-        self._chunks = iter(answer.body)
 
-    def __iter__(self) -> Iterator[bytes]:
-        return self._chunks
+class _Gateway(cheroot_server.Gateway):
+    """Gives a request to the application."""
+
+    def __init__(
+        self,
+        http_request: cheroot_server.HTTPRequest,
+        application: CallerApplication,
+    ):
+        super().__init__(http_request)
+        self._application = application
 
-    def close(self) -> None:
-        """Release the answer."""
-        self._answer.close()
+    def respond(self) -> None:
+        """Answer the request."""
+        self._application.serve(self.req)
 
 
-def status_line(status: int) -> str:
-    """Return "status phrase"."""
+class _BoundedFile:
+    """Refuses chunks that the server's library would hold whole."""
+
+    def __init__(self, file: Any):
+        self._file = file
+
+    def read(self, size: int) -> bytes:
+        """Read exactly `size` bytes, or up to the end of the connection."""
+        if size > MAX_CHUNK_BYTES:
+            reason = errors.Reason.BODY_TOO_LARGE
+            raise calls.BodyCut(f"chunk over {MAX_CHUNK_BYTES} bytes", reason)
+        return self._file.read(size)
+
+    def readline(self) -> bytes:
+        """Read a line of a bounded length."""
+        return self._file.readline(_MAX_LINE_BYTES)
+
+
+class _Gatherer:
+    """Collects what a request writes, so that it leaves in one piece."""
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+
+    def write(self, data: bytes) -> None:
+        """Collect bytes."""
+        self._parts.append(data)
+
+    def join(self) -> bytes:
+        """Return all bytes."""
+        return b"".join(self._parts)
+
+
+def _write_at_once(
+    http_request: cheroot_server.HTTPRequest, body: bytes
+) -> None:
+    connection = http_request.conn
+    writer = connection.wfile
+    gatherer = _Gatherer()
+    connection.wfile = gatherer
     try:
-        return f"{status} {http.HTTPStatus(status).phrase}"
-    except ValueError:
-        return f"{status} Unknown"
-
-
-def respond_with_error(
-    error: errors.CallError, start_response: StartResponse
-) -> list[bytes]:
-    """Answer with a problem document that tells whether the call ran."""
-    status = _STATUS_BY_REASON.get(error.reason, _DEFAULT_STATUS)
-    result = "not-run" if error.not_run else "unknown"
-    body = json.dumps(
-        {
-            "title": error.reason.value,
-            "status": status,
-            "result": result,
-            "step": error.step,
-            "peer": error.peer,
-            "detail": error.detail,
-        }
-    ).encode()
-    headers = [
-        ("Content-Type", "application/problem+json"),
-        ("Content-Length", str(len(body))),
-        (RESULT_HEADER, result),
-    ]
-    start_response(status_line(status), headers)
-    return [body]
-
-
-def _split_path(path: str) -> tuple[str, str]:
-    service, _, rest = path.lstrip("/").partition("/")
-    return service, f"/{rest}"
-
-
-def _timeout_s(environ: dict, default_s: float) -> float:
-    text = environ.get("HTTP_TREFOILWIND_TIMEOUT", "")
+        http_request.ensure_headers_sent()
+        if body and http_request.method != b"HEAD":
+            http_request.write(body)
+    finally:
+        connection.wfile = writer
+    writer.write(gatherer.join())
+
+
+def _split_path(
+    http_request: cheroot_server.HTTPRequest,
+) -> tuple[str, str, str]:
+    """Return the service, its path decoded, and its path and query as sent."""
+    decoded = http_request.path.decode("utf-8", "replace")
+    service, _, path = decoded.lstrip("/").partition("/")
+    raw = http_request.uri.decode("latin-1").lstrip("/")
+    end = min(
+        (i for i in (raw.find("/"), raw.find("?")) if i >= 0),
+        default=len(raw),
+    )
+    forwarded = raw[end:]
+    if not forwarded.startswith("/"):
+        forwarded = f"/{forwarded}"
+    return service, f"/{path}", forwarded
+
+
+def _timeout_s(headers: dict[bytes, bytes], default_s: float) -> float:
+    text = headers.get(_TIMEOUT_KEY)
+    if text is None:
+        return default_s
     try:
         wanted_s = float(text)
     except ValueError:
@@ -163,40 +324,100 @@
     return wanted_s if 0 < wanted_s <= default_s else default_s
 
 
-def _body_length(environ: dict) -> int:
-    if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
+def _body_length(http_request: cheroot_server.HTTPRequest) -> int:
+    if http_request.chunked_read:
         return -1
-    text = environ.get("CONTENT_LENGTH") or "0"
-    return int(text) if text.isdigit() else 0
-
-
-def _headers(environ: dict) -> tuple[calls.Header, ...]:
-    headers = [
-        (key[5:].replace("_", "-").title(), value)
-        for key, value in environ.items()
-        if key.startswith("HTTP_")
-    ]
-    for key, name in (
-        ("CONTENT_TYPE", "Content-Type"),
-        ("CONTENT_LENGTH", "Content-Length"),
-    ):
-        if environ.get(key):
-            headers.append((name, environ[key]))
+    # The server's library has refused what is not a number.
+    return max(0, int(http_request.inheaders.get(b"Content-Length", 0)))
+
+
+def _headers(
+    http_request: cheroot_server.HTTPRequest,
+) -> tuple[calls.Header, ...]:
+    named = http_request.inheaders.get(b"Connection", b"").lower()
+    dropped = _HOP_HEADERS
+    if named and named not in _USUAL_CONNECTION:
+        dropped = dropped | {name.strip() for name in named.split(b",")}
+    if http_request.chunked_read:
+        dropped = dropped | {b"content-length"}
     return tuple(
-        (name, value)
-        for name, value in headers
-        if name.lower() not in _HOP_HEADERS
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in http_request.inheaders.items()
+        if name.lower() not in dropped
     )
 
 
-def _read(stream: Any, length: int) -> Iterator[bytes]:
+def _answer_headers(
+    headers: tuple[calls.Header, ...],
+) -> Iterator[tuple[bytes, bytes]]:
+    is_chunked = any(n.lower() == "transfer-encoding" for n, _ in headers)
+    for name, value in headers:
+        lowered = name.lower()
+        if lowered in _HOP_NAMES:
+            continue
+        if is_chunked and lowered == "content-length":
+            continue
+        yield name.encode("latin-1"), value.encode("latin-1")
+
+
+def _body(
+    http_request: cheroot_server.HTTPRequest, length: int, deadline: float
+) -> calls.Body:
+    """Return the body; one that is short is read now.
+
+    Raises:
+        calls.BodyCut: The caller sent less than it said.
+    """
+    if length == 0:
+        return calls.Body(held=b"")
+    chunks = _read(http_request, length, deadline)
+    if 0 < length <= HELD_BODY_BYTES:
+        return calls.Body(held=b"".join(chunks))
+    return calls.Body(chunks)
+
+
+def _read(
+    http_request: cheroot_server.HTTPRequest, length: int, deadline: float
+) -> Iterator[bytes]:
+    if length < 0:
+        http_request.rfile.rfile = _BoundedFile(http_request.conn.rfile)
     left = length
     while left != 0:
         wanted = _READ_BYTES if left < 0 else min(_READ_BYTES, left)
-        chunk = stream.read(wanted)
+        chunk = _read_chunk(http_request, wanted, deadline)
         if not chunk:
             if left > 0:
-                raise calls.BodyCut("caller ended early")
+                raise calls.BodyCut("caller ended", errors.Reason.CANCELLED)
             return
         left -= len(chunk) if left > 0 else 0
         yield chunk
+
+
+def _read_chunk(
+    http_request: cheroot_server.HTTPRequest, wanted: int, deadline: float
+) -> bytes:
+    _limit_wait(http_request, deadline)
+    try:
+        return http_request.rfile.read(wanted)
+    except TimeoutError as error:
+        reason = errors.Reason.DEADLINE_EXCEEDED
+        raise calls.BodyCut("caller sends too slowly", reason) from error
+    except (OSError, ValueError, cheroot_errors.MaxSizeExceeded) as error:
+        reason = errors.Reason.CANCELLED
+        raise calls.BodyCut(type(error).__name__, reason) from error
+
+
+def _limit_wait(
+    http_request: cheroot_server.HTTPRequest, deadline: float
+) -> None:
+    remaining_s = max(_MIN_TIMEOUT_S, deadline - time.monotonic())
+    http_request.conn.socket.settimeout(remaining_s)
+
+
+def _is_read(
+    http_request: cheroot_server.HTTPRequest, request: calls.Request | None
+) -> bool:
+    """Return True if nothing of the request is left on the connection."""
+    if request is not None:
+        return request.body.is_ended
+    return _body_length(http_request) == 0
--- a/trefoilwind/proxy/calls.py
+++ b/trefoilwind/proxy/calls.py
@@ -5,11 +5,107 @@
 from collections.abc import Iterator
 import dataclasses
 
+from trefoilwind import errors
 from trefoilwind.model import configuration as configuration_lib
 
 Header = tuple[str, str]
 
 
+class BodyCut(Exception):  # noqa: N818 - leaves an iterator, is no sentinel.
+    """Raised inside a body's iterator when the rest cannot be had.
+
+    Attributes:
+        reason: Cause.
+    """
+
+    def __init__(
+        self,
+        detail: str,
+        reason: errors.Reason = errors.Reason.BACKEND_FAILED,
+    ):
+        super().__init__(detail)
+        self.reason = reason
+
+
+class Body:
+    """Body of a request: held whole in memory, or streamed once."""
+
+    def __init__(
+        self, chunks: Iterable[bytes] = (), held: bytes | None = None
+    ):
+        self._chunks = chunks
+        self._held = held
+        self._is_started = False
+        self._is_ended = held is not None
+
+    @property
+    def held(self) -> bytes | None:
+        """The whole body; None if it is streamed."""
+        return self._held
+
+    @property
+    def is_repeatable(self) -> bool:
+        """True if the body can be sent again from its first byte."""
+        return self._held is not None or not self._is_started
+
+    @property
+    def is_ended(self) -> bool:
+        """True if nothing of the body is left to be read."""
+        return self._is_ended
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the chunks; a streamed body yields them once.
+
+        Raises:
+            BodyCut: The caller sends no more.
+        """
+        if self._held is not None:
+            if self._held:
+                yield self._held
+            return
+        self._is_started = True
+        yield from self._chunks
+        self._is_ended = True
+
+
+class Cancellation:
+    """Tells all parts of a call that it ends before its answer.
+
+    `add` and `cancel` may be called by different threads. A callback runs once
+    or, if both come at the same time, twice.
+    """
+
+    __slots__ = ("_callbacks", "_reason")
+
+    def __init__(self) -> None:
+        self._reason: errors.Reason | None = None
+        self._callbacks: list[Callable[[], None]] = []
+
+    @property
+    def reason(self) -> errors.Reason | None:
+        """Why the call was cancelled; None if it was not."""
+        return self._reason
+
+    def add(self, callback: Callable[[], None]) -> None:
+        """Run a callback at cancellation, at once if that has happened."""
+        self._callbacks.append(callback)
+        if self._reason is not None:
+            callback()
+
+    def discard(self, callback: Callable[[], None]) -> None:
+        """Forget a callback."""
+        if callback in self._callbacks:
+            self._callbacks.remove(callback)
+
+    def cancel(self, reason: errors.Reason) -> None:
+        """Cancel the call; only the first reason counts."""
+        if self._reason is not None:
+            return
+        self._reason = reason
+        for callback in list(self._callbacks):
+            callback()
+
+
 @dataclasses.dataclass(frozen=True)
 class Request:
     """A caller's request.
@@ -19,25 +115,35 @@
         method: HTTP method.
         path: Path and query, after the service's name.
         headers: Headers to pass on, without those of the connection.
-        body: Chunks of the body; read at most once.
+        body: The body. One that is streamed and was partly read cannot be
+            sent again: see `is_repeatable`.
         body_length: Bytes of the body; -1 if not known beforehand.
         target: Class of the call.
         deadline: Monotonic time in seconds by which it must be answered.
         idempotency_key: Key given by the caller; empty if none.
         fingerprint: Digest of method, path, body and key; empty if the body
             is not held whole.
+        cancellation: Ends the call early.
     """
 
     service: str
     method: str
     path: str
     headers: tuple[Header, ...]
-    body: Iterator[bytes]
+    body: Body
     body_length: int
     target: configuration_lib.ClassTarget
     deadline: float
     idempotency_key: str = ""
     fingerprint: str = ""
+    cancellation: Cancellation = dataclasses.field(
+        default_factory=Cancellation, compare=False
+    )
+
+    @property
+    def is_repeatable(self) -> bool:
+        """True if a further attempt can send the same body."""
+        return self.body.is_repeatable
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,16 +155,14 @@
         headers: Headers to pass on.
         body: Chunks of the body; read once. It ends early with `BodyCut`.
         close: Releases what the answer holds; safe to call twice.
+        held: The whole body if it was short and has been read; else None.
     """
 
     status: int
     headers: tuple[Header, ...]
     body: Iterable[bytes]
     close: Callable[[], None]
-
-
-class BodyCut(Exception):  # noqa: N818 - leaves an iterator, is no sentinel.
-    """Raised inside a body's iterator when the rest cannot be had."""
+    held: bytes | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/trefoilwind/proxy/connections.py
@@ -0,0 +1,111 @@
+"""Pooled HTTP connections to one backend server."""
+
+import collections
+import dataclasses
+import select
+import socket
+import time
+
+from urllib3 import connection as connection_lib
+
+from trefoilwind.model import addresses
+
+_MAX_AGE_S = 60.0
+_NODELAY = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),)
+
+
+@dataclasses.dataclass(slots=True)
+class Pooled:
+    """A connection that is in use or idle.
+
+    Attributes:
+        http: The connection.
+        sock: Its socket; kept here, as `http` drops it early.
+        expires: Monotonic time after which it is not used again.
+        idle_until: Monotonic time until which it may lie idle.
+        is_fresh: True if it has carried no request.
+    """
+
+    http: connection_lib.HTTPConnection
+    sock: socket.socket
+    expires: float
+    idle_until: float = 0.0
+    is_fresh: bool = True
+
+    def abort(self) -> None:
+        """End the connection at once, also under a thread that waits for it."""
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def discard(self) -> None:
+        """Close the connection."""
+        self.http.close()
+        self.sock.close()
+
+
+class ConnectionPool:
+    """Idle connections, newest first; validated before use."""
+
+    def __init__(
+        self, address: addresses.Address, max_idle: int, idle_s: float
+    ):
+        self._address = address
+        self._max_idle = max_idle
+        self._idle_s = idle_s
+        self._idle: collections.deque[Pooled] = collections.deque()
+
+    def take_idle(self) -> Pooled | None:
+        """Return an idle connection that seems to work, or None."""
+        while True:
+            try:
+                pooled = self._idle.pop()
+            except IndexError:
+                return None
+            now = time.monotonic()
+            if now < min(pooled.idle_until, pooled.expires):
+                # An idle connection has nothing to read unless it ended.
+                if not is_readable(pooled.sock):
+                    return pooled
+            pooled.discard()
+
+    def connect(self, timeout_s: float) -> Pooled:
+        """Return a new connection.
+
+        Args:
+            timeout_s: Longest time to connect, in seconds.
+
+        Raises:
+            OSError: The backend server cannot be reached.
+            urllib3.exceptions.HTTPError: Likewise.
+        """
+        http = connection_lib.HTTPConnection(
+            self._address.host,
+            self._address.port,
+            timeout=timeout_s,
+            socket_options=_NODELAY,
+        )
+        http.connect()
+        return Pooled(http, http.sock, time.monotonic() + _MAX_AGE_S)
+
+    def put_back(self, pooled: Pooled) -> None:
+        """Keep a connection whose last answer was read to its end."""
+        if pooled.http.sock is None or len(self._idle) >= self._max_idle:
+            pooled.discard()
+            return
+        pooled.is_fresh = False
+        pooled.idle_until = time.monotonic() + self._idle_s
+        self._idle.append(pooled)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().discard()
+
+
+def is_readable(sock: socket.socket) -> bool:
+    """Return True if bytes or the end of a connection can be read now."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
--- a/trefoilwind/proxy/remote.py
+++ b/trefoilwind/proxy/remote.py
@@ -1,5 +1,6 @@
 """Entry side of a call to a backend server beside another node."""
 
+from collections.abc import Iterator
 import queue
 import time
 
@@ -8,17 +9,27 @@
 from trefoilwind.distribution import stream as stream_lib
 from trefoilwind.distribution import transport as transport_lib
 from trefoilwind.model import members
+from trefoilwind.proxy import bodies
 from trefoilwind.proxy import calls
-from trefoilwind.proxy import target as target_lib
 
 _STEP = "remote.call"
+_REASONS = {reason.value: reason for reason in errors.Reason}
 
 
 class RemoteCaller:
     """Runs calls on other nodes over peer streams."""
 
-    def __init__(self, transport: transport_lib.Transport):
+    def __init__(
+        self, transport: transport_lib.Transport, window_bytes: int = 0
+    ):
         self._transport = transport
+        self._window_bytes = window_bytes
+        self._dropped_frames = 0
+
+    @property
+    def dropped_frames(self) -> int:
+        """Count of the frames that belonged to no call under way."""
+        return self._dropped_frames
 
     def call(
         self, member: members.Member, request: calls.Request
@@ -31,122 +42,202 @@
             return errors.CallError(
                 stream.reason, _STEP, member.node_id, stream.detail, True
             )
-        received = queue.SimpleQueue()
-        call_id = stream.open_call(received.put)
-        failed = _send_request(stream, call_id, request)
-        if failed is not None:
-            stream.answer_sinks.pop(call_id, None)
-            return failed
-        return _receive_head(stream, call_id, received, request.deadline)
+        if stream.is_leaving:
+            reason = errors.Reason.DRAINING
+            return errors.CallError(reason, _STEP, stream.peer, "", True)
+        return _Call(stream, request, self._window_bytes).run()
 
     def take_frame(
         self, stream: stream_lib.PeerStream, frame: frames.Frame
     ) -> None:
         """Take a frame of an answer; one of an unknown call is dropped."""
         sink = stream.answer_sinks.get(frame.call_id)
-        if sink is not None:
-            sink(frame)
+        if sink is None:
+            self._dropped_frames += 1
+            return
+        sink(frame)
+
+    def peer_leaves(self, stream: stream_lib.PeerStream) -> None:
+        """Settle the calls that a leaving peer did not take."""
+        for call_id, sink in list(stream.answer_sinks.items()):
+            if stream.did_not_leave(call_id):
+                reason = errors.Reason.DRAINING
+                sink(errors.CallError(reason, _STEP, stream.peer, "", True))
 
     def stream_closed(self, stream: stream_lib.PeerStream) -> None:
-        """End the calls that were in flight on a stream."""
-        lost = errors.CallError(
-            errors.Reason.PEER_UNREACHABLE, _STEP, stream.peer
-        )
-        for sink in list(stream.answer_sinks.values()):
-            sink(lost)
-
-
-def _send_request(
-    stream: stream_lib.PeerStream, call_id: int, request: calls.Request
-) -> errors.CallError | None:
-    opened = frames.CallOpen(
-        call_id=call_id,
-        method=request.method,
-        path=request.path,
-        headers=[list(pair) for pair in request.headers],
-        remaining_s=request.deadline - time.monotonic(),
-        class_name=request.target.name,
-        importance=request.target.importance,
-        fingerprint=request.fingerprint,
-        body=b"",
-        is_last=request.body_length == 0,
-    )
-    error = stream.send(opened)
-    if error is not None:
-        return _lost(stream, error)
-    if request.body_length == 0:
-        return None
-    for chunk in request.body:
-        error = stream.send(frames.CallBody(call_id, chunk, False))
+        """Settle the calls that were in flight on a stream."""
+        for call_id, sink in list(stream.answer_sinks.items()):
+            not_run = stream.did_not_leave(call_id)
+            reason = errors.Reason.PEER_UNREACHABLE
+            sink(errors.CallError(reason, _STEP, stream.peer, "", not_run))
+
+
+class _Call:
+    """One call under way on a stream."""
+
+    def __init__(
+        self,
+        stream: stream_lib.PeerStream,
+        request: calls.Request,
+        window_bytes: int,
+    ):
+        self._stream = stream
+        self._request = request
+        self._window_bytes = window_bytes
+        self._heads: queue.SimpleQueue = queue.SimpleQueue()
+        self._credit: bodies.Credit | None = None
+        self._body: bodies.ReceivedBody | None = None
+        self._is_ended = False
+        self._call_id = stream.open_call(self._take)
+
+    def run(self) -> calls.Answer | errors.CallError:
+        """Send the request and wait for the answer's head."""
+        request = self._request
+        held = request.body.held
+        if held is None or len(held) > frames.INITIAL_CREDIT_BYTES:
+            self._credit = bodies.Credit(request.deadline)
+        request.cancellation.add(self._cancelled)
+        failed = self._send_request()
+        if failed is None:
+            failed = self._receive_head()
+        if isinstance(failed, errors.CallError):
+            self._end(needs_cancel=not failed.not_run)
+        return failed
+
+    def _send_request(self) -> errors.CallError | None:
+        failed = self._send_head()
+        if failed is not None or self._credit is None:
+            return failed
+        request = self._request
+        try:
+            error = bodies.send(iter(request.body), self._credit, self._send)
+        except calls.BodyCut as cut:
+            reason = request.cancellation.reason or cut.reason
+            return self._error(reason, str(cut))
         if error is not None:
-            return _lost(stream, error)
-    error = stream.send(frames.CallBody(call_id, b"", True))
-    return None if error is None else _lost(stream, error)
-
-
-def _lost(
-    stream: stream_lib.PeerStream, error: errors.StreamError
-) -> errors.CallError:
-    return errors.CallError(error.reason, _STEP, stream.peer, error.detail)
-
-
-def _receive_head(
-    stream: stream_lib.PeerStream,
-    call_id: int,
-    received: queue.SimpleQueue,
-    deadline: float,
-) -> calls.Answer | errors.CallError:
-    def close() -> None:
-        stream.answer_sinks.pop(call_id, None)
-
-    remaining_s = max(0.0, deadline - time.monotonic())
-    try:
-        frame = received.get(timeout=remaining_s)
-    except queue.Empty:
-        close()
-        stream.send(frames.Cancel(call_id))
-        reason = errors.Reason.DEADLINE_EXCEEDED
-        return errors.CallError(reason, _STEP, stream.peer)
-    if isinstance(frame, errors.CallError):
-        close()
-        return frame
-    if isinstance(frame, frames.CallFailed):
-        close()
-        return _call_error(frame)
-    chunks = queue.SimpleQueue()
-    _redirect(stream, call_id, received, chunks)
-    return calls.Answer(
-        status=frame.status,
-        headers=tuple((name, value) for name, value in frame.headers),
-        body=target_lib.read_chunks(chunks, deadline),
-        close=close,
-    )
-
+            return self._error(error.reason, error.detail)
+        if not self._credit.is_stopped:
+            last = frames.CallBody(self._call_id, b"", True)
+            self._stream.send(last, request.deadline)
+        return None
 
-def _redirect(
-    stream: stream_lib.PeerStream,
-    call_id: int,
-    received: queue.SimpleQueue,
-    chunks: queue.SimpleQueue,
-) -> None:
-    """Pass body frames on as chunks."""
+    def _send_head(self) -> errors.CallError | None:
+        request = self._request
+        is_last = self._credit is None
+        opened = frames.CallOpen(
+            call_id=self._call_id,
+            method=request.method,
+            path=request.path,
+            headers=[list(pair) for pair in request.headers],
+            remaining_s=request.deadline - time.monotonic(),
+            class_name=request.target.name,
+            importance=request.target.importance,
+            fingerprint=request.fingerprint,
+            body=request.body.held if is_last else b"",
+            is_last=is_last,
+        )
+        error = self._stream.send(opened, request.deadline)
+        if error is None:
+            return None
+        return self._error(error.reason, error.detail, not_run=True)
+
+    def _send(self, chunk: bytes) -> errors.StreamError | None:
+        frame = frames.CallBody(self._call_id, chunk, False)
+        return self._stream.send(frame, self._request.deadline)
+
+    def _receive_head(self) -> calls.Answer | errors.CallError:
+        remaining_s = self._request.deadline - time.monotonic()
+        try:
+            received = self._heads.get(timeout=max(0.0, remaining_s))
+        except queue.Empty:
+            return self._error(errors.Reason.DEADLINE_EXCEEDED)
+        if isinstance(received, errors.CallError):
+            return received
+        headers = tuple((name, value) for name, value in received.headers)
+        if received.is_last:
+            self._end(needs_cancel=False)
+            body = (received.body,) if received.body else ()
+            return calls.Answer(
+                received.status, headers, body, self._close, received.body
+            )
+        self._body.open_window()
+        return calls.Answer(
+            received.status, headers, self._read_body(), self._close
+        )
 
-    def sink(frame) -> None:
-        if isinstance(frame, frames.AnswerBody):
-            chunks.put((frame.chunk, frame.is_last))
-        elif isinstance(frame, frames.CallFailed):
-            chunks.put(_call_error(frame))
+    def _read_body(self) -> Iterator[bytes]:
+        yield from self._body
+        self._end(needs_cancel=False)
+
+    def _take(self, received: frames.Frame | errors.CallError) -> None:
+        """Take a frame or the loss of the stream; does not block."""
+        if isinstance(received, frames.AnswerHead):
+            self._take_head(received)
+        elif isinstance(received, frames.AnswerBody):
+            self._take_body(received)
+        elif isinstance(received, frames.Credit):
+            if self._credit is not None:
+                self._credit.add(received.count)
+        elif isinstance(received, frames.CallFailed):
+            self._fail(_call_error(received))
         else:
-            chunks.put(frame)
+            self._fail(received)
 
-    stream.answer_sinks[call_id] = sink
-    while not received.empty():
-        sink(received.get())
+    def _take_head(self, head: frames.AnswerHead) -> None:
+        if not head.is_last:
+            body = bodies.ReceivedBody(
+                self._window_bytes, self._request.deadline, self._grant
+            )
+            body.put(head.body, False)
+            self._body = body
+        self._heads.put(head)
+        # An answer ahead of the body's end ends the upload.
+        if self._credit is not None:
+            self._credit.stop()
+
+    def _take_body(self, frame: frames.AnswerBody) -> None:
+        body = self._body
+        if body is None or not body.put(frame.chunk, frame.is_last):
+            self._fail(self._error(errors.Reason.PROTOCOL, "exceeds credit"))
+
+    def _fail(self, error: errors.CallError) -> None:
+        body = self._body
+        if body is not None:
+            body.fail(error)
+        self._heads.put(error)
+        if self._credit is not None:
+            self._credit.stop()
+
+    def _cancelled(self) -> None:
+        reason = self._request.cancellation.reason
+        self._fail(self._error(reason or errors.Reason.CANCELLED))
+
+    def _grant(self, count: int) -> None:
+        self._stream.send(frames.Credit(self._call_id, count, True))
+
+    def _close(self) -> None:
+        self._end(needs_cancel=True)
+
+    def _end(self, needs_cancel: bool) -> None:
+        if self._is_ended:
+            return
+        self._is_ended = True
+        self._stream.answer_sinks.pop(self._call_id, None)
+        self._request.cancellation.discard(self._cancelled)
+        if needs_cancel:
+            self._stream.send(frames.Cancel(self._call_id))
+
+    def _error(
+        self, reason: errors.Reason, detail: str = "", not_run: bool = False
+    ) -> errors.CallError:
+        return errors.CallError(
+            reason, _STEP, self._stream.peer, detail, not_run
+        )
 
 
 def _call_error(frame: frames.CallFailed) -> errors.CallError:
     return errors.CallError(
-        errors.Reason(frame.reason),
+        _REASONS.get(frame.reason, errors.Reason.PROTOCOL),
         frame.step,
         frame.peer,
         frame.detail,
--- a/trefoilwind/proxy/target.py
+++ b/trefoilwind/proxy/target.py
@@ -1,8 +1,8 @@
 """Target side of a call: takes it from a peer and runs it locally."""
 
-from collections.abc import Iterator
-from concurrent import futures
-import queue
+import functools
+import logging
+import threading
 import time
 
 from trefoilwind import environment as environment_lib
@@ -11,10 +11,67 @@
 from trefoilwind.distribution import stream as stream_lib
 from trefoilwind.model import configuration as configuration_lib
 from trefoilwind.proxy import backend as backend_lib
+from trefoilwind.proxy import bodies
 from trefoilwind.proxy import calls
+from trefoilwind.proxy import watch as watch_lib
+from trefoilwind.proxy import workers as workers_lib
+
+logger = logging.getLogger(__name__)
 
 _STEP = "target.admit"
-_CONNECTIONS_PER_SLOT = 2
+_ANSWER_STEP = "target.answer"
+
+
+class _Incoming:
+    """A call of a peer under way."""
+
+    def __init__(
+        self,
+        stream: stream_lib.PeerStream,
+        opened: frames.CallOpen,
+        window_bytes: int,
+    ):
+        self.stream = stream
+        self.opened = opened
+        self.deadline = time.monotonic() + opened.remaining_s
+        self.cancellation = calls.Cancellation()
+        self.credit: bodies.Credit | None = None
+        self.body: bodies.ReceivedBody | None = None
+        if not opened.is_last:
+            self.body = bodies.ReceivedBody(
+                window_bytes, self.deadline, self._grant
+            )
+            self.body.put(opened.body, False)
+        self.cancellation.add(self._wake)
+
+    def take(self, frame: frames.Frame) -> None:
+        """Take a further frame of the call."""
+        if isinstance(frame, frames.Cancel):
+            self.cancellation.cancel(errors.Reason.CANCELLED)
+        elif isinstance(frame, frames.Credit):
+            if self.credit is not None:
+                self.credit.add(frame.count)
+        elif self.body is None or not self.body.put(frame.chunk, frame.is_last):
+            logger.warning("target: peer %s exceeds credit", self.stream.peer)
+            self.cancellation.cancel(errors.Reason.PROTOCOL)
+
+    def start_answer(self) -> bodies.Credit:
+        """Return the credit of an answer that takes several frames."""
+        credit = bodies.Credit(self.deadline)
+        self.credit = credit
+        if self.cancellation.reason is not None:
+            credit.stop()
+        return credit
+
+    def _grant(self, count: int) -> None:
+        self.stream.send(frames.Credit(self.opened.call_id, count, False))
+
+    def _wake(self) -> None:
+        reason = self.cancellation.reason
+        if self.body is not None and reason is not None:
+            self.body.fail(errors.CallError(reason, _STEP, self.stream.peer))
+        if self.credit is not None:
+            self.credit.stop()
 
 
 class Target:
@@ -22,75 +79,129 @@
 
     def __init__(self, environment: environment_lib.Environment):
         self._environment = environment
+        self._settings = environment.settings
         self._backend: backend_lib.BackendClient | None = None
-        self._executor = futures.ThreadPoolExecutor(
-            environment.settings.proxy.target_threads,
-            thread_name_prefix="target",
+        self._is_withdrawn = False
+        self._workers = workers_lib.Workers(
+            environment.settings.proxy.target_threads, "target"
         )
-        self._incoming: dict[tuple[int, int], queue.SimpleQueue] = {}
+        self._watch = watch_lib.CallWatch()
+        self._watch.start()
+        # Calls of peers by stream, then by call id.
+        self._incoming: dict[
+            stream_lib.PeerStream, dict[int, _Incoming]
+        ] = {}
+        self._last_taken: dict[stream_lib.PeerStream, int] = {}
+        self._is_going_away = False
+        self._admission = threading.Lock()
+        self._dropped_frames = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Count of the calls of peers under way."""
+        return self._watch.count
+
+    @property
+    def dropped_frames(self) -> int:
+        """Count of the frames that belonged to no call under way."""
+        return self._dropped_frames
 
     def set_backend(self, backend: backend_lib.BackendClient | None) -> None:
-        """Set or remove the backend server."""
+        """Set or remove the backend server; calls under way go on."""
+        previous = self._backend
         self._backend = backend
+        self._is_withdrawn = False
+        if previous is not None:
+            previous.close()
+
+    def withdraw(self) -> None:
+        """Send no new work to the backend server, which leaves."""
+        self._is_withdrawn = True
 
     def run(self, request: calls.Request) -> calls.Answer | errors.CallError:
         """Run a request on the local backend server."""
         backend = self._backend
         if backend is None:
             return self._refusal(errors.Reason.NO_BACKEND)
-        if self._environment.blackboard.lifecycle.value.draining:
+        if self._is_withdrawn:
             return self._refusal(errors.Reason.DRAINING)
         return backend.call(request)
 
+    def go_away(self, streams: tuple[stream_lib.PeerStream, ...]) -> None:
+        """Refuse further calls of peers and tell them so.
+
+        Args:
+            streams: All streams of the node.
+        """
+        with self._admission:
+            self._is_going_away = True
+            last = [self._last_taken.get(stream, 0) for stream in streams]
+        for stream, last_call_id in zip(streams, last, strict=True):
+            stream.send(frames.GoAway(last_call_id))
+
+    def stop(self) -> None:
+        """Cancel what is left."""
+        self._watch.stop()
+        self._workers.stop()
+
     def take_frame(
         self, stream: stream_lib.PeerStream, frame: frames.Frame
     ) -> None:
         """Take a frame of a call that a peer opened; does not block."""
-        key = (id(stream), frame.call_id)
         if isinstance(frame, frames.CallOpen):
-            chunks = queue.SimpleQueue()
-            self._incoming[key] = chunks
-            chunks.put((frame.body, frame.is_last))
-            self._executor.submit(self._serve, stream, frame, chunks, key)
-        elif isinstance(frame, frames.CallBody) and key in self._incoming:
-            self._incoming[key].put((frame.chunk, frame.is_last))
-
-    def _serve(
-        self,
-        stream: stream_lib.PeerStream,
-        opened: frames.CallOpen,
-        chunks: queue.SimpleQueue,
-        key: tuple[int, int],
-    ) -> None:
-        request = _request(opened, chunks)
+            refusal = self._admit(stream, frame)
+            if refusal is not None:
+                stream.send(_failure(frame.call_id, refusal))
+            return
+        incoming = self._incoming.get(stream, {}).get(frame.call_id)
+        if incoming is None:
+            self._dropped_frames += 1
+            return
+        incoming.take(frame)
+
+    def stream_closed(self, stream: stream_lib.PeerStream) -> None:
+        """Cancel the calls of a stream, whose answers nobody can get."""
+        with self._admission:
+            self._last_taken.pop(stream, None)
+            lost = self._incoming.pop(stream, {})
+        for incoming in list(lost.values()):
+            incoming.cancellation.cancel(errors.Reason.CANCELLED)
+
+    def _admit(
+        self, stream: stream_lib.PeerStream, opened: frames.CallOpen
+    ) -> errors.CallError | None:
+        window_bytes = self._settings.streams.credit_window_bytes
+        with self._admission:
+            if self._is_going_away:
+                return self._refusal(errors.Reason.DRAINING)
+            if stream.is_closed:
+                return self._refusal(errors.Reason.PEER_UNREACHABLE)
+            incoming = _Incoming(stream, opened, window_bytes)
+            of_stream = self._incoming.setdefault(stream, {})
+            of_stream[opened.call_id] = incoming
+            task = functools.partial(self._serve, incoming)
+            if not self._workers.try_run(task):
+                del of_stream[opened.call_id]
+                return self._refusal(errors.Reason.OVERLOADED)
+            last = self._last_taken.get(stream, 0)
+            self._last_taken[stream] = max(last, opened.call_id)
+        return None
+
+    def _serve(self, incoming: _Incoming) -> None:
+        watched = self._watch.add(incoming.deadline, incoming.cancellation)
         try:
-            result = self.run(request)
+            if incoming.body is not None:
+                incoming.body.open_window()
+            result = self.run(_request(incoming))
             if isinstance(result, errors.CallError):
-                stream.send(_failure(opened.call_id, result))
+                failed = _failure(incoming.opened.call_id, result)
+                incoming.stream.send(failed)
             else:
-                self._send_answer(stream, opened.call_id, result)
+                _send_answer(incoming, result)
         finally:
-            self._incoming.pop(key, None)
-
-    def _send_answer(
-        self,
-        stream: stream_lib.PeerStream,
-        call_id: int,
-        answer: calls.Answer,
-    ) -> None:
-        headers = [list(pair) for pair in answer.headers]
-        stream.send(frames.AnswerHead(call_id, answer.status, headers))
-        try:
-            for chunk in answer.body:
-                stream.send(frames.AnswerBody(call_id, chunk, False))
-        except calls.BodyCut as error:
-            reason = errors.Reason.BACKEND_FAILED
-            failed = errors.CallError(
-                reason, "target.answer", detail=str(error)
-            )
-            stream.send(_failure(call_id, failed))
-            return
-        stream.send(frames.AnswerBody(call_id, b"", True))
+            of_stream = self._incoming.get(incoming.stream, {})
+            of_stream.pop(incoming.opened.call_id, None)
+            self._watch.remove(watched)
 
     def _refusal(self, reason: errors.Reason) -> errors.CallError:
         return errors.CallError(
@@ -98,6 +209,52 @@
         )
 
 
+def _send_answer(incoming: _Incoming, answer: calls.Answer) -> None:
+    call_id = incoming.opened.call_id
+    headers = [list(pair) for pair in answer.headers]
+    head = frames.AnswerHead(
+        call_id, answer.status, headers, answer.held or b"", True
+    )
+    if answer.held is not None:
+        incoming.stream.send(head, incoming.deadline)
+        return
+    try:
+        _stream_answer(incoming, answer, headers)
+    except calls.BodyCut as error:
+        failed = errors.CallError(error.reason, _ANSWER_STEP, detail=str(error))
+        incoming.stream.send(_failure(call_id, failed))
+    finally:
+        answer.close()
+
+
+def _stream_answer(
+    incoming: _Incoming, answer: calls.Answer, headers: list
+) -> None:
+    """Send an answer in several frames.
+
+    Raises:
+        calls.BodyCut: The rest of the answer cannot be had or sent.
+    """
+    stream = incoming.stream
+    call_id = incoming.opened.call_id
+    deadline = incoming.deadline
+    credit = incoming.start_answer()
+    head = frames.AnswerHead(call_id, answer.status, headers, b"", False)
+    stream.send(head, deadline)
+    error = bodies.send(
+        iter(answer.body),
+        credit,
+        lambda chunk: stream.send(
+            frames.AnswerBody(call_id, chunk, False), deadline
+        ),
+    )
+    if error is not None:
+        raise calls.BodyCut(str(error), error.reason)
+    if credit.is_stopped:
+        raise calls.BodyCut("cancelled", errors.Reason.CANCELLED)
+    stream.send(frames.AnswerBody(call_id, b"", True), deadline)
+
+
 def _failure(call_id: int, error: errors.CallError) -> frames.CallFailed:
     return frames.CallFailed(
         call_id,
@@ -109,50 +266,26 @@
     )
 
 
-def _request(
-    opened: frames.CallOpen, chunks: queue.SimpleQueue
-) -> calls.Request:
-    deadline = time.monotonic() + opened.remaining_s
+def _request(incoming: _Incoming) -> calls.Request:
+    opened = incoming.opened
     target = configuration_lib.ClassTarget(
         opened.class_name, False, 1.0, 1.0, opened.importance
     )
-    has_body = bool(opened.body) or not opened.is_last
+    if opened.is_last:
+        body = calls.Body(held=opened.body)
+        length = len(opened.body)
+    else:
+        body = calls.Body(incoming.body)
+        length = -1
     return calls.Request(
         service="",
         method=opened.method,
         path=opened.path,
         headers=tuple((name, value) for name, value in opened.headers),
-        body=read_chunks(chunks, deadline),
-        body_length=-1 if has_body else 0,
+        body=body,
+        body_length=length,
         target=target,
-        deadline=deadline,
+        deadline=incoming.deadline,
         fingerprint=opened.fingerprint,
+        cancellation=incoming.cancellation,
     )
-
-
-def read_chunks(chunks: queue.SimpleQueue, deadline: float) -> Iterator[bytes]:
-    """Yield queued chunks up to the last one.
-
-    Args:
-        chunks: Queue of (bytes, is last) pairs or of a `CallError`.
-        deadline: Monotonic time in seconds at which to give up.
-
-    Yields:
-        Chunks that are not empty.
-
-    Raises:
-        calls.BodyCut: The deadline passed or an error was queued.
-    """
-    while True:
-        remaining_s = max(0.0, deadline - time.monotonic())
-        try:
-            item = chunks.get(timeout=remaining_s)
-        except queue.Empty as error:
-            raise calls.BodyCut("deadline") from error
-        if isinstance(item, errors.Error):
-            raise calls.BodyCut(str(item))
-        chunk, is_last = item
-        if chunk:
-            yield chunk
-        if is_last:
-            return
