Stream bodies by credit, cancel and time out whole calls

Cause: a target queued whole uploads in memory, a Cancel frame was ignored, the deadline held per read, and a full executor queued calls in silence.

Change: - bodies of unknown or large length move under a credit window both ways; short ones travel in CallOpen and AnswerHead.

Found by the tests: the HTTP library takes a head that ends with its connection for a whole one, and an interim answer (103) for the final one, so that the real one would have met the next call. Both are failures now.

--- /dev/null
+++ b/tests/test_proxy/fakes.py
@@ -0,0 +1,197 @@
+"""Fakes at the sockets: backend servers by script, a path of two nodes."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import socket
+import threading
+import time
+
+from trefoilwind import clock as clock_lib
+from trefoilwind import environment as environment_lib
+from trefoilwind import settings as settings_lib
+from trefoilwind.distribution import frames
+from trefoilwind.distribution import stream as stream_lib
+from trefoilwind.model import addresses
+from trefoilwind.model import configuration as configuration_lib
+from trefoilwind.model import members
+from trefoilwind.proxy import backend as backend_lib
+from trefoilwind.proxy import calls
+from trefoilwind.proxy import remote as remote_lib
+from trefoilwind.proxy import target as target_lib
+
+WAIT_S = 10.0
+LOOKUP = configuration_lib.ClassTarget("lookup", True, 1.0, 0.99, 1, 10.0)
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; fail if it does not come."""
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline, "the condition did not come"
+        time.sleep(0.005)
+
+
+class ScriptedBackend:
+    """Backend server whose connections are each run by a function."""
+
+    def __init__(self, script: Callable[[socket.socket], None]):
+        self._script = script
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.connections: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> addresses.Address:
+        return addresses.Address("127.0.0.1", self._listener.getsockname()[1])
+
+    def close(self) -> None:
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for connection in self.connections:
+            connection.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                self.connections.append(connection)
+                threading.Thread(
+                    target=self._run, args=(connection,), daemon=True
+                ).start()
+
+    def _run(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            self._script(connection)
+
+
+def read_head(connection: socket.socket) -> bytes:
+    """Return the bytes up to the end of a request's head, and what came."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        received = connection.recv(65536)
+        if not received:
+            return data
+        data += received
+    return data
+
+
+def answers(text: bytes) -> Callable[[socket.socket], None]:
+    """Return a script that sends the same bytes for each request's head."""
+
+    def script(connection: socket.socket) -> None:
+        while read_head(connection):
+            connection.sendall(text)
+
+    return script
+
+
+def read_body(connection: socket.socket, received: bytes) -> int:
+    """Read a body by its length; return how many bytes came."""
+    head, _, rest = received.partition(b"\r\n\r\n")
+    length = int(head.lower().split(b"content-length:")[1].split()[0])
+    count = len(rest)
+    while count < length:
+        data = connection.recv(65536)
+        if not data:
+            return count
+        count += len(data)
+    return count
+
+
+def request(
+    chunks: Iterator[bytes] | None = None,
+    length: int = 0,
+    method: str = "GET",
+    timeout_s: float = WAIT_S,
+    path: str = "/x",
+) -> calls.Request:
+    """Return a request; a body of a known length has that header."""
+    headers = (("Content-Length", str(length)),) if length > 0 else ()
+    return calls.Request(
+        service="catalogue",
+        method=method,
+        path=path,
+        headers=headers,
+        body=calls.Body(held=b"") if chunks is None else calls.Body(chunks),
+        body_length=length,
+        target=LOOKUP,
+        deadline=time.monotonic() + timeout_s,
+    )
+
+
+def environment(node_id: str, **proxy) -> environment_lib.Environment:
+    """Return the environment of a node without a log."""
+    settings = settings_lib.NodeSettings(
+        node_id=node_id,
+        data_centre="perth-a",
+        region="perth",
+        log=settings_lib.LogSettings(url=""),
+        proxy=settings_lib.ProxySettings(**proxy),
+    )
+    return environment_lib.make(settings, clock_lib.SystemClock(), seed=1)
+
+
+def tcp_pair() -> tuple[socket.socket, socket.socket]:
+    """Return both ends of a connection over loopback."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = socket.create_connection(listener.getsockname())
+        far, _ = listener.accept()
+        return near, far
+
+
+class FakeTransport:
+    """Has one stream, to any peer."""
+
+    def __init__(self, stream: stream_lib.PeerStream):
+        self.stream = stream
+
+    def find(self, peer: str) -> stream_lib.PeerStream:
+        return self.stream
+
+
+class Path:
+    """Entry and target of calls with one stream between them."""
+
+    def __init__(
+        self,
+        backend: ScriptedBackend,
+        sockets: tuple[socket.socket, socket.socket] | None = None,
+        **proxy,
+    ):
+        self.member = members.Member(
+            "target", 1, 1, "perth-a", addresses.Address()
+        )
+        clock = clock_lib.SystemClock()
+        near, far = sockets or tcp_pair()
+        self.near = stream_lib.PeerStream(near, clock)
+        self.far = stream_lib.PeerStream(far, clock)
+        self.environment = environment("target", **proxy)
+        window = self.environment.settings.streams.credit_window_bytes
+        self.target = target_lib.Target(self.environment)
+        self.target.set_backend(backend_lib.BackendClient(backend.address, 4))
+        self.remote = remote_lib.RemoteCaller(FakeTransport(self.near), window)
+        for stream, name in ((self.near, "entry"), (self.far, "target")):
+            stream.send(frames.Hello(frames.PROTOCOL_VERSION, name, "perth-a"))
+        self.near.start(self._near_frame, self.remote.stream_closed)
+        self.far.start(self._far_frame, self.target.stream_closed)
+        wait_until(lambda: self.near.peer and self.far.peer)
+
+    def call(self, sent: calls.Request):
+        return self.remote.call(self.member, sent)
+
+    def close(self) -> None:
+        self.near.close()
+        self.far.close()
+        self.target.stop()
+
+    def _near_frame(self, stream, frame) -> None:
+        if isinstance(frame, frames.GoAway):
+            self.remote.peer_leaves(stream)
+        elif not isinstance(frame, frames.Hello):
+            self.remote.take_frame(stream, frame)
+
+    def _far_frame(self, stream, frame) -> None:
+        if not isinstance(frame, frames.Hello):
+            self.target.take_frame(stream, frame)
--- /dev/null
+++ b/tests/test_proxy/test_proxy_backend.py
@@ -0,0 +1,230 @@
+import itertools
+import socket
+import threading
+
+import pytest
+
+from tests.test_proxy import fakes
+from trefoilwind import errors
+from trefoilwind.model import addresses
+from trefoilwind.proxy import backend as backend_lib
+from trefoilwind.proxy import calls
+
+_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.fixture(name="serve")
+def fixture_serve():
+    started = []
+
+    def serve(script, idle_s=4.0):
+        server = fakes.ScriptedBackend(script)
+        started.append(server)
+        return server, backend_lib.BackendClient(server.address, 4, idle_s)
+
+    yield serve
+    for server in started:
+        server.close()
+
+
+@pytest.mark.parametrize(
+    ("text", "method", "body"),
+    [
+        (_OK, "GET", b"ok"),
+        (b"HTTP/1.1 204 No Content\r\n\r\n", "GET", b""),
+        (b"HTTP/1.1 304 Not Modified\r\nETag: x\r\n\r\n", "GET", b""),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n", "HEAD", b""),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n",
+            "GET",
+            b"abcde",
+        ),
+    ],
+    ids=["length", "204", "304", "head", "chunked"],
+)
+def test_answers_leave_the_connection_usable(serve, text, method, body):
+    server, client = serve(fakes.answers(text))
+    for _ in range(3):
+        answer = client.call(fakes.request(method=method))
+        assert b"".join(answer.body) == body
+        answer.close()
+    assert len(server.connections) == 1
+
+
+def test_an_answer_without_length_ends_with_the_connection(serve):
+    def script(connection):
+        fakes.read_head(connection)
+        connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 200_000)
+        connection.close()
+
+    server, client = serve(script)
+    answer = client.call(fakes.request())
+    assert len(b"".join(answer.body)) == 200_000
+
+
+def test_an_answer_that_is_cut_is_never_taken_for_whole(serve):
+    def script(connection):
+        fakes.read_head(connection)
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"x" * 100
+        )
+        connection.close()
+
+    _, client = serve(script)
+    answer = client.call(fakes.request())
+    with pytest.raises(calls.BodyCut):
+        list(answer.body)
+
+
+def test_a_head_that_is_cut_is_no_answer(serve):
+    def script(connection):
+        fakes.read_head(connection)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n")
+        connection.close()
+
+    _, client = serve(script)
+    error = client.call(fakes.request())
+    assert error.reason is errors.Reason.BACKEND_FAILED
+    assert not error.not_run
+
+
+def test_an_interim_answer_does_not_cross_the_next_call(serve):
+    text = b"HTTP/1.1 103 Early Hints\r\n\r\n" + _OK
+    server, client = serve(fakes.answers(text))
+    for _ in range(2):
+        error = client.call(fakes.request())
+        assert error.reason is errors.Reason.BACKEND_FAILED
+    assert len(server.connections) == 2
+
+
+def test_an_early_answer_ends_the_upload(serve):
+    def script(connection):
+        fakes.read_head(connection)
+        connection.sendall(
+            b"HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n"
+        )
+        connection.recv(1)
+        threading.Event().wait(fakes.WAIT_S)
+
+    _, client = serve(script)
+    sent = itertools.count()
+
+    def chunks():
+        while True:
+            next(sent)
+            yield b"x" * 65536
+
+    answer = client.call(fakes.request(chunks(), -1, "POST"))
+    assert answer.status == 413
+    assert next(sent) < 1000
+
+
+def test_a_refused_connection_is_not_run(serve):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+    client = backend_lib.BackendClient(addresses.Address("127.0.0.1", port), 4)
+    error = client.call(fakes.request())
+    assert error.reason is errors.Reason.BACKEND_UNREACHABLE
+    assert error.not_run
+
+
+def test_a_stale_connection_is_replaced_before_anything_is_sent(serve):
+    def script(connection):
+        fakes.read_head(connection)
+        connection.sendall(_OK)
+        connection.close()
+
+    server, client = serve(script)
+    for _ in range(5):
+        answer = client.call(fakes.request())
+        assert isinstance(answer, calls.Answer)
+        fakes.wait_until(lambda: server.connections[-1].fileno() < 0)
+    assert len(server.connections) == 5
+
+
+def test_an_idle_connection_is_not_used_after_its_time(serve):
+    server, client = serve(fakes.answers(_OK), idle_s=0.0)
+    for _ in range(3):
+        client.call(fakes.request())
+    assert len(server.connections) == 3
+
+
+def test_a_connection_that_ends_after_the_head_is_unknown(serve):
+    def script(connection):
+        fakes.read_head(connection)
+        connection.sendall(_OK)
+        fakes.read_head(connection)
+        connection.close()
+
+    _, client = serve(script)
+    assert isinstance(client.call(fakes.request()), calls.Answer)
+    error = client.call(fakes.request())
+    assert error.reason is errors.Reason.BACKEND_FAILED
+    assert not error.not_run
+
+
+def test_the_deadline_holds_for_an_answer_that_drips(serve):
+    stopped = threading.Event()
+
+    def script(connection):
+        fakes.read_head(connection)
+        connection.sendall(b"HTTP/1.1 200 OK\r\n")
+        while not stopped.wait(0.02):
+            connection.sendall(b"x")
+
+    _, client = serve(script)
+    sent = fakes.request(timeout_s=0.3)
+    timer = threading.Timer(
+        0.3, sent.cancellation.cancel, (errors.Reason.DEADLINE_EXCEEDED,)
+    )
+    timer.start()
+    error = client.call(sent)
+    stopped.set()
+    assert error.reason is errors.Reason.DEADLINE_EXCEEDED
+    assert not error.not_run
+
+
+def test_the_rest_of_the_deadline_is_passed_on(serve):
+    heads = []
+
+    def script(connection):
+        heads.append(fakes.read_head(connection))
+        connection.sendall(_OK)
+
+    _, client = serve(script)
+    client.call(fakes.request(timeout_s=5.0))
+    line = next(
+        x for x in heads[0].split(b"\r\n") if x.startswith(b"Trefoilwind-Time")
+    )
+    assert 0 < float(line.split(b":")[1]) <= 5.0
+
+
+def test_cancellation_closes_the_connection(serve):
+    closed = threading.Event()
+    received = threading.Event()
+
+    def script(connection):
+        fakes.read_head(connection)
+        received.set()
+        assert connection.recv(1) == b""
+        closed.set()
+
+    _, client = serve(script)
+    sent = fakes.request()
+    results = []
+    thread = threading.Thread(target=lambda: results.append(client.call(sent)))
+    thread.start()
+    assert received.wait(fakes.WAIT_S)
+    sent.cancellation.cancel(errors.Reason.CANCELLED)
+    thread.join(fakes.WAIT_S)
+    assert closed.wait(fakes.WAIT_S)
+    assert results[0].reason is errors.Reason.CANCELLED
+    assert not results[0].not_run
+
+
+def test_a_header_that_cannot_be_sent_is_not_run(serve):
+    _, client = serve(fakes.answers(_OK))
+    error = client.call(fakes.request(path="/a b\r\nx: y"))
+    assert error.reason is errors.Reason.BAD_REQUEST
+    assert error.not_run
--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -73,7 +73,7 @@
         if isinstance(message, messages.Announcement):
             return self._announce(message)
         if isinstance(message, messages.Withdrawal):
-            return self._membership.leave()
+            return self._withdraw()
         if isinstance(message, messages.Drain):
             return self._drain(message)
         raise TypeError(f"unknown message {type(message).__name__}")
@@ -128,7 +128,9 @@
             self._announcement = announcement
             self._target.set_backend(
                 backend_lib.BackendClient(
-                    announcement.address, 2 * announcement.slots
+                    announcement.address,
+                    2 * announcement.slots,
+                    self._environment.settings.proxy.idle_connection_s,
                 )
             )
         if self._board.lifecycle.value.draining:
@@ -140,6 +142,11 @@
             announcement.labels,
         )
 
+    def _withdraw(self) -> list[ports.Envelope]:
+        self._announcement = None
+        self._target.withdraw()
+        return self._membership.leave()
+
     def _expire_announcement(self) -> None:
         now = self._environment.clock.monotonic()
         if self._announcement is None or now < self._announcement_deadline:
--- a/trefoilwind/node/process.py
+++ b/trefoilwind/node/process.py
@@ -5,6 +5,7 @@
 import logging
 import threading
 
+from cheroot import server as cheroot_server
 from cheroot import wsgi
 import pykka
 
@@ -33,6 +34,9 @@
 TICK_S = 0.1
 ADMIN_THREADS = 4
 SERVER_STOP_TIMEOUT_S = 1.0
+LISTEN_BACKLOG = 128
+_DRAIN_CHECK_S = 0.05
+_FINISH_TIMEOUT_S = 1.0
 _TARGET_FRAMES = (frames.CallOpen, frames.CallBody, frames.Cancel)
 
 
@@ -61,12 +65,17 @@
         self._stopped = threading.Event()
         self._transport = transport_lib.Transport(self._environment)
         self._target = target_lib.Target(self._environment)
-        self._remote = remote_lib.RemoteCaller(self._transport)
+        self._remote = remote_lib.RemoteCaller(
+            self._transport, settings.streams.credit_window_bytes
+        )
         self._rollout = rollout_lib.RolloutController(self._environment)
         self._dispatcher = dispatcher_lib.Dispatcher(
             self._environment, self._target, self._remote, self._rollout.observe
         )
-        self._servers: list[wsgi.Server] = []
+        self._callers = callers_lib.CallerApplication(
+            self._environment, self._dispatcher
+        )
+        self._servers: list[cheroot_server.HTTPServer] = []
 
     @property
     def environment(self) -> environment_lib.Environment:
@@ -89,16 +98,34 @@
         caller_address, admin_address = servers
         return Addresses(caller_address, peer_address, admin_address)
 
+    @property
+    def in_flight(self) -> int:
+        """Count of the calls of callers and peers under way."""
+        return self._callers.in_flight + self._target.in_flight
+
     def drain(self) -> None:
-        """Take no new work from now on."""
+        """Take no new work; return once the work under way has ended.
+
+        What is left at the stop deadline is for `stop` to cancel.
+        """
+        clock = self._environment.clock
         timeout_s = self._environment.settings.proxy.stop_timeout_s
-        deadline = self._environment.clock.monotonic() + timeout_s
+        deadline = clock.monotonic() + timeout_s
         self._control.ask(messages.Drain(deadline))
+        self._target.go_away(self._transport.streams)
+        # Work that was admitted before is counted after the first wait.
+        while not self._stopped.wait(_DRAIN_CHECK_S):
+            if self.in_flight == 0 or clock.monotonic() >= deadline:
+                break
+        finish_deadline = clock.monotonic() + _FINISH_TIMEOUT_S
+        self._transport.finish(min(deadline, finish_deadline))
 
     def stop(self) -> None:
-        """End all threads at once."""
+        """Cancel what is left and end all threads."""
         self._environment.events.emit(events.NODE_STOPPED)
         self._stopped.set()
+        self._callers.stop()
+        self._target.stop()
         stoppers = [
             threading.Thread(target=server.stop) for server in self._servers
         ]
@@ -127,37 +154,45 @@
         self,
     ) -> tuple[addresses.Address, addresses.Address] | errors.Error:
         settings = self._environment.settings
-        caller_application = callers_lib.CallerApplication(
-            self._environment, self._dispatcher
-        )
         admin_application = api_lib.AdminApplication(
             self._environment, self._control, self._log_actor
         )
-        bound = []
-        for address, application, threads in (
-            (
-                settings.caller_address,
-                caller_application,
-                settings.proxy.caller_threads,
-            ),
-            (settings.admin_address, admin_application, ADMIN_THREADS),
-        ):
-            result = self._serve(address, application, threads)
-            if isinstance(result, errors.Error):
-                return result
-            bound.append(result)
-        return bound[0], bound[1]
+        caller_address = self._serve(
+            settings.caller_address,
+            self._callers_server(settings.caller_address),
+        )
+        if isinstance(caller_address, errors.Error):
+            return caller_address
+        address = settings.admin_address
+        admin_server = wsgi.Server(
+            (address.host, address.port),
+            admin_application,
+            numthreads=ADMIN_THREADS,
+            max=ADMIN_THREADS,
+        )
+        admin_address = self._serve(address, admin_server)
+        if isinstance(admin_address, errors.Error):
+            return admin_address
+        return caller_address, admin_address
 
-    def _serve(
-        self, address: addresses.Address, application, threads: int
-    ) -> addresses.Address | errors.Error:
-        server = wsgi.Server(
+    def _callers_server(
+        self, address: addresses.Address
+    ) -> cheroot_server.HTTPServer:
+        threads = self._environment.settings.proxy.caller_threads
+        self._callers.start()
+        return cheroot_server.HTTPServer(
             (address.host, address.port),
-            application,
-            numthreads=threads,
-            max=threads,
+            gateway=self._callers.gateway,
+            minthreads=threads,
+            maxthreads=threads,
+            server_name="trefoilwind",
         )
+
+    def _serve(
+        self, address: addresses.Address, server: cheroot_server.HTTPServer
+    ) -> addresses.Address | errors.Error:
         server.shutdown_timeout = SERVER_STOP_TIMEOUT_S
+        server.request_queue_size = LISTEN_BACKLOG
         server.max_request_header_size = (
             self._environment.settings.proxy.max_header_bytes
         )
@@ -187,7 +222,7 @@
             messages.PeerLost(peer)
         )
         self._transport.on_call_frame = self._take_call_frame
-        self._transport.on_stream_closed = self._remote.stream_closed
+        self._transport.on_stream_closed = self._take_stream_closed
         self._transport.start()
 
     def _take_page(self, message: messages.PageRead) -> None:
@@ -202,9 +237,17 @@
     def _take_call_frame(self, stream, frame) -> None:
         if isinstance(frame, _TARGET_FRAMES):
             self._target.take_frame(stream, frame)
-        elif not isinstance(frame, (frames.GoAway, frames.Credit)):
+        elif isinstance(frame, frames.GoAway):
+            self._remote.peer_leaves(stream)
+        elif isinstance(frame, frames.Credit) and frame.of_answer:
+            self._target.take_frame(stream, frame)
+        else:
             self._remote.take_frame(stream, frame)
 
+    def _take_stream_closed(self, stream) -> None:
+        self._remote.stream_closed(stream)
+        self._target.stream_closed(stream)
+
     def _start_threads(self) -> None:
         for contact in self._environment.settings.contacts:
             self._transport.connect_later(str(contact), contact)
--- a/trefoilwind/proxy/backend.py
+++ b/trefoilwind/proxy/backend.py
@@ -62,10 +62,6 @@
         """Address of the backend server."""
         return self._address
 
-    def close(self) -> None:
-        """Close the idle connections; calls in flight go on."""
-        self._pool.close()
-
     def call(self, request: calls.Request) -> calls.Answer | errors.CallError:
         """Run a request; a long answer has its body unread."""
         pooled = self._pool.take_idle()
@@ -176,7 +172,7 @@
             self.release(pooled, request)
             body = (held,) if held else ()
             return calls.Answer(
-                response.status, headers, body, _do_nothing, held
+                response.status, headers, body, _do_nothing, len(held)
             )
         state = _Unread(self, pooled, request, sending.is_whole)
         return calls.Answer(
--- a/trefoilwind/proxy/callers.py
+++ b/trefoilwind/proxy/callers.py
@@ -167,14 +167,9 @@
         http_request.status = status.encode("latin-1")
         http_request.outheaders.extend(_answer_headers(answer.headers))
         self._close_if_needed(http_request, request)
-        if answer.held is not None:
-            _write_at_once(http_request, answer.held)
-            return
         try:
             for chunk in answer.body:
-                _limit_wait(http_request, request.deadline)
-                http_request.ensure_headers_sent()
-                http_request.write(chunk)
+                _write(http_request, chunk, request.deadline)
         except calls.BodyCut as cut:
             self._cut(http_request, cut, request)
 
@@ -207,11 +202,14 @@
             (
                 (b"Content-Type", problems.CONTENT_TYPE.encode()),
                 (b"Content-Length", str(len(body)).encode()),
-                (problems.RESULT_HEADER.encode(), problems.result(error).encode()),
+                (
+                    problems.RESULT_HEADER.encode(),
+                    problems.result(error).encode(),
+                ),
             )
         )
         self._close_if_needed(http_request, request)
-        _write_at_once(http_request, body)
+        _write_head(http_request, body)
 
     def _close_if_needed(
         self,
@@ -280,9 +278,18 @@
         return b"".join(self._parts)
 
 
-def _write_at_once(
-    http_request: cheroot_server.HTTPRequest, body: bytes
+def _write(
+    http_request: cheroot_server.HTTPRequest, chunk: bytes, deadline: float
 ) -> None:
+    if not http_request.sent_headers:
+        _write_head(http_request, chunk)
+        return
+    _limit_wait(http_request, deadline)
+    http_request.write(chunk)
+
+
+def _write_head(http_request: cheroot_server.HTTPRequest, body: bytes) -> None:
+    """Write the head and the first bytes of the body in one piece."""
     connection = http_request.conn
     writer = connection.wfile
     gatherer = _Gatherer()
--- a/trefoilwind/proxy/calls.py
+++ b/trefoilwind/proxy/calls.py
@@ -30,9 +30,7 @@
 class Body:
     """Body of a request: held whole in memory, or streamed once."""
 
-    def __init__(
-        self, chunks: Iterable[bytes] = (), held: bytes | None = None
-    ):
+    def __init__(self, chunks: Iterable[bytes] = (), held: bytes | None = None):
         self._chunks = chunks
         self._held = held
         self._is_started = False
@@ -115,8 +113,8 @@
         method: HTTP method.
         path: Path and query, after the service's name.
         headers: Headers to pass on, without those of the connection.
-        body: The body. One that is streamed and was partly read cannot be
-            sent again: see `is_repeatable`.
+        body: Chunks of the body. A `Body` that is streamed and was partly
+            read cannot be sent again: see `is_repeatable`.
         body_length: Bytes of the body; -1 if not known beforehand.
         target: Class of the call.
         deadline: Monotonic time in seconds by which it must be answered.
@@ -130,7 +128,7 @@
     method: str
     path: str
     headers: tuple[Header, ...]
-    body: Body
+    body: Iterable[bytes]
     body_length: int
     target: configuration_lib.ClassTarget
     deadline: float
@@ -143,7 +141,9 @@
     @property
     def is_repeatable(self) -> bool:
         """True if a further attempt can send the same body."""
-        return self.body.is_repeatable
+        if isinstance(self.body, Body):
+            return self.body.is_repeatable
+        return self.body_length == 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -155,14 +155,15 @@
         headers: Headers to pass on.
         body: Chunks of the body; read once. It ends early with `BodyCut`.
         close: Releases what the answer holds; safe to call twice.
-        held: The whole body if it was short and has been read; else None.
+        length: Bytes of the body if it is short and has been read, so that
+            joining it costs little; else -1.
     """
 
     status: int
     headers: tuple[Header, ...]
     body: Iterable[bytes]
     close: Callable[[], None]
-    held: bytes | None = None
+    length: int = -1
 
 
 @dataclasses.dataclass(frozen=True)
--- a/trefoilwind/proxy/connections.py
+++ b/trefoilwind/proxy/connections.py
@@ -2,9 +2,11 @@
 
 import collections
 import dataclasses
+import http.client
 import select
 import socket
 import time
+from typing import Any
 
 from urllib3 import connection as connection_lib
 
@@ -14,6 +16,48 @@
 _NODELAY = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),)
 
 
+class _LineReader:
+    """Remembers the last line that was read of a head."""
+
+    def __init__(self, file: Any):
+        self._file = file
+        self.last = b""
+
+    def readline(self, limit: int) -> bytes:
+        """Read a line."""
+        self.last = self._file.readline(limit)
+        return self.last
+
+
+class _WholeHeadResponse(http.client.HTTPResponse):
+    """Response that fails if the connection ended inside its head.
+
+    The library takes such a head for a whole one, and so a cut answer without
+    a length for an empty one.
+    """
+
+    def begin(self) -> None:
+        """Read the head.
+
+        Raises:
+            http.client.HTTPException: The head is not that of an answer.
+            OSError: The connection failed.
+        """
+        file = self.fp
+        reader = _LineReader(file)
+        self.fp = reader
+        try:
+            super().begin()
+        finally:
+            if self.fp is reader:
+                self.fp = file
+        if not reader.last:
+            raise http.client.IncompleteRead(b"")
+        if self.status < http.HTTPStatus.OK:
+            # The answer follows; it must not meet the next request.
+            raise http.client.BadStatusLine(str(self.status))
+
+
 @dataclasses.dataclass(slots=True)
 class Pooled:
     """A connection that is in use or idle.
@@ -64,10 +108,10 @@
             except IndexError:
                 return None
             now = time.monotonic()
-            if now < min(pooled.idle_until, pooled.expires):
-                # An idle connection has nothing to read unless it ended.
-                if not is_readable(pooled.sock):
-                    return pooled
+            is_young = now < min(pooled.idle_until, pooled.expires)
+            # An idle connection has nothing to read unless it ended.
+            if is_young and not is_readable(pooled.sock):
+                return pooled
             pooled.discard()
 
     def connect(self, timeout_s: float) -> Pooled:
@@ -80,14 +124,17 @@
             OSError: The backend server cannot be reached.
             urllib3.exceptions.HTTPError: Likewise.
         """
-        http = connection_lib.HTTPConnection(
+        connection = connection_lib.HTTPConnection(
             self._address.host,
             self._address.port,
             timeout=timeout_s,
             socket_options=_NODELAY,
         )
-        http.connect()
-        return Pooled(http, http.sock, time.monotonic() + _MAX_AGE_S)
+        connection.response_class = _WholeHeadResponse
+        connection.connect()
+        return Pooled(
+            connection, connection.sock, time.monotonic() + _MAX_AGE_S
+        )
 
     def put_back(self, pooled: Pooled) -> None:
         """Keep a connection whose last answer was read to its end."""
@@ -98,11 +145,6 @@
         pooled.idle_until = time.monotonic() + self._idle_s
         self._idle.append(pooled)
 
-    def close(self) -> None:
-        """Close the idle connections."""
-        while self._idle:
-            self._idle.pop().discard()
-
 
 def is_readable(sock: socket.socket) -> bool:
     """Return True if bytes or the end of a connection can be read now."""
--- a/trefoilwind/proxy/remote.py
+++ b/trefoilwind/proxy/remote.py
@@ -93,8 +93,7 @@
     def run(self) -> calls.Answer | errors.CallError:
         """Send the request and wait for the answer's head."""
         request = self._request
-        held = request.body.held
-        if held is None or len(held) > frames.INITIAL_CREDIT_BYTES:
+        if not 0 <= request.body_length <= frames.INITIAL_CREDIT_BYTES:
             self._credit = bodies.Credit(request.deadline)
         request.cancellation.add(self._cancelled)
         failed = self._send_request()
@@ -105,11 +104,11 @@
         return failed
 
     def _send_request(self) -> errors.CallError | None:
-        failed = self._send_head()
-        if failed is not None or self._credit is None:
-            return failed
         request = self._request
         try:
+            failed = self._send_head()
+            if failed is not None or self._credit is None:
+                return failed
             error = bodies.send(iter(request.body), self._credit, self._send)
         except calls.BodyCut as cut:
             reason = request.cancellation.reason or cut.reason
@@ -124,6 +123,9 @@
     def _send_head(self) -> errors.CallError | None:
         request = self._request
         is_last = self._credit is None
+        body = b""
+        if request.body_length and is_last:
+            body = b"".join(request.body)
         opened = frames.CallOpen(
             call_id=self._call_id,
             method=request.method,
@@ -133,7 +135,7 @@
             class_name=request.target.name,
             importance=request.target.importance,
             fingerprint=request.fingerprint,
-            body=request.body.held if is_last else b"",
+            body=body,
             is_last=is_last,
         )
         error = self._stream.send(opened, request.deadline)
@@ -158,7 +160,11 @@
             self._end(needs_cancel=False)
             body = (received.body,) if received.body else ()
             return calls.Answer(
-                received.status, headers, body, self._close, received.body
+                received.status,
+                headers,
+                body,
+                self._close,
+                len(received.body),
             )
         self._body.open_window()
         return calls.Answer(
--- a/trefoilwind/proxy/target.py
+++ b/trefoilwind/proxy/target.py
@@ -88,9 +88,7 @@
         self._watch = watch_lib.CallWatch()
         self._watch.start()
         # Calls of peers by stream, then by call id.
-        self._incoming: dict[
-            stream_lib.PeerStream, dict[int, _Incoming]
-        ] = {}
+        self._incoming: dict[stream_lib.PeerStream, dict[int, _Incoming]] = {}
         self._last_taken: dict[stream_lib.PeerStream, int] = {}
         self._is_going_away = False
         self._admission = threading.Lock()
@@ -108,11 +106,8 @@
 
     def set_backend(self, backend: backend_lib.BackendClient | None) -> None:
         """Set or remove the backend server; calls under way go on."""
-        previous = self._backend
         self._backend = backend
         self._is_withdrawn = False
-        if previous is not None:
-            previous.close()
 
     def withdraw(self) -> None:
         """Send no new work to the backend server, which leaves."""
@@ -212,14 +207,13 @@
 def _send_answer(incoming: _Incoming, answer: calls.Answer) -> None:
     call_id = incoming.opened.call_id
     headers = [list(pair) for pair in answer.headers]
-    head = frames.AnswerHead(
-        call_id, answer.status, headers, answer.held or b"", True
-    )
-    if answer.held is not None:
-        incoming.stream.send(head, incoming.deadline)
-        return
     try:
-        _stream_answer(incoming, answer, headers)
+        if answer.length < 0:
+            _stream_answer(incoming, answer, headers)
+            return
+        body = b"".join(answer.body)
+        head = frames.AnswerHead(call_id, answer.status, headers, body, True)
+        incoming.stream.send(head, incoming.deadline)
     except calls.BodyCut as error:
         failed = errors.CallError(error.reason, _ANSWER_STEP, detail=str(error))
         incoming.stream.send(_failure(call_id, failed))
