--- a/tests/test_proxy/fakes.py
+++ b/tests/test_proxy/fakes.py
@@ -90,6 +90,8 @@
 def read_body(connection: socket.socket, received: bytes) -> int:
     """Read a body by its length; return how many bytes came."""
     head, _, rest = received.partition(b"\r\n\r\n")
+    if not head:
+        return 0
     length = int(head.lower().split(b"content-length:")[1].split()[0])
     count = len(rest)
     while count < length:
--- a/tests/test_proxy/test_proxy_path.py
+++ b/tests/test_proxy/test_proxy_path.py
@@ -262,24 +262,24 @@
 
 
 def test_a_sender_beyond_its_credit_is_cancelled(connect):
-    closed = threading.Event()
-
     def script(connection):
         fakes.read_head(connection)
         while connection.recv(65536):
             pass
-        closed.set()
 
     path = connect(script)
     received = []
     call_id = path.near.open_call(received.append)
-    path.near.send(
-        frames.CallOpen(
-            call_id, "POST", "/x", [], 10.0, "lookup", 1, "", b"", False
-        )
+    opened = frames.CallOpen(
+        call_id, "POST", "/x", [], 60.0, "lookup", 1, "", b"", False
     )
+    path.near.send(opened)
     path.near.send(frames.CallBody(call_id, bytes(16_000_000), False))
-    fakes.wait_until(
-        lambda: any(isinstance(x, frames.CallFailed) for x in received)
-    )
-    path.target.stop()
+    failures = []
+
+    def has_failed():
+        failures.extend(x for x in received if isinstance(x, frames.CallFailed))
+        return bool(failures)
+
+    fakes.wait_until(has_failed)
+    assert failures[0].reason == errors.Reason.PROTOCOL.value
