Prove planned stops, silent streams and callers' HTTP on real sockets

Cause: nothing showed that a drain cuts no upload, that a silent stream is replaced, or what callers see.

A chunked request left its last line unread, so a thread of the server waited up to 10 s for a further request; the entry and the stand-in read it now.

--- a/tests/test_proxy/fakes.py
+++ b/tests/test_proxy/fakes.py
@@ -123,13 +123,18 @@
     )
 
 
-def environment(node_id: str, **proxy) -> environment_lib.Environment:
+def environment(
+    node_id: str,
+    streams: settings_lib.StreamSettings | None = None,
+    **proxy,
+) -> environment_lib.Environment:
     """Return the environment of a node without a log."""
     settings = settings_lib.NodeSettings(
         node_id=node_id,
         data_centre="perth-a",
         region="perth",
         log=settings_lib.LogSettings(url=""),
+        streams=streams or settings_lib.StreamSettings(),
         proxy=settings_lib.ProxySettings(**proxy),
     )
     return environment_lib.make(settings, clock_lib.SystemClock(), seed=1)
@@ -143,6 +148,47 @@
         return near, far
 
 
+class Link:
+    """Forwards bytes both ways until it is told to swallow them."""
+
+    def __init__(self, target: addresses.Address):
+        self._target = target
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._sockets: list[socket.socket] = []
+        self.is_silent = False
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> addresses.Address:
+        return addresses.Address("127.0.0.1", self._listener.getsockname()[1])
+
+    def close(self) -> None:
+        for connection in (self._listener, *self._sockets):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+            connection.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                near, _ = self._listener.accept()
+                far = socket.create_connection(
+                    (self._target.host, self._target.port)
+                )
+                self._sockets.extend((near, far))
+                for ends in ((near, far), (far, near)):
+                    threading.Thread(
+                        target=self._forward, args=ends, daemon=True
+                    ).start()
+
+    def _forward(self, source: socket.socket, sink: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                # Neither bytes nor the end of the connection get through.
+                if not self.is_silent:
+                    sink.sendall(data)
+
+
 class FakeTransport:
     """Has one stream, to any peer."""
 
--- a/trefoilwind/proxy/callers.py
+++ b/trefoilwind/proxy/callers.py
@@ -395,6 +395,7 @@
         if not chunk:
             if left > 0:
                 raise calls.BodyCut("caller ended", errors.Reason.CANCELLED)
+            _read_trailer(http_request)
             return
         left -= len(chunk) if left > 0 else 0
         yield chunk
@@ -414,6 +415,20 @@
         raise calls.BodyCut(type(error).__name__, reason) from error
 
 
+def _read_trailer(http_request: cheroot_server.HTTPRequest) -> None:
+    """Read what follows the last chunk.
+
+    Left unread, it would look like the start of a further request, for which
+    a thread of the server would then wait.
+    """
+    try:
+        for _ in http_request.rfile.read_trailer_lines():
+            continue
+    except (OSError, ValueError) as error:
+        reason = errors.Reason.CANCELLED
+        raise calls.BodyCut(type(error).__name__, reason) from error
+
+
 def _limit_wait(
     http_request: cheroot_server.HTTPRequest, deadline: float
 ) -> None:
--- a/trefoilwind/standins/backend.py
+++ b/trefoilwind/standins/backend.py
@@ -1,5 +1,6 @@
 """Stand-in of a backend server, with injectable faults."""
 
+import collections
 from collections.abc import Iterable
 import contextlib
 import dataclasses
@@ -129,6 +130,10 @@
 
 def _drain_body(environ: dict) -> int:
     received = 0
-    while chunk := environ["wsgi.input"].read(_READ_BYTES):
+    body = environ["wsgi.input"]
+    while chunk := body.read(_READ_BYTES):
         received += len(chunk)
+    if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
+        # Left unread, it would look like the start of a further request.
+        collections.deque(body.read_trailer_lines(), maxlen=0)
     return received
