--- a/trefoilwind/model/state.py
+++ b/trefoilwind/model/state.py
@@ -77,12 +77,27 @@
 
     def stable_version(self, service: str, half: str) -> str:
         """Return the version that serves a half's traffic of a service."""
-        for stable in reversed(self.stable):
-            if stable.service == service and stable.half in ("", half):
-                return stable.version
+        stable = self._stable(service, half)
+        if stable is not None:
+            return stable.version
         found = self.configuration.service(service)
         return found.version if found else ""
 
+    def stable_half(self, service: str, half: str) -> str:
+        """Return the half that a half's traffic was moved to, if any."""
+        stable = self._stable(service, half)
+        return stable.to_half if stable else ""
+
+    def _stable(self, service: str, half: str) -> StableVersion | None:
+        return next(
+            (
+                stable
+                for stable in reversed(self.stable)
+                if stable.service == service and stable.half in ("", half)
+            ),
+            None,
+        )
+
     def open_move(self, service: str) -> moves_lib.Move | None:
         """Return the open move of a service, or None."""
         return next(
--- a/trefoilwind/routing/table.py
+++ b/trefoilwind/routing/table.py
@@ -170,7 +170,11 @@
     service: configuration_lib.Service,
     half: str,
 ) -> tuple[Split, ...]:
-    stable = Split(state.stable_version(service.name, half), 1.0)
+    stable = Split(
+        state.stable_version(service.name, half),
+        1.0,
+        half=_old_half(state, members, move, service.name, half),
+    )
     splits = (stable,)
     if move is not None and move.move_id not in shares.braked:
         key = (
@@ -186,16 +190,53 @@
                 dataclasses.replace(stable, share=1.0 - share),
                 Split(move.version, share, move.move_id, move.to_half),
             )
-    return _with_live_members(members, service.name, splits)
+    return _with_live_members(state, members, service.name, splits)
+
+
+def _old_half(
+    state: state_lib.State,
+    members: directory.Snapshot,
+    move: moves.Move | None,
+    service: str,
+    half: str,
+) -> str:
+    """Return the half whose backend servers take what does not move.
+
+    While one version moves between halves, the old side must not run on the
+    backend servers that the new side is judged by.
+    """
+    stable_half = state.stable_half(service, half)
+    if stable_half or move is None or not move.to_half:
+        return stable_half
+    others = [h for h in state.configuration.halves if h != move.to_half]
+    if move.version != move.from_version or len(others) != 1:
+        return ""
+    split = Split(move.from_version, 1.0, half=others[0])
+    return others[0] if _is_live(state, members, service, split) else ""
+
+
+def _is_live(
+    state: state_lib.State,
+    members: directory.Snapshot,
+    service: str,
+    split: Split,
+) -> bool:
+    serving = members.serving(service, split.version)
+    if not split.half:
+        return bool(serving)
+    return any(m.half(state.configuration) == split.half for m in serving)
 
 
 def _with_live_members(
-    members: directory.Snapshot, service: str, splits: tuple[Split, ...]
+    state: state_lib.State,
+    members: directory.Snapshot,
+    service: str,
+    splits: tuple[Split, ...],
 ) -> tuple[Split, ...]:
     live = tuple(
         split
         for split in splits
-        if split.share > 0 and members.serving(service, split.version)
+        if split.share > 0 and _is_live(state, members, service, split)
     )
     total = sum(split.share for split in live)
     return tuple(
