Keep early evidence of moves, drop late evidence of ended ones

Cause: the end of one move dropped brakes and counters of a move whose record had not arrived; late counters of ended moves stayed. Change: only ended moves are dropped; nodes but aggregators judge less often when there are many counters.

--- a/trefoilwind/rollout/controller.py
+++ b/trefoilwind/rollout/controller.py
@@ -24,7 +24,10 @@
 
 logger = logging.getLogger(__name__)
 
-JUDGE_INTERVAL_S = 0.4
+ROUND_INTERVAL_S = 0.4
+# Counters that a node judges in each round; with more it judges less often.
+# Aggregators, which see most and first, never do.
+COUNTERS_PER_ROUND = 200
 BRAKE_FANOUT = 4
 BRAKE_REPEAT_S = 1.0
 # Nodes append an outcome one after the other until one shows in the log.
@@ -50,6 +53,7 @@
         self._connected: set[str] = set()
         self._outcomes: list[moves.Outcome] = []
         self._appended: set[tuple[str, str, bool]] = set()
+        self._next_round = 0.0
         self._next_judgement = 0.0
         self._next_repeat = 0.0
         self._window = 0
@@ -81,7 +85,11 @@
         self, peer: str, message: messages.EvidenceUpdate
     ) -> list[ports.Envelope]:
         """Merge a peer's counters and brakes."""
-        self._ledger.merge(messages.unpack(message))
+        self._ledger.merge(
+            entry
+            for entry in messages.unpack(message)
+            if not self._has_ended(entry.key.move_id)
+        )
         fresh = [b for b in message.brakes if self._set_brake(b)]
         if not fresh:
             return []
@@ -109,20 +117,27 @@
         self._class_watch.tick()
         self._turn_window(now)
         self._window_calls.update(self._observer.count(now))
-        if now < self._next_judgement:
+        if now < self._next_round:
             return []
-        self._next_judgement = now + JUDGE_INTERVAL_S
+        self._next_round = now + ROUND_INTERVAL_S
         if not self._follow_state():
             return []
         roles = self._roles()
         if roles.is_aggregator:
             self._ledger.aggregate(roles.data_centre)
         known = set(self._brakes)
-        self._judge()
+        if now >= self._next_judgement:
+            self._next_judgement = now + self._judge_interval_s(roles)
+            self._judge()
         fresh = tuple(b for m, b in self._brakes.items() if m not in known)
         envelopes = self._flood(fresh, exclude="") if fresh else []
         return envelopes + self._repeat_brakes(now) + self._spread(now, roles)
 
+    def _judge_interval_s(self, roles: spread.Topology) -> float:
+        if roles.is_aggregator:
+            return ROUND_INTERVAL_S
+        return ROUND_INTERVAL_S * (1 + len(self._ledger) // COUNTERS_PER_ROUND)
+
     def _place(self) -> observer_lib.Place:
         environment = self._environment
         return observer_lib.Place(
@@ -145,20 +160,23 @@
             for s in self._board.state.value.moves
             if s.is_open
         }
-        if set(self._watches) - set(open_moves):
-            self._forget(frozenset(open_moves))
+        ended = frozenset(set(self._watches) - set(open_moves))
+        if ended:
+            self._forget(ended)
         wall = self._environment.clock.wall()
         for move_id, move in open_moves.items():
             if move_id not in self._watches:
                 self._watches[move_id] = watch_lib.MoveWatch(move, wall)
         return bool(open_moves)
 
-    def _forget(self, open_moves: frozenset[str]) -> None:
-        for table in (self._watches, self._brakes):
-            for move_id in [m for m in table if m not in open_moves]:
-                del table[move_id]
-        self._ledger.forget(open_moves)
-        self._observer.forget(open_moves)
+    def _forget(self, ended: frozenset[str]) -> None:
+        """Drop ended moves; what came early for others is kept."""
+        for move_id in ended:
+            del self._watches[move_id]
+            self._brakes.pop(move_id, None)
+        self._appended = {key for key in self._appended if key[0] not in ended}
+        self._ledger.forget(ended)
+        self._observer.forget(ended)
         self._publish_table(())
 
     def _roles(self) -> spread.Topology:
--- a/trefoilwind/rollout/evidence.py
+++ b/trefoilwind/rollout/evidence.py
@@ -170,6 +170,10 @@
         self._revisions: dict[Key, int] = {}
         self._revision = 0
 
+    def __len__(self) -> int:
+        """Return how many counters there are."""
+        return len(self._counters)
+
     @property
     def revision(self) -> int:
         """Number that grows with each change."""
@@ -212,10 +216,10 @@
             if changed > revision
         ]
 
-    def forget(self, open_moves: frozenset[str]) -> None:
-        """Drop the counters of all moves but the open ones."""
+    def forget(self, ended: frozenset[str]) -> None:
+        """Drop the counters of ended moves."""
         for table in (self._counters, self._sums, self._revisions):
-            for key in [k for k in table if k.move_id not in open_moves]:
+            for key in [k for k in table if k.move_id in ended]:
                 del table[key]
 
     def _store(self, key: Key, counter: Counter) -> None:
--- a/trefoilwind/rollout/observer.py
+++ b/trefoilwind/rollout/observer.py
@@ -68,10 +68,10 @@
                 self._ledger.add(_key(seen, route, place), counter)
         return counted
 
-    def forget(self, open_moves: frozenset[str]) -> None:
-        """Drop what is known of all moves but the open ones."""
+    def forget(self, ended: frozenset[str]) -> None:
+        """Drop what is known of ended moves."""
         for table in (self._first_call_at, self._calls):
-            for key in [k for k in table if k[0] not in open_moves]:
+            for key in [k for k in table if k[0] in ended]:
                 del table[key]
 
     def _counter(
