--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -17,6 +17,8 @@
 from trefoilwind.proxy import backend as backend_lib
 from trefoilwind.proxy import target as target_lib
 from trefoilwind.rollout import controller as rollout_lib
+from trefoilwind.routing import keepers as keepers_lib
+from trefoilwind.routing import suspect_controller as suspect_lib
 from trefoilwind.routing import table
 
 logger = logging.getLogger(__name__)
@@ -44,7 +46,15 @@
         self._spreader = spreader_lib.Spreader(environment)
         self._membership = membership_lib.MembershipController(environment)
         self._rollout = rollout
-        self._controllers = (self._spreader, self._membership, rollout)
+        self._keepers = keepers_lib.KeeperController(environment)
+        self._suspects = suspect_lib.SuspectController(environment)
+        self._controllers = (
+            self._spreader,
+            self._membership,
+            rollout,
+            self._keepers,
+            self._suspects,
+        )
         self._controller_by_message = {
             cls: controller
             for controller in self._controllers
--- a/trefoilwind/node/process.py
+++ b/trefoilwind/node/process.py
@@ -78,6 +78,7 @@
         if isinstance(peer_address, errors.Error):
             return peer_address
         self._start_actors()
+        self._connect_call_threads()
         servers = self._start_servers()
         if isinstance(servers, errors.Error):
             self.stop()
@@ -174,6 +175,14 @@
         ).start()
         return addresses.Address(address.host, server.bind_addr[1])
 
+    def _connect_call_threads(self) -> None:
+        def post(message) -> None:
+            own_id = self._environment.node_id
+            self._tell(messages.PeerMessage(own_id, message))
+
+        self._dispatcher.keys.post = post
+        self._target.guard.post = post
+
     def _connect_transport(self) -> None:
         self._transport.on_message = lambda peer, message: self._tell(
             messages.PeerMessage(peer, message)
--- a/trefoilwind/proxy/dispatcher.py
+++ b/trefoilwind/proxy/dispatcher.py
@@ -1,10 +1,10 @@
-"""Dispatch of a call: route, choice, attempts and retries."""
+"""Dispatch of a call: route, key, choice, attempts and retries."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import dataclasses
 import logging
 import random
-import time
 
 from trefoilwind import environment as environment_lib
 from trefoilwind import errors
@@ -13,25 +13,103 @@
 from trefoilwind.proxy import calls
 from trefoilwind.proxy import remote as remote_lib
 from trefoilwind.proxy import target as target_lib
+from trefoilwind.routing import ejection
+from trefoilwind.routing import fingerprints
+from trefoilwind.routing import key_client
 from trefoilwind.routing import pick
+from trefoilwind.routing import pools as pools_lib
+from trefoilwind.routing import retries
+from trefoilwind.routing import suspect_messages
+from trefoilwind.routing import suspects
 from trefoilwind.routing import table
 
 logger = logging.getLogger(__name__)
 
 _STEP = "dispatch"
 MAX_ATTEMPTS = 3
+HELD_BODY_BYTES = 64 * 1024
+SATURATED_S = 0.25
+FORGET_INTERVAL_S = 10.0
 _FAILURE_STATUS = 500
 _UNAVAILABLE_STATUS = 503
+_SATURATION_REASONS = frozenset(
+    {
+        errors.Reason.OVERLOADED,
+        errors.Reason.DRAINING,
+        errors.Reason.DEADLINE_EXCEEDED,
+    }
+)
+# Another attempt would end the same way or is not wanted.
+_FINAL_REASONS = frozenset(
+    {
+        errors.Reason.POISON_REQUEST,
+        errors.Reason.CANCELLED,
+        errors.Reason.BODY_TOO_LARGE,
+    }
+)
+
+_Result = calls.Answer | errors.CallError
+
+
+class _StreamedBody:
+    """Body that is passed on as it comes and cannot be read again."""
+
+    def __init__(self, chunks: Iterator[bytes]):
+        self._chunks = chunks
+        self._is_touched = False
+
+    @property
+    def is_touched(self) -> bool:
+        """True once a part was read."""
+        return self._is_touched
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        self._is_touched = True
+        return next(self._chunks)
+
+
+@dataclasses.dataclass
+class _Call:
+    """One call under way.
+
+    Attributes:
+        entry: Route of the call.
+        request: The request; its body is set anew for each attempt.
+        held: Whole body, or None if it is streamed.
+        tried: Nodes that were tried.
+        cuts: Attempts during which a backend server cut the connection.
+    """
+
+    entry: table.Entry
+    request: calls.Request
+    held: bytes | None
+    tried: set[str] = dataclasses.field(default_factory=set)
+    cuts: int = 0
+
+    @property
+    def is_repeatable(self) -> bool:
+        """True if the body can be sent once more."""
+        return self.held is not None or not self.request.body.is_touched
+
+    def attempt_request(self) -> calls.Request:
+        """Return the request with an unread body."""
+        if not self.held:
+            return self.request
+        return dataclasses.replace(self.request, body=iter((self.held,)))
 
 
 @dataclasses.dataclass(frozen=True)
 class _Attempt:
     """One attempt under way."""
 
-    entry: table.Entry
+    call: _Call
     split: table.Split
     member: members.Member
     started: float
+    is_suspect: bool
 
 
 class Dispatcher:
@@ -43,14 +121,33 @@
         target: target_lib.Target,
         remote: remote_lib.RemoteCaller,
         observe: Callable[[calls.Observation], None],
+        keys: key_client.KeyClient | None = None,
     ):
         self._environment = environment
+        self._clock = environment.clock
         self._board = environment.blackboard
         self._target = target
         self._remote = remote
         self._observe = observe
+        self._keys = keys or key_client.KeyClient(
+            environment, key_client.Waiter(environment.clock.monotonic)
+        )
         self._loads = pick.LoadTracker()
         self._random = random.Random(environment.random.random())
+        self._ejector = ejection.Ejector(self._random)
+        self._pools = pools_lib.Pools(environment, self._ejector)
+        self._budgets = retries.RetryBudgets()
+        self._forget_at = 0.0
+
+    @property
+    def keys(self) -> key_client.KeyClient:
+        """Client of the keepers of idempotency keys."""
+        return self._keys
+
+    @property
+    def loads(self) -> pick.LoadTracker:
+        """Own load on backend servers; it takes reported load as hints."""
+        return self._loads
 
     def route(self, service: str, method: str, path: str) -> table.Entry | None:
         """Return the route of a call, or None."""
@@ -58,16 +155,16 @@
             service, method, path, self._own_half()
         )
 
-    def call(
-        self, entry: table.Entry, request: calls.Request
-    ) -> calls.Answer | errors.CallError:
+    def call(self, entry: table.Entry, request: calls.Request) -> _Result:
         """Run a request and return the answer or a typed error."""
-        tried: set[str] = set()
-        result = self._attempt(entry, request, tried)
-        for _ in range(MAX_ATTEMPTS - 1):
-            if not self._may_retry(request, result):
-                break
-            result = self._attempt(entry, request, tried)
+        self._forget_gone()
+        call = self._prepare(entry, request)
+        if isinstance(call, errors.CallError):
+            result = call
+        elif request.idempotency_key and not request.target.idempotent:
+            result = self._run_once(call)
+        else:
+            result = self._run_attempts(call)
         if isinstance(result, errors.CallError):
             self._report(result)
         return result
@@ -78,76 +175,234 @@
             return ""
         return own.half(self._board.state.value.configuration)
 
-    def _may_retry(
-        self,
-        request: calls.Request,
-        result: calls.Answer | errors.CallError,
-    ) -> bool:
-        if not isinstance(result, errors.CallError):
+    def _prepare(
+        self, entry: table.Entry, request: calls.Request
+    ) -> _Call | errors.CallError:
+        """Hold a small body, so that it can be sent again."""
+        if not 0 <= request.body_length <= HELD_BODY_BYTES:
+            body = _StreamedBody(request.body)
+            return _Call(entry, dataclasses.replace(request, body=body), None)
+        try:
+            held = b"".join(request.body) if request.body_length else b""
+        except calls.BodyCut as error:
+            return errors.CallError(
+                errors.Reason.CANCELLED,
+                _STEP,
+                self._environment.node_id,
+                str(error),
+                not_run=not request.idempotency_key,
+            )
+        fingerprint = fingerprints.fingerprint(
+            request.service,
+            request.method,
+            request.path,
+            request.idempotency_key,
+            held,
+        )
+        marked = dataclasses.replace(request, fingerprint=fingerprint)
+        return _Call(entry, marked, held)
+
+    def _run_once(self, call: _Call) -> _Result:
+        """Run a call whose key no other call has claimed."""
+        request = call.request
+        digest = request.fingerprint or fingerprints.fingerprint(
+            request.service,
+            request.method,
+            request.path,
+            request.idempotency_key,
+            b"",
+        )
+        grant = self._keys.acquire(request, digest)
+        if not isinstance(grant, key_client.Grant):
+            return grant
+        return self._keys.finish(grant, self._run_attempts(call))
+
+    def _run_attempts(self, call: _Call) -> _Result:
+        self._budgets.deposit(call.request.target)
+        result = self._attempt(call)
+        # An attempt that may have run decides what may be said of the call.
+        may_have_run = _may_have_run(result)
+        for _ in range(MAX_ATTEMPTS - 1):
+            if not self._may_retry(call, result):
+                break
+            if isinstance(result, calls.Answer):
+                result.close()
+            result = self._attempt(call)
+            may_have_run = may_have_run or _may_have_run(result)
+        if isinstance(result, errors.CallError) and may_have_run:
+            return dataclasses.replace(result, not_run=False)
+        return result
+
+    def _may_retry(self, call: _Call, result: _Result) -> bool:
+        target = call.request.target
+        if isinstance(result, errors.CallError):
+            if result.reason in _FINAL_REASONS:
+                return False
+            is_allowed = result.not_run or target.idempotent
+        else:
+            is_shed = result.status == _UNAVAILABLE_STATUS
+            is_allowed = is_shed and target.idempotent
+        if not is_allowed or not call.is_repeatable:
             return False
-        if request.body_length != 0:
+        if call.cuts >= suspects.DEATHS_TO_REFUSE:
             return False
-        if time.monotonic() >= request.deadline:
+        remaining_s = call.request.deadline - self._clock.monotonic()
+        if remaining_s <= 0:
             return False
-        return result.not_run or request.target.idempotent
+        return self._budgets.withdraw(target, remaining_s)
 
-    def _attempt(
-        self, entry: table.Entry, request: calls.Request, tried: set[str]
-    ) -> calls.Answer | errors.CallError:
-        split = pick.choose_split(entry.splits, self._random)
-        if split is None:
-            return self._refusal(errors.Reason.NO_BACKEND, entry.service)
-        serving = self._board.members.value.serving(
-            entry.service, split.version
-        )
-        fresh = [m for m in serving if m.node_id not in tried]
-        member = pick.choose_member(
-            fresh or serving, self._loads.load, self._random
+    def _attempt(self, call: _Call) -> _Result:
+        suspect = self._board.suspects.value.by_fingerprint.get(
+            call.request.fingerprint
         )
+        if suspect is not None and suspect.is_refused:
+            # It ran before, so its effect is not known.
+            return self._error(errors.Reason.POISON_REQUEST, "", False)
+        if self._clock.monotonic() >= call.request.deadline:
+            return self._error(errors.Reason.DEADLINE_EXCEEDED, "", True)
+        split = pick.choose_split(call.entry.splits, self._random)
+        if split is None:
+            return self._no_backend(call)
+        member = self._choose(call, split)
         if member is None:
-            return self._refusal(errors.Reason.NO_BACKEND, entry.service)
-        tried.add(member.node_id)
-        attempt = _Attempt(entry, split, member, time.monotonic())
+            return self._no_backend(call)
+        call.tried.add(member.node_id)
+        started = self._clock.monotonic()
+        is_suspect = suspect is not None and suspect.count > 0
+        attempt = _Attempt(call, split, member, started, is_suspect)
         self._loads.started(member.node_id)
-        result = self._run(member, request)
+        result = self._run(member, call.attempt_request())
         self._ended(attempt, result)
         return result
 
-    def _run(
-        self, member: members.Member, request: calls.Request
-    ) -> calls.Answer | errors.CallError:
+    def _choose(self, call: _Call, split: table.Split) -> members.Member | None:
+        now = self._clock.monotonic()
+        loads = self._loads
+        tried = call.tried
+
+        def is_open(node_id: str) -> bool:
+            if node_id in tried:
+                return False
+            return loads.load(node_id).saturated_until <= now
+
+        pool = self._pools.pool(call.entry, split)
+        return pick.choose_member(
+            pool, is_open, lambda n: loads.cost(n, now), self._random
+        )
+
+    def _run(self, member: members.Member, request: calls.Request) -> _Result:
         if member.node_id == self._environment.node_id:
             return self._target.run(request)
         return self._remote.call(member, request)
 
-    def _ended(
-        self, attempt: _Attempt, result: calls.Answer | errors.CallError
-    ) -> None:
-        latency_s = time.monotonic() - attempt.started
-        self._loads.ended(attempt.member.node_id, latency_s)
-        is_error = isinstance(result, errors.CallError)
-        status = 0 if is_error else result.status
+    def _ended(self, attempt: _Attempt, result: _Result) -> None:
+        now = self._clock.monotonic()
+        latency_s = now - attempt.started
+        is_shed = _is_shed(result)
+        is_failed = _is_failed(result)
+        node_id = attempt.member.node_id
+        if is_shed:
+            until = now + SATURATED_S if _is_saturated(result) else 0.0
+            self._loads.refused(node_id, until)
+        else:
+            self._loads.ended(node_id, latency_s, is_failed, now)
+        self._judge_member(attempt, result, now)
+        if isinstance(result, calls.Answer) and not is_failed:
+            target = attempt.call.request.target
+            self._budgets.answered(target, latency_s)
+            self._clear_suspect(attempt)
         self._observe(
-            calls.Observation(
-                move_id=attempt.entry.move_id,
-                service=attempt.entry.service,
-                half=attempt.entry.half,
-                path_prefix=attempt.entry.path_prefix,
-                class_name=attempt.entry.target.name,
-                version=attempt.split.version,
-                node_id=attempt.member.node_id,
-                latency_s=latency_s,
-                failed=is_error or status >= _FAILURE_STATUS,
-                shed=(is_error and result.not_run)
-                or status == _UNAVAILABLE_STATUS,
+            self._observation(
+                attempt, latency_s, is_failed, is_shed or attempt.is_suspect
             )
         )
 
-    def _refusal(self, reason: errors.Reason, detail: str) -> errors.CallError:
+    def _judge_member(
+        self, attempt: _Attempt, result: _Result, now: float
+    ) -> None:
+        """Count a result for or against the backend server."""
+        is_error = isinstance(result, errors.CallError)
+        if is_error and result.reason is errors.Reason.BACKEND_FAILED:
+            attempt.call.cuts += 1
+        if is_error and result.reason in _FINAL_REASONS:
+            return
+        node_id = attempt.member.node_id
+        if not _is_failed(result):
+            self._ejector.succeeded(node_id)
+            return
+        # What kills any backend server is not the fault of this one.
+        if attempt.is_suspect or _is_saturated(result):
+            return
+        if self._ejector.failed(node_id, now):
+            logger.warning("routing: backend server of %s ejected", node_id)
+            self._environment.events.emit(events.MEMBER_EJECTED, node_id)
+
+    def _clear_suspect(self, attempt: _Attempt) -> None:
+        if attempt.is_suspect:
+            fingerprint = attempt.call.request.fingerprint
+            self._keys.post(suspect_messages.SuccessSeen(fingerprint))
+
+    def _observation(
+        self, attempt: _Attempt, latency_s: float, failed: bool, shed: bool
+    ) -> calls.Observation:
+        entry = attempt.call.entry
+        return calls.Observation(
+            move_id=entry.move_id,
+            service=entry.service,
+            half=entry.half,
+            path_prefix=entry.path_prefix,
+            class_name=entry.target.name,
+            version=attempt.split.version,
+            node_id=attempt.member.node_id,
+            latency_s=latency_s,
+            failed=failed,
+            shed=shed,
+        )
+
+    def _forget_gone(self) -> None:
+        """Drop now and then what is kept about members that are gone."""
+        now = self._clock.monotonic()
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_INTERVAL_S
+        is_live = self._board.members.value.by_node.__contains__
+        self._loads.keep_only(is_live)
+        self._ejector.keep_only(is_live)
+        self._pools.keep_only_live()
+
+    def _no_backend(self, call: _Call) -> errors.CallError:
+        service = call.entry.service
+        return self._error(errors.Reason.NO_BACKEND, service, True)
+
+    def _error(
+        self, reason: errors.Reason, detail: str, not_run: bool
+    ) -> errors.CallError:
         return errors.CallError(
-            reason, _STEP, self._environment.node_id, detail, not_run=True
+            reason, _STEP, self._environment.node_id, detail, not_run
         )
 
     def _report(self, error: errors.CallError) -> None:
         kind = events.CALL_REFUSED if error.not_run else events.CALL_UNKNOWN
         self._environment.events.emit(kind, peer=error.peer, detail=str(error))
+
+
+def _may_have_run(result: _Result) -> bool:
+    return isinstance(result, calls.Answer) or not result.not_run
+
+
+def _is_failed(result: _Result) -> bool:
+    if isinstance(result, errors.CallError):
+        return True
+    return result.status >= _FAILURE_STATUS
+
+
+def _is_shed(result: _Result) -> bool:
+    if isinstance(result, errors.CallError):
+        return result.not_run
+    return result.status == _UNAVAILABLE_STATUS
+
+
+def _is_saturated(result: _Result) -> bool:
+    if isinstance(result, errors.CallError):
+        return result.not_run and result.reason in _SATURATION_REASONS
+    return result.status == _UNAVAILABLE_STATUS
--- a/trefoilwind/proxy/target.py
+++ b/trefoilwind/proxy/target.py
@@ -12,6 +12,7 @@
 from trefoilwind.model import configuration as configuration_lib
 from trefoilwind.proxy import backend as backend_lib
 from trefoilwind.proxy import calls
+from trefoilwind.routing import guard as guard_lib
 
 _STEP = "target.admit"
 _CONNECTIONS_PER_SLOT = 2
@@ -28,6 +29,12 @@
             thread_name_prefix="target",
         )
         self._incoming: dict[tuple[int, int], queue.SimpleQueue] = {}
+        self._guard = guard_lib.Guard(environment)
+
+    @property
+    def guard(self) -> guard_lib.Guard:
+        """Admission to the backend server."""
+        return self._guard
 
     def set_backend(self, backend: backend_lib.BackendClient | None) -> None:
         """Set or remove the backend server."""
@@ -40,7 +47,7 @@
             return self._refusal(errors.Reason.NO_BACKEND)
         if self._environment.blackboard.lifecycle.value.draining:
             return self._refusal(errors.Reason.DRAINING)
-        return backend.call(request)
+        return self._guard.run(request, backend.call)
 
     def take_frame(
         self, stream: stream_lib.PeerStream, frame: frames.Frame
--- a/trefoilwind/routing/suspects.py
+++ b/trefoilwind/routing/suspects.py
@@ -12,18 +12,27 @@
 
     Attributes:
         fingerprint: Digest of method, path, body and idempotency key.
-        deaths: Ids of the nodes whose backend server died under it.
+        deaths: Ids of the deaths under it, each starting with the id of the
+            node whose backend server died and a slash.
         expires_at: Monotonic time in seconds at which the entry ends.
+        cleared: Ids of the deaths that a later success cleared.
     """
 
     fingerprint: str
     deaths: tuple[str, ...]
     expires_at: float
+    cleared: tuple[str, ...] = ()
 
     @property
+    def count(self) -> int:
+        """Count of the backend servers that died and were not cleared."""
+        deaths = set(self.deaths).difference(self.cleared)
+        return len({death.partition("/")[0] for death in deaths})
+
+    @functools.cached_property
     def is_refused(self) -> bool:
         """True once enough backend servers died."""
-        return len(self.deaths) >= DEATHS_TO_REFUSE
+        return self.count >= DEATHS_TO_REFUSE
 
 
 @dataclasses.dataclass(frozen=True)
