--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -1,10 +1,10 @@
-"""Actor that runs all controllers of a node on one thread."""
+"""All controllers of a node, run by one actor; no input or output here."""
 
+from collections.abc import Callable
 import logging
+import operator
 from typing import Any
 
-import pykka
-
 from trefoilwind import environment as environment_lib
 from trefoilwind import events
 from trefoilwind.distribution import ports
@@ -24,25 +24,22 @@
 logger = logging.getLogger(__name__)
 
 
-class ControlActor(pykka.ThreadingActor):
+class Control:
     """Passes messages and time to the controllers, sends what they return."""
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         environment: environment_lib.Environment,
         transport: transport_lib.Transport,
         target: target_lib.Target,
         rollout: rollout_lib.RolloutController,
-        log_actor: pykka.ActorRef,
+        tell_log: Callable[[Any], None],
     ):
-        super().__init__()
         self._environment = environment
         self._board = environment.blackboard
         self._transport = transport
         self._target = target
-        self._log_actor = log_actor
+        self._tell_log = tell_log
         self._spreader = spreader_lib.Spreader(environment)
         self._membership = membership_lib.MembershipController(environment)
         self._rollout = rollout
@@ -62,19 +59,16 @@
         }
         self._publish_routes = self._board.routes.claim("control")
         self._publish_lifecycle = self._board.lifecycle.claim("control")
+        self._route_inputs: tuple[Any, ...] = (None, None, None)
         self._announcement_deadline = 0.0
         self._announcement: messages.Announcement | None = None
 
-    def on_receive(self, message: Any) -> None:
+    def receive(self, message: Any) -> None:
         """React to a message and send what the controllers return."""
         for envelope in self._react(message):
             self._transport.send(envelope)
         self._rebuild_routes()
 
-    def on_failure(self, exception_type, exception_value, traceback) -> None:
-        """Log a defect; the process supervisor of the VM restarts the node."""
-        logger.critical("control: failed: %s", exception_value)
-
     def _react(self, message: Any) -> list[ports.Envelope]:
         if isinstance(message, messages.PeerMessage):
             return self._take_peer_message(message)
@@ -113,7 +107,7 @@
     def _tick(self) -> list[ports.Envelope]:
         self._expire_announcement()
         envelopes = self._from_all("tick")
-        self._log_actor.tell(messages.Tick())
+        self._tell_log(messages.Tick())
         for outcome in self._rollout.take_outcomes():
             self._append_outcome(outcome)
         self._connect_members()
@@ -123,7 +117,7 @@
         node_id = self._environment.node_id
         record_id = f"outcome/{outcome.move_id}/{node_id}"
         payload = records.encode(record_id, node_id, outcome)
-        self._log_actor.tell(messages.Append(record_id, payload))
+        self._tell_log(messages.Append(record_id, payload))
 
     def _connect_members(self) -> None:
         """Keep a stream to every other member."""
@@ -174,10 +168,15 @@
         return self._membership.leave()
 
     def _rebuild_routes(self) -> None:
-        routes = table.build(
+        inputs = (
             self._board.state.value,
             self._board.members.value,
             self._board.shares.value,
         )
+        # Snapshots are immutable, so identity tells whether one changed.
+        if all(map(operator.is_, inputs, self._route_inputs)):
+            return
+        self._route_inputs = inputs
+        routes = table.build(*inputs)
         if routes != self._board.routes.value:
             self._publish_routes(routes)
