--- a/tests/joint/world.py
+++ b/tests/joint/world.py
@@ -125,6 +125,17 @@
         return result
 
 
+def _read(
+    result: calls.Answer | errors.CallError,
+) -> calls.Answer | errors.CallError:
+    """Read an answer and release it, as the callers' HTTP edge does."""
+    if isinstance(result, errors.CallError):
+        return result
+    body = b"".join(result.body)
+    result.close()
+    return dataclasses.replace(result, body=iter((body,)))
+
+
 class Node:
     """One node of the world."""
 
@@ -320,7 +331,7 @@
             target=entry.target,
             deadline=self.clock.monotonic() + entry.target.timeout_s,
         )
-        return request_id, dispatcher.call(entry, request)
+        return request_id, _read(dispatcher.call(entry, request))
 
     def executions(self, request_id: str) -> int:
         """Return how often backend servers ran a request."""
--- a/trefoilwind/routing/key_placement.py
+++ b/trefoilwind/routing/key_placement.py
@@ -32,7 +32,7 @@
         self._by_place: dict[str, list[tuple[int, Keeper]]] = {}
         for keeper in members:
             name = f"{keeper.node_id}/{keeper.incarnation}"
-            ranked = (xxhash.xxh64_intdigest(name), keeper)
+            ranked = (xxhash.xxh64_intdigest(name.encode()), keeper)
             self._by_place.setdefault(keeper.data_centre, []).append(ranked)
 
     @property
@@ -53,7 +53,7 @@
         return known
 
     def _choose(self, partition: int) -> tuple[Keeper, ...]:
-        seed = xxhash.xxh64_intdigest(str(partition))
+        seed = xxhash.xxh64_intdigest(str(partition).encode())
         best: list[tuple[int, Keeper]] = []
         others: list[tuple[int, Keeper]] = []
         for place in self._by_place.values():
@@ -161,4 +161,4 @@
 
 def partition_of(key: str) -> int:
     """Return the partition of a key."""
-    return xxhash.xxh64_intdigest(key) % PARTITIONS
+    return xxhash.xxh64_intdigest(key.encode()) % PARTITIONS
