--- a/tests/joint/world.py
+++ b/tests/joint/world.py
@@ -121,6 +121,8 @@
             return dataclasses.replace(lost, not_run=True)
         result = node.target.run(request)
         if self._world.rng.random() < self._world.answer_loss:
+            # The target's node has sent it whole, so it is released there.
+            _read(result)
             return lost
         return result
 
