Fuzz keyed calls and poison requests on a virtual clock

Cause: at most once and true refusals were not shown under node loss, planned replacement, region cuts, repeats, lost, cut and late answers. Change: a small mesh of real controllers, guards and dispatchers on one thread; a call that waits lets other repeats start meanwhile. The oracle counts executions per request and per call.

--- /dev/null
+++ b/tests/test_routing/test_routing_fuzz.py
@@ -0,0 +1,187 @@
+"""Calls, repeats and faults against an oracle that counts executions."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tests.test_routing import fake_mesh
+from trefoilwind import errors
+from trefoilwind.proxy import calls
+from trefoilwind.proxy import dispatcher
+from trefoilwind.routing import suspects
+
+PLACES = (
+    ("a", "perth-a"),
+    ("b", "perth-b"),
+    ("c", "pilbara-a"),
+    ("d", "perth-a"),
+    ("e", "perth-b"),
+)
+MAX_DEPTH = 3
+REPEAT_PROBABILITY = 0.02
+SETTLED_S = 8.0
+SPREAD_S = 4.0
+_NODES = strategies.sampled_from([node_id for node_id, _ in PLACES])
+
+
+class CallMachine(stateful.RuleBasedStateMachine):
+    """Callers repeat calls through any node while nodes come and go."""
+
+    @stateful.initialize(
+        seed=strategies.integers(0, 10**6),
+        is_lossy=strategies.booleans(),
+    )
+    def start(self, seed, is_lossy):
+        rate = 0.1 if is_lossy else 0.0
+        faults = fake_mesh.Faults(*[rate] * 6)
+        self.mesh = fake_mesh.FakeMesh(seed, faults)
+        for node_id, place in PLACES:
+            self.mesh.add(node_id, place)
+        self.mesh.run(SETTLED_S)
+        self.mesh.on_step = self._repeat_meanwhile
+        self.depth = 0
+        self.requests = 0
+        self.open_key = ""
+        self.lost = 0
+        self.is_lossy = is_lossy
+        self.sides = 1
+        self.not_run: set[str] = set()
+
+    @stateful.rule(node=_NODES, again=_NODES)
+    def order_with_key(self, node, again):
+        self.requests += 1
+        self.open_key = f"order-{self.requests}"
+        self._order(node, self.open_key)
+        self._order(again, self.open_key)
+
+    @stateful.rule(node=_NODES)
+    def repeat_last_order(self, node):
+        if self.open_key:
+            self._order(node, self.open_key)
+
+    @stateful.rule(node=_NODES)
+    def order_without_key(self, node):
+        if node not in self.mesh.nodes:
+            return
+        self.requests += 1
+        request_id = f"plain-{self.requests}"
+        call_id, result = self.mesh.make_call(
+            node, fake_mesh.ORDERS, request_id
+        )
+        self._check_result(request_id, call_id, result)
+        assert self.mesh.executions[request_id] <= 1
+
+    @stateful.rule(node=_NODES)
+    def look_up(self, node):
+        if node not in self.mesh.nodes:
+            return
+        self.requests += 1
+        request_id = f"lookup-{self.requests}"
+        call_id, result = self.mesh.make_call(
+            node, fake_mesh.LOOKUPS, request_id
+        )
+        self._check_result(request_id, call_id, result)
+
+    @stateful.rule(nodes=strategies.lists(_NODES, min_size=3, max_size=5))
+    def send_poison(self, nodes):
+        self.requests += 1
+        request_id = f"poison-{self.requests}"
+        deaths = self._deaths()
+        for node in nodes:
+            if node in self.mesh.nodes:
+                self.mesh.make_call(
+                    node, fake_mesh.LOOKUPS, request_id, path="/poison"
+                )
+                self.mesh.run(SPREAD_S)
+        # A lost answer makes the entry send a copy while one is under way.
+        copies = dispatcher.MAX_ATTEMPTS - 1 if self.is_lossy else 0
+        bound = (suspects.DEATHS_TO_REFUSE + copies) * self.sides
+        assert self._deaths() - deaths <= bound
+        for other in self.mesh.nodes.values():
+            other.backend.is_alive = True
+
+    @stateful.rule(node=_NODES)
+    @stateful.precondition(lambda self: self.lost == 0)
+    def lose_node(self, node):
+        """Lose one node and its records, and start it anew later."""
+        if node not in self.mesh.nodes:
+            return
+        self.lost += 1
+        self.mesh.kill(node)
+        self.mesh.run(1.0)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.2, 14.0]))
+    def restart_lost(self, seconds):
+        self.mesh.run(seconds)
+        for node_id, place in PLACES:
+            if node_id not in self.mesh.nodes:
+                self.mesh.add(node_id, place)
+        self.mesh.run(SETTLED_S)
+
+    @stateful.rule(node=_NODES)
+    def replace_as_planned(self, node):
+        if node not in self.mesh.nodes:
+            return
+        place = dict(PLACES)[node]
+        self.mesh.leave(node)
+        self.mesh.run(SETTLED_S)
+        if node in self.mesh.nodes:
+            self.mesh.remove(node)
+            self.mesh.add(node, place)
+        self.mesh.run(SETTLED_S)
+
+    @stateful.rule(is_cut=strategies.booleans())
+    def cut_regions(self, is_cut):
+        self.mesh.cut_regions(is_cut)
+        self.sides = 2 if is_cut else 1
+
+    @stateful.rule(seconds=strategies.sampled_from([0.5, 5.0, 15.0]))
+    def wait(self, seconds):
+        self.mesh.run(seconds)
+
+    @stateful.invariant()
+    def runs_at_most_once(self):
+        for request_id, count in self.mesh.executions.items():
+            if request_id.startswith(("order", "plain")):
+                assert count <= 1, request_id
+
+    @stateful.invariant()
+    def not_run_is_true(self):
+        for call_id in self.not_run:
+            assert self.mesh.executions_by_call[call_id] == 0
+
+    def _order(self, node: str, key: str) -> None:
+        if node not in self.mesh.nodes:
+            return
+        self.depth += 1
+        call_id, result = self.mesh.make_call(node, fake_mesh.ORDERS, key, key)
+        self.depth -= 1
+        self._check_result(key, call_id, result)
+
+    def _repeat_meanwhile(self) -> None:
+        """Let the caller send its order again while it still waits."""
+        if not 0 < self.depth < MAX_DEPTH:
+            return
+        if self.mesh.rng.random() < REPEAT_PROBABILITY:
+            node = self.mesh.rng.choice(sorted(self.mesh.nodes))
+            self._order(node, self.open_key)
+
+    def _check_result(self, request_id, call_id, result) -> None:
+        if isinstance(result, bytes):
+            assert result == request_id.encode()
+        elif isinstance(result, errors.CallError) and result.not_run:
+            self.not_run.add(call_id)
+            assert self.mesh.executions[request_id] == 0
+        else:
+            assert isinstance(result, (errors.CallError, calls.Answer))
+
+    def _deaths(self) -> int:
+        return sum(n.backend.deaths for n in self.mesh.nodes.values())
+
+
+TestRoutingFuzz = CallMachine.TestCase
+# Without the phase that traces each line: it is ten times slower here.
+TestRoutingFuzz.settings = hypothesis.settings(
+    stateful_step_count=12,
+    phases=tuple(p for p in hypothesis.Phase if p.name != "explain"),
+)
--- a/trefoilwind/routing/suspect_controller.py
+++ b/trefoilwind/routing/suspect_controller.py
@@ -17,6 +17,7 @@
 logger = logging.getLogger(__name__)
 
 LEASE_S = 300.0
+SPREAD_INTERVAL_S = 1.0
 FANOUT = 3
 MAX_SUSPECTS = 4096
 MAX_IDS = 16
@@ -31,6 +32,7 @@
         self._publish = environment.blackboard.suspects.claim("suspects")
         self._suspects: dict[str, suspects.Suspect] = {}
         self._connected: set[str] = set()
+        self._next_spread = 0.0
 
     @property
     def handles(self) -> tuple[type, ...]:
@@ -65,8 +67,15 @@
         return []
 
     def tick(self) -> list[ports.Envelope]:
-        """Drop the entries whose lease ended."""
+        """Drop the entries whose lease ended; repeat the others to peers."""
         now = self._clock.monotonic()
+        self._expire(now)
+        if not self._suspects or now < self._next_spread:
+            return []
+        self._next_spread = now + SPREAD_INTERVAL_S
+        return self._spread(self._suspects, exclude="")
+
+    def _expire(self, now: float) -> None:
         expired = [
             fingerprint
             for fingerprint, suspect in self._suspects.items()
@@ -76,7 +85,6 @@
             del self._suspects[fingerprint]
         if expired:
             self._publish_table()
-        return []
 
     def _add_death(
         self, seen: suspect_messages.DeathSeen
