--- a/trefoilwind/proxy/target.py
+++ b/trefoilwind/proxy/target.py
@@ -15,6 +15,7 @@
 from trefoilwind.proxy import calls
 from trefoilwind.proxy import watch as watch_lib
 from trefoilwind.proxy import workers as workers_lib
+from trefoilwind.routing import guard as guard_lib
 
 logger = logging.getLogger(__name__)
 
@@ -93,6 +94,7 @@
         self._is_going_away = False
         self._admission = threading.Lock()
         self._dropped_frames = 0
+        self._guard = guard_lib.Guard(environment)
 
     @property
     def in_flight(self) -> int:
@@ -104,6 +106,11 @@
         """Count of the frames that belonged to no call under way."""
         return self._dropped_frames
 
+    @property
+    def guard(self) -> guard_lib.Guard:
+        """Admission to the backend server."""
+        return self._guard
+
     def set_backend(self, backend: backend_lib.BackendClient | None) -> None:
         """Set or remove the backend server; calls under way go on."""
         self._backend = backend
@@ -120,7 +127,7 @@
             return self._refusal(errors.Reason.NO_BACKEND)
         if self._is_withdrawn:
             return self._refusal(errors.Reason.DRAINING)
-        return backend.call(request)
+        return self._guard.run(request, backend.call)
 
     def go_away(self, streams: tuple[stream_lib.PeerStream, ...]) -> None:
         """Refuse further calls of peers and tell them so.
