--- a/benchmarks/rollout_decisions.py
+++ b/benchmarks/rollout_decisions.py
@@ -92,7 +92,11 @@
 
 
 def run_all(
-    sizes: Sequence[catalogue.Size], seeds: int, policy: str, workers: int
+    sizes: Sequence[catalogue.Size],
+    seeds: int,
+    policy: str,
+    workers: int,
+    part_of_name: str = "",
 ) -> dict[str, list[world.Result]]:
     """Return the results of all seeds and sizes by case.
 
@@ -101,10 +105,12 @@
         seeds: Runs per case and size.
         policy: Name of the policy.
         workers: Processes of the bench.
+        part_of_name: Only cases with this text in their name.
     """
     named = [
         (policy, case.name, size, seed)
         for case in catalogue.CASES
+        if part_of_name in case.name
         for size in sizes
         for seed in range(seeds)
     ]
@@ -222,6 +228,8 @@
     )
     pairs = []
     for case in catalogue.CASES:
+        if case.name not in found:
+            continue
         line = summarise(case.good, found[case.name])
         pairs.append((case.good, line))
         print(
@@ -231,6 +239,8 @@
             f"{line.calls_after:6.1f} {line.late_runs:4.2f} "
             f"{line.zero_s:6.1f} {line.bytes_per_s:5.0f}"
         )
+    if len(pairs) < len(catalogue.CASES):
+        return
     good = statistics.mean(x.right for is_good, x in pairs if is_good)
     bad = statistics.mean(x.right for is_good, x in pairs if not is_good)
     print(f"good in time {good:.4f}, bad taken back {bad:.4f}")
@@ -247,6 +257,7 @@
     baselines: bool = True,
     sequential: bool = True,
     size: int = -1,
+    case: str = "",
     workers: int = 4,
 ) -> None:
     """Run the bench.
@@ -257,17 +268,18 @@
         baselines: Run the baselines too.
         sequential: Run the product's own decisions.
         size: Index of the only deployment to run; -1 for all.
+        case: Only cases with this text in their name.
         workers: Processes of the bench.
     """
     started = time.monotonic()
     sizes = catalogue.SIZES if size < 0 else (catalogue.SIZES[size],)
     names = [p for p in _POLICIES if _is_wanted(p, baselines, sequential)]
     for policy in names if seeds else ():
-        found = run_all(sizes, seeds, policy, workers)
+        found = run_all(sizes, seeds, policy, workers, case)
         title = ", ".join(s.name for s in sizes)
         _report(f"{policy}; {title}; {seeds} seeds", found)
     if large_seeds:
-        found = run_all(catalogue.LARGE, large_seeds, SEQUENTIAL, workers)
+        found = run_all(catalogue.LARGE, large_seeds, SEQUENTIAL, workers, case)
         title = catalogue.LARGE[0].name
         _report(f"{SEQUENTIAL}; {title}; {large_seeds} seeds", found)
     print(f"took {time.monotonic() - started:.0f} s, {workers} workers")
--- a/trefoilwind/rollout/stages.py
+++ b/trefoilwind/rollout/stages.py
@@ -27,6 +27,10 @@
 # Part of the calls planned for a stage that must have come.
 NEEDED_PART = 0.5
 SUSPECT_SHARE = 0.2
+# At larger shares a failure on the new arm tells less against it.
+DOUBT_SHARE = 0.1
+# Part of the ramp after which a doubt alone holds nothing back.
+DOUBT_PART = 0.85
 RESERVE_PART = 0.1
 MIN_RESERVE_S = 5.0
 MAX_RESERVE_S = 60.0
@@ -169,8 +173,7 @@
     for entry in progress:
         stage = busy.get(entry.route, lowest)
         share = _share(entry, pooled, stage, times, now)
-        if verdict.is_suspect:
-            share = min(share, SUSPECT_SHARE)
+        share = min(share, _highest_share(verdict, times, now))
         if waits and not entry.idempotent:
             stage, share = 0, 0.0
         if verdict.is_faulty:
@@ -179,6 +182,15 @@
     return Plan(tuple(routes))
 
 
+def _highest_share(
+    verdict: verdicts.Verdict, times: Timetable, now: float
+) -> float:
+    doubt_ends = times.started + DOUBT_PART * (times.ramp_end - times.started)
+    if verdict.is_doubtful and now < doubt_ends:
+        return DOUBT_SHARE
+    return SUSPECT_SHARE if verdict.is_suspect else 1.0
+
+
 def is_low_traffic(progress: Progress, times: Timetable, now: float) -> bool:
     """Return True if a route has too few calls for a test of its own."""
     expected = _rate(progress, times, now) * times.length_s
--- a/trefoilwind/rollout/verdicts.py
+++ b/trefoilwind/rollout/verdicts.py
@@ -18,6 +18,8 @@
 # Shares of the old arm's calls above the edges at which latency is compared.
 _TAIL_SHARES = (0.5, 0.08)
 _MIN_CALLS_FOR_EDGES = 40
+# Evidence at which the share stays small while there is time to learn more.
+DOUBT_LOG_EVIDENCE = math.log(4.0)
 # A target whose odds exceed those of all others by this is judged apart.
 OUTLIER_RATIO = 4.0
 FAILURES = "failures"
@@ -46,6 +48,11 @@
         """True if the version must be taken back."""
         return self.log_evidence >= BRAKE_LOG_EVIDENCE
 
+    @property
+    def is_doubtful(self) -> bool:
+        """True if more should be known before the share rises far."""
+        return self.log_evidence >= DOUBT_LOG_EVIDENCE
+
     @property
     def is_suspect(self) -> bool:
         """True if the share must not rise."""
