Let the distribution fuzz's oracle know the two records of done

Cause: a done record is a proposal now; the oracle took it for the end. Change: the oracle ends a move by undone, or by a second done at least 3 s after the first; outcomes of the test carry their time.

--- a/tests/test_distribution/oracle.py
+++ b/tests/test_distribution/oracle.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from trefoilwind.model import configuration as configuration_lib
+from trefoilwind.model import moves
 from trefoilwind.model import state as state_lib
 
 SERVICE = "catalogue"
@@ -48,13 +49,14 @@
     def __init__(self) -> None:
         self.published: dict[str, Published] = {}
         self.moves: set[str] = set()
-        self.outcomes: dict[str, str] = {}
+        self.outcomes: dict[str, moves.Outcome] = {}
         self.accepted = {
             state_lib.NO_VERSION: configuration_lib.Configuration()
         }
         self.version = state_lib.NO_VERSION
         self._seen: set[str] = set()
         self._open_move = ""
+        self._proposed_at: float | None = None
 
     @property
     def open_move(self) -> str:
@@ -72,8 +74,21 @@
             known = self.accepted[self.version].service(SERVICE)
             if known is not None and not self._open_move:
                 self._open_move = record_id
-        elif self.outcomes.get(record_id) == self._open_move:
-            self._open_move = ""
+                self._proposed_at = None
+        elif record_id in self.outcomes:
+            self._take_outcome(self.outcomes[record_id])
+
+    def _take_outcome(self, outcome: moves.Outcome) -> None:
+        """Undone ends a move at once, done by a second record after 3 s."""
+        if outcome.move_id != self._open_move:
+            return
+        if outcome.result is moves.Result.DONE:
+            if self._proposed_at is None:
+                self._proposed_at = outcome.at
+                return
+            if outcome.at < self._proposed_at + moves.CONFIRMATION_DELAY_S:
+                return
+        self._open_move = ""
 
     def _take_publication(self, offset: int, item: Published) -> None:
         is_lost = item.configuration.service(SERVICE) is None
--- a/tests/test_distribution/test_distribution_fuzz.py
+++ b/tests/test_distribution/test_distribution_fuzz.py
@@ -190,8 +190,10 @@
         if not move_id:
             return
         record_id = self.next_id()
-        self.oracle.outcomes[record_id] = move_id
-        self.append(moves.Outcome(move_id, result, "test"), record_id)
+        now = self.mesh.clock.wall()
+        outcome = moves.Outcome(move_id, result, "test", at=now)
+        self.oracle.outcomes[record_id] = outcome
+        self.append(outcome, record_id)
 
     # Faults.
 
