--- a/trefoilwind/proxy/dispatcher.py
+++ b/trefoilwind/proxy/dispatcher.py
@@ -12,6 +12,7 @@
 from trefoilwind.proxy import calls
 from trefoilwind.proxy import remote as remote_lib
 from trefoilwind.proxy import target as target_lib
+from trefoilwind.rollout import budget
 from trefoilwind.routing import ejection
 from trefoilwind.routing import fingerprints
 from trefoilwind.routing import key_client
@@ -30,6 +31,12 @@
 FORGET_INTERVAL_S = 10.0
 _FAILURE_STATUS = 500
 _UNAVAILABLE_STATUS = 503
+_CUT_REASONS = (
+    errors.Reason.BACKEND_UNREACHABLE,
+    errors.Reason.BACKEND_FAILED,
+    errors.Reason.PEER_UNREACHABLE,
+    errors.Reason.PEER_SILENT,
+)
 _SATURATION_REASONS = frozenset(
     {
         errors.Reason.OVERLOADED,
@@ -98,6 +105,7 @@
             environment, key_client.Waiter(environment.clock.monotonic)
         )
         self._loads = pick.LoadTracker()
+        self._budget = budget.CallBudget()
         self._random = random.Random(environment.random.random())
         self._ejector = ejection.Ejector(self._random)
         self._pools = pools_lib.Pools(environment, self._ejector)
@@ -210,7 +218,9 @@
             return self._error(errors.Reason.POISON_REQUEST, "", False)
         if self._clock.monotonic() >= call.request.deadline:
             return self._error(errors.Reason.DEADLINE_EXCEEDED, "", True)
-        split = pick.choose_split(call.entry.splits, self._random)
+        split = self._budget.choose(
+            self._board.shares.value, call.entry, self._random
+        )
         if split is None:
             return self._no_backend(call)
         member = self._choose(call, split)
@@ -262,8 +272,8 @@
             self._budgets.answered(target, latency_s)
             self._clear_suspect(attempt)
         self._observe(
-            self._observation(
-                attempt, latency_s, is_failed, is_shed or attempt.is_suspect
+            _observation(
+                attempt, result, latency_s, is_shed or attempt.is_suspect
             )
         )
 
@@ -292,23 +302,6 @@
             fingerprint = attempt.call.request.fingerprint
             self._keys.post(suspect_messages.SuccessSeen(fingerprint))
 
-    def _observation(
-        self, attempt: _Attempt, latency_s: float, failed: bool, shed: bool
-    ) -> calls.Observation:
-        entry = attempt.call.entry
-        return calls.Observation(
-            move_id=entry.move_id,
-            service=entry.service,
-            half=entry.half,
-            path_prefix=entry.path_prefix,
-            class_name=entry.target.name,
-            version=attempt.split.version,
-            node_id=attempt.member.node_id,
-            latency_s=latency_s,
-            failed=failed,
-            shed=shed,
-        )
-
     def _forget_gone(self) -> None:
         """Drop now and then what is kept about members that are gone."""
         now = self._clock.monotonic()
@@ -336,6 +329,27 @@
         self._environment.events.emit(kind, peer=error.peer, detail=str(error))
 
 
+def _observation(
+    attempt: _Attempt, result: _Result, latency_s: float, shed: bool
+) -> calls.Observation:
+    entry = attempt.call.entry
+    is_error = isinstance(result, errors.CallError)
+    return calls.Observation(
+        move_id=entry.move_id,
+        service=entry.service,
+        half=entry.half,
+        path_prefix=entry.path_prefix,
+        class_name=entry.target.name,
+        version=attempt.split.version,
+        node_id=attempt.member.node_id,
+        latency_s=latency_s,
+        failed=_is_failed(result),
+        shed=shed,
+        is_new=bool(attempt.split.move_id),
+        cut=is_error and result.reason in _CUT_REASONS,
+    )
+
+
 def _may_have_run(result: _Result) -> bool:
     return isinstance(result, calls.Answer) or not result.not_run
 
@@ -347,8 +361,9 @@
 
 
 def _is_shed(result: _Result) -> bool:
+    """Return True if the attempt says nothing about the backend server."""
     if isinstance(result, errors.CallError):
-        return result.not_run
+        return result.not_run or result.reason is errors.Reason.CANCELLED
     return result.status == _UNAVAILABLE_STATUS
 
 
