--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; each module prints a table and ends by itself."""
+"""Measurements; each module prints one table."""
--- a/trefoilwind/membership/controller.py
+++ b/trefoilwind/membership/controller.py
@@ -16,7 +16,6 @@
 
 logger = logging.getLogger(__name__)
 
-COALESCE_S = 0.5
 DIGEST_INTERVAL_S = 2.0
 OVERDUE_INTERVAL_S = 1.0
 # Rest of a lease at which a missing renewal is asked for.
@@ -134,7 +133,7 @@
         if now >= self._next_refresh:
             self._renew_own(now)
         if now >= self._next_flush:
-            self._next_flush = now + COALESCE_S
+            self._next_flush = now + self._settings.coalesce_s
             envelopes += self._flush(now)
         if now >= self._next_overdue:
             self._next_overdue = now + OVERDUE_INTERVAL_S
--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import operator
 from typing import Any
 
 from trefoilwind import environment as environment_lib
@@ -59,7 +60,7 @@
         }
         self._publish_routes = self._board.routes.claim("control")
         self._publish_lifecycle = self._board.lifecycle.claim("control")
-        self._route_inputs: tuple = ()
+        self._route_inputs: tuple[Any, ...] = (None, None, None)
         self._announcement_deadline = 0.0
         self._announcement: messages.Announcement | None = None
 
@@ -175,8 +176,8 @@
             self._board.members.value,
             self._board.shares.value,
         )
-        pairs = zip(inputs, self._route_inputs, strict=False)
-        if self._route_inputs and all(a is b for a, b in pairs):
+        # Snapshots are immutable, so identity tells whether one changed.
+        if all(map(operator.is_, inputs, self._route_inputs)):
             return
         self._route_inputs = inputs
         routes = table.build(*inputs)
