Push on a tree that the membership determines

A batch was passed on with the offset of the batch that it came in, so that a receiver could miss the records dropped from its head; fuzzing with late repeats showed it as a state that is no prefix of the log. Change: the tree is the breadth-first tree over the rings from the first relay; while a neighbour in it is missing all links push. A batch starts where its sender stood. An entry that ended here is disputed, and its node refutes.

--- a/trefoilwind/distribution/links.py
+++ b/trefoilwind/distribution/links.py
@@ -20,6 +20,8 @@
 CONTACTS_IN_REFUSAL = 3
 OPEN_INTERVAL_S = 5.0
 ASKED_LEASE_S = 3 * OPEN_INTERVAL_S
+PUSH_LEASE_S = 6.0
+BRIDGE_INTERVAL_S = 3.0
 REFUSED_WAIT_S = 10.0
 PROBE_INTERVAL_S = 2.0
 FIRST_PROBE_WAIT_S = 0.2
@@ -54,7 +56,10 @@
         self._members = environment.blackboard.members
         self._connected: set[str] = set()
         self._wanted: frozenset[str] = frozenset()
+        self._tree: frozenset[str] = frozenset()
         self._asked: dict[str, float] = {}
+        self._pushed: dict[str, float] = {}
+        self._next_bridge = 0.0
         self._refused: dict[str, float] = {}
         self._opened: dict[str, float] = {}
         self._retries: dict[str, _Retry] = {}
@@ -68,7 +73,12 @@
     @property
     def handles(self) -> tuple[type, ...]:
         """Classes of the messages that this controller takes."""
-        return (messages.LinkOpen, messages.LinkClose, messages.Refusal)
+        return (
+            messages.LinkOpen,
+            messages.LinkClose,
+            messages.Refusal,
+            messages.PushRequest,
+        )
 
     @property
     def active(self) -> frozenset[str]:
@@ -76,11 +86,34 @@
         wanted = self._wanted - self._refused.keys()
         return frozenset(self._connected & (wanted | self._asked.keys()))
 
+    def eager(self, exclude: str = "") -> list[str]:
+        """Return the links that messages are pushed on, sorted.
+
+        These are the tree's, those that were asked for, and all links while
+        the tree is broken here.
+        """
+        active = self.active
+        if not self._tree <= active:
+            return sorted(active - {exclude})
+        chosen = active & (self._tree | self._pushed.keys())
+        return sorted(chosen - {exclude})
+
+    def lazy(self, exclude: str = "") -> list[str]:
+        """Return the links that carry digests only, sorted."""
+        return sorted(self.active - set(self.eager()) - {exclude})
+
+    def ask_to_push(self, peer: str) -> list[ports.Envelope]:
+        """Let messages be pushed on a link for a while, both ways."""
+        self._note_push(peer)
+        return [ports.Envelope(peer, messages.PushRequest())]
+
     def handle(self, peer: str, message: Any) -> list[ports.Envelope]:
         """React to a message of a peer."""
         if isinstance(message, messages.LinkOpen):
             return self._take_open(peer)
-        if isinstance(message, messages.LinkClose):
+        if isinstance(message, messages.PushRequest):
+            self._note_push(peer)
+        elif isinstance(message, messages.LinkClose):
             self._asked.pop(peer, None)
         else:
             self._take_refusal(peer, message)
@@ -101,6 +134,8 @@
         self._connected.discard(peer)
         self._asked.pop(peer, None)
         self._opened.pop(peer, None)
+        self._pushed.pop(peer, None)
+        self._next_bridge = 0.0
         return []
 
     def tick(self) -> list[ports.Envelope]:
@@ -108,6 +143,7 @@
         now = self._environment.clock.monotonic()
         self._drop_passed(self._asked, now)
         self._drop_passed(self._refused, now)
+        self._drop_passed(self._pushed, now)
         envelopes = self._follow_members(now)
         for peer in sorted(self._wanted):
             if peer in self._connected:
@@ -117,7 +153,23 @@
                 envelopes += self._connect(peer, now)
         if now >= self._next_probe:
             envelopes += self._probe(now)
-        return envelopes
+        return envelopes + self._bridge(now)
+
+    def _bridge(self, now: float) -> list[ports.Envelope]:
+        """Ask all links to push while the tree is broken here."""
+        is_whole = self._tree <= self.active
+        if is_whole or now < self._next_bridge:
+            return []
+        self._next_bridge = now + BRIDGE_INTERVAL_S
+        return [
+            envelope
+            for peer in sorted(self.active)
+            for envelope in self.ask_to_push(peer)
+        ]
+
+    def _note_push(self, peer: str) -> None:
+        now = self._environment.clock.monotonic()
+        self._pushed[peer] = now + PUSH_LEASE_S
 
     def _take_open(self, peer: str) -> list[ports.Envelope]:
         is_known = peer in self._asked or peer in self._wanted
@@ -153,6 +205,7 @@
             strangers |= self._wanted & self._connected
         closed = sorted((self._wanted - wanted - strangers) & self._connected)
         self._wanted = wanted | strangers
+        self._tree = topology.tree(members, own_id)
         for peer in closed:
             self._opened.pop(peer, None)
         return [ports.Envelope(p, messages.LinkClose()) for p in closed]
--- a/trefoilwind/distribution/messages.py
+++ b/trefoilwind/distribution/messages.py
@@ -67,12 +67,10 @@
     state: bytes
 
 
-@codec.message("record-link")
+@codec.message("push")
 @dataclasses.dataclass(frozen=True)
-class RecordLink:
-    """Asks the receiver to send records (eager) or digests only (lazy)."""
-
-    is_eager: bool
+class PushRequest:
+    """Asks the receiver to push messages on this link for a while."""
 
 
 @codec.message("link-open")
--- a/trefoilwind/distribution/spreader.py
+++ b/trefoilwind/distribution/spreader.py
@@ -12,7 +12,6 @@
 from trefoilwind.distribution import links as links_lib
 from trefoilwind.distribution import messages
 from trefoilwind.distribution import ports
-from trefoilwind.distribution import tree as tree_lib
 from trefoilwind.log import fold
 from trefoilwind.log import port
 from trefoilwind.model import moves
@@ -54,7 +53,6 @@
         self._recent_bytes = 0
         # There is no record between this offset and the first recent one.
         self._recent_from = 0
-        self._tree = tree_lib.Tree()
         self._greeted: frozenset[str] = frozenset()
         self._gap: _Gap | None = None
         self._next_digest = 0.0
@@ -67,7 +65,6 @@
             messages.Packed,
             messages.Digest,
             messages.StateTransfer,
-            messages.RecordLink,
         )
 
     @property
@@ -97,19 +94,14 @@
             return self._take_batch(message, peer)
         if isinstance(message, messages.StateTransfer):
             return self._take_state(peer, message)
-        if isinstance(message, messages.RecordLink):
-            self._tree.set_eager(peer, message.is_eager)
-            return []
         return self._answer_digest(peer, message)
 
     def peer_connected(self, peer: str) -> list[ports.Envelope]:
-        """Start with an eager link."""
-        self._tree.set_eager(peer, True)
+        """Do nothing: `tick` greets the peer once it is linked."""
         return []
 
     def peer_lost(self, peer: str) -> list[ports.Envelope]:
         """Forget a peer."""
-        self._tree.set_eager(peer, True)
         if self._gap is not None and self._gap.peer == peer:
             self._gap = None
         return []
@@ -142,46 +134,31 @@
             return self._ask(sender) if sender else []
         fresh = tuple(e for e in batch.entries if e.offset >= state.next_offset)
         if not fresh:
-            return self._prune(sender) if sender else []
+            return []
         if not self._recent:
             self._recent_from = state.next_offset
+        # Records before `start` are not passed on, so they may be missing.
+        start = state.next_offset
         for entry in fresh:
             state = self._fold_entry(state, entry)
         self._publish(state)
         self._gap = None
-        relayed = messages.RecordBatch(
-            max(batch.from_offset, 0), fresh, state.next_offset
-        )
+        relayed = messages.RecordBatch(start, fresh, state.next_offset)
         return self._spread(relayed, sender)
 
     def _spread(
         self, batch: messages.RecordBatch, sender: str
     ) -> list[ports.Envelope]:
-        links = self._links.active
         packed = messages.pack(batch)
-        envelopes = [
-            ports.Envelope(peer, packed)
-            for peer in self._tree.eager(links, exclude=sender)
-        ]
         digest = self._digest(wants_answer=False)
-        envelopes += [
-            ports.Envelope(peer, digest)
-            for peer in self._tree.lazy(links, exclude=sender)
+        return [
+            *(ports.Envelope(p, packed) for p in self._links.eager(sender)),
+            *(ports.Envelope(p, digest) for p in self._links.lazy(sender)),
         ]
-        return envelopes
-
-    def _prune(self, sender: str) -> list[ports.Envelope]:
-        now = self._environment.clock.monotonic()
-        if not self._tree.prune(sender, self._links.active, now):
-            return []
-        return [ports.Envelope(sender, messages.RecordLink(is_eager=False))]
 
     def _ask(self, peer: str) -> list[ports.Envelope]:
-        self._tree.set_eager(peer, True)
-        return [
-            ports.Envelope(peer, messages.RecordLink(is_eager=True)),
-            ports.Envelope(peer, self._digest(wants_answer=False)),
-        ]
+        digest = self._digest(wants_answer=False)
+        return [*self._links.ask_to_push(peer), ports.Envelope(peer, digest)]
 
     def _ask_for_gap(self) -> list[ports.Envelope]:
         gap = self._gap
--- a/trefoilwind/distribution/topology.py
+++ b/trefoilwind/distribution/topology.py
@@ -6,6 +6,7 @@
 function of the membership, so that both ends of a link agree.
 """
 
+import collections
 from collections.abc import Iterable
 import functools
 
@@ -60,8 +61,29 @@
     if own is None:
         return frozenset()
     chosen = _ring_neighbours(members, own)
-    chosen |= _relay_neighbours(members, own)
-    chosen |= _gateway_neighbours(members, own)
+    chosen |= _counterparts(_relay_groups(members, own), own_id)
+    chosen |= _counterparts(_gateway_groups(members), own_id)
+    return frozenset(chosen - {own_id})
+
+
+def tree(members: directory.Snapshot, own_id: str) -> frozenset[str]:
+    """Return the neighbours in the tree that spans all nodes.
+
+    Its edges are links that `neighbours` returns: a breadth-first tree from
+    the first relay of each data centre, and the edges from the first relays
+    and gateways to those of the first data centre and region by name.
+    """
+    own = members.by_node.get(own_id)
+    if own is None:
+        return frozenset()
+    root = relays(members, own.data_centre, 1)[0]
+    chosen = _data_centre_tree(members, own, root)
+    for groups in (_relay_groups(members, own), _gateway_groups(members)):
+        heads = [group[0] for group in groups if group]
+        if own_id == heads[0]:
+            chosen.update(heads)
+        elif own_id in heads:
+            chosen.add(heads[0])
     return frozenset(chosen - {own_id})
 
 
@@ -81,43 +103,66 @@
     return [m.node_id for m in staying or nodes]
 
 
+def _rings(members: directory.Snapshot, data_centre: str) -> list[list[str]]:
+    nodes = members.in_data_centre(data_centre)
+    return [
+        sorted(nodes, key=lambda node, key=f"ring/{ring}": rank(key, node))
+        for ring in range(RINGS)
+    ]
+
+
 def _ring_neighbours(
     members: directory.Snapshot, own: members_lib.Member
 ) -> set[str]:
-    nodes = members.in_data_centre(own.data_centre)
     chosen = set()
-    for ring in range(RINGS):
-        key = f"ring/{ring}"
-        ordered = sorted(nodes, key=lambda node, key=key: rank(key, node))
+    for ordered in _rings(members, own.data_centre):
         index = ordered.index(own.node_id)
         chosen.add(ordered[index - 1])
         chosen.add(ordered[(index + 1) % len(ordered)])
     return chosen
 
 
-def _relay_neighbours(
-    members: directory.Snapshot, own: members_lib.Member
+def _data_centre_tree(
+    members: directory.Snapshot, own: members_lib.Member, root: str
 ) -> set[str]:
-    """Link the relays of equal position in the region's data centres."""
+    """Return the own edges of the breadth-first tree over the rings."""
+    edges = collections.defaultdict(set)
+    for ordered in _rings(members, own.data_centre):
+        for index, node in enumerate(ordered):
+            edges[node].add(ordered[index - 1])
+            edges[ordered[index - 1]].add(node)
+    chosen = set()
+    seen = {root}
+    queue = collections.deque([root])
+    while queue:
+        node = queue.popleft()
+        for peer in sorted(edges[node] - seen):
+            seen.add(peer)
+            queue.append(peer)
+            if own.node_id in (node, peer):
+                chosen |= {node, peer}
+    return chosen
+
+
+def _relay_groups(
+    members: directory.Snapshot, own: members_lib.Member
+) -> list[tuple[str, ...]]:
+    """Return the relays of each data centre of the own region."""
     by_data_centre = sorted(
         {m.data_centre for m in members.members if m.region == own.region}
     )
-    groups = [
+    return [
         relays(members, data_centre, RELAYS_PER_DATA_CENTRE)
         for data_centre in by_data_centre
     ]
-    return _counterparts(groups, own.node_id)
 
 
-def _gateway_neighbours(
-    members: directory.Snapshot, own: members_lib.Member
-) -> set[str]:
-    """Link the gateways of equal position in all regions."""
-    groups = [
+def _gateway_groups(members: directory.Snapshot) -> list[tuple[str, ...]]:
+    """Return the gateways of each region."""
+    return [
         gateways(members, region, GATEWAYS_PER_REGION)
         for region in sorted({m.region for m in members.members})
     ]
-    return _counterparts(groups, own.node_id)
 
 
 def _counterparts(groups: list[tuple[str, ...]], own_id: str) -> set[str]:
--- a/trefoilwind/membership/controller.py
+++ b/trefoilwind/membership/controller.py
@@ -8,7 +8,6 @@
 from trefoilwind import events
 from trefoilwind.distribution import links as links_lib
 from trefoilwind.distribution import ports
-from trefoilwind.distribution import tree as tree_lib
 from trefoilwind.membership import directory
 from trefoilwind.membership import leases as leases_lib
 from trefoilwind.membership import messages
@@ -39,7 +38,6 @@
         self._links = links
         self._publish = environment.blackboard.members.claim("membership")
         self._table = leases_lib.LeaseTable()
-        self._tree = tree_lib.Tree()
         self._connected: set[str] = set()
         self._greeted: frozenset[str] = frozenset()
         self._lost_links: dict[str, float] = {}
@@ -75,7 +73,6 @@
             messages.MemberRequest: self._answer_request,
             messages.MemberDigest: self._answer_digest,
             messages.BucketDigest: self._answer_buckets,
-            messages.MemberLink: self._take_link,
         }
 
     def announce(
@@ -112,13 +109,11 @@
         """Note that a peer can be reached; links start eager."""
         self._connected.add(peer)
         self._lost_links.pop(peer, None)
-        self._tree.set_eager(peer, True)
         return []
 
     def peer_lost(self, peer: str) -> list[ports.Envelope]:
         """Note the loss; the entry stays until its lease ends."""
         self._connected.discard(peer)
-        self._tree.set_eager(peer, True)
         if peer in self._greeted:
             now = self._environment.clock.monotonic()
             self._lost_links[peer] = now + SUSPECT_AFTER_S
@@ -137,7 +132,7 @@
             envelopes += self._flush(now)
         if now >= self._next_overdue:
             self._next_overdue = now + OVERDUE_INTERVAL_S
-            envelopes += self._request_overdue(now)
+            envelopes += self._request_overdue()
         if now >= self._next_digest:
             self._next_digest = now + DIGEST_INTERVAL_S
             envelopes += self._send_digest()
@@ -190,51 +185,67 @@
             )
         )
         links = self._links.active
-        peers = self._tree.eager(links, exclude)
-        if urgent:
-            peers = sorted(links - {exclude})
+        peers = sorted(links - {exclude})
+        if not urgent:
+            peers = self._links.eager(exclude)
         return [ports.Envelope(peer, update) for peer in peers]
 
     def _take_update(
         self, peer: str, message: messages.MemberUpdate
     ) -> list[ports.Envelope]:
         changed = []
-        news = 0
+        envelopes = []
+        was_late = False
+        limit = self._overdue_limit()
         for entry in message.entries:
-            if entry.member.node_id == self._own.node_id:
+            node_id = entry.member.node_id
+            if node_id == self._own.node_id:
                 self._refute(entry.member.precedence, entry.renewal)
-                news += 1
                 continue
             if not self._is_valid(entry):
                 continue
-            is_change = self._is_change(entry.member)
+            known = self._table.leases.get(node_id)
             if not self._take(entry):
+                envelopes += self._dispute(peer, entry)
                 continue
-            news += 1
-            if is_change:
-                changed.append(entry.member.node_id)
+            was_late |= known is None or known.deadline < limit
+            if known is None or known.member != entry.member:
+                changed.append(node_id)
             else:
-                self._outbox[entry.member.node_id] = peer
+                self._outbox[node_id] = peer
         if changed:
             self._publish_snapshot()
-        envelopes = []
-        if message.is_repair and changed:
-            envelopes += self._graft(peer)
-        elif not message.is_repair and not news:
-            envelopes += self._prune(peer)
-        if changed:
-            leases = self._table.leases
-            urgent = any(leases[x].member.leaving for x in changed)
-            envelopes += self._push(tuple(changed), peer, urgent)
+            envelopes += self._push_changed(changed, peer)
+        if message.is_repair and was_late:
+            envelopes += self._links.ask_to_push(peer)
         return envelopes
 
+    def _push_changed(
+        self, changed: list[str], peer: str
+    ) -> list[ports.Envelope]:
+        leases = self._table.leases
+        urgent = any(leases[node_id].member.leaving for node_id in changed)
+        return self._push(tuple(changed), peer, urgent)
+
+    def _dispute(
+        self, peer: str, entry: messages.LeasedMember
+    ) -> list[ports.Envelope]:
+        """Answer an entry that ended here: a live node will refute that."""
+        member = entry.member
+        if not self._table.has_ended(member, entry.renewal):
+            return []
+        suspicion = messages.Suspicion(
+            member.node_id, member.incarnation, entry.renewal
+        )
+        return [ports.Envelope(peer, suspicion)]
+
+    def _overdue_limit(self) -> float:
+        now = self._environment.clock.monotonic()
+        return now + OVERDUE_RATIO * self._settings.lease_s
+
     def _is_valid(self, entry: messages.LeasedMember) -> bool:
         return 0.0 < entry.remaining_s < float("inf")
 
-    def _is_change(self, member: members.Member) -> bool:
-        known = self._table.leases.get(member.node_id)
-        return known is None or known.member != member
-
     def _take(self, entry: messages.LeasedMember) -> bool:
         member = entry.member
         if not self._table.is_news(member, entry.renewal):
@@ -265,7 +276,6 @@
         self, peer: str, message: messages.RenewalUpdate
     ) -> list[ports.Envelope]:
         unknown = []
-        repeats = 0
         now = self._environment.clock.monotonic()
         for entry in message.entries:
             known = self._table.leases.get(entry.node_id)
@@ -274,19 +284,16 @@
             precedence = (entry.incarnation, entry.sequence)
             if known is None or precedence > known.member.precedence:
                 unknown.append(entry.node_id)
-            elif precedence < known.member.precedence or (
-                entry.renewal <= known.renewal
+            elif (
+                precedence == known.member.precedence
+                and entry.renewal > known.renewal
             ):
-                repeats += 1
-            else:
                 self._take_renewal(known, entry, now)
                 self._outbox[entry.node_id] = peer
         envelopes = []
         if unknown:
             request = messages.MemberRequest(tuple(unknown[:MAX_REQUESTED]))
             envelopes.append(ports.Envelope(peer, request))
-        if repeats:
-            envelopes += self._prune(peer)
         return envelopes
 
     def _take_renewal(
@@ -309,11 +316,7 @@
             return self._push((self._own.node_id,), exclude="", urgent=True)
         if not self._shorten(message):
             return []
-        links = self._links.active
-        return [
-            ports.Envelope(p, message)
-            for p in self._tree.eager(links, exclude=peer)
-        ]
+        return [ports.Envelope(p, message) for p in self._links.eager(peer)]
 
     def _shorten(self, suspicion: messages.Suspicion) -> bool:
         lease = self._table.leases.get(suspicion.node_id)
@@ -340,9 +343,8 @@
                 peer, lease.member.incarnation, lease.renewal
             )
             self._shorten(suspicion)
-            links = self._links.active
             envelopes += [
-                ports.Envelope(p, suspicion) for p in self._tree.eager(links)
+                ports.Envelope(p, suspicion) for p in self._links.eager()
             ]
         return envelopes
 
@@ -351,7 +353,7 @@
         outbox = self._outbox
         self._outbox = {}
         envelopes = []
-        for peer in self._tree.eager(self._links.active):
+        for peer in self._links.eager():
             entries = tuple(
                 leases_lib.renewal_of(self._table.leases[node_id], now)
                 for node_id, source in outbox.items()
@@ -362,10 +364,10 @@
                 envelopes.append(ports.Envelope(peer, update))
         return envelopes
 
-    def _request_overdue(self, now: float) -> list[ports.Envelope]:
+    def _request_overdue(self) -> list[ports.Envelope]:
         """Ask a peer for leases that near their end without a renewal."""
         links = sorted(self._links.active)
-        limit = now + OVERDUE_RATIO * self._settings.lease_s
+        limit = self._overdue_limit()
         overdue = [
             node_id
             for node_id, lease in self._table.leases.items()
@@ -399,10 +401,7 @@
             return []
         peer = self._environment.random.choice(links)
         digest = messages.MemberDigest(self._table.digest)
-        envelopes = [ports.Envelope(peer, digest)]
-        if self._tree.is_cut_off(links):
-            envelopes += self._graft(peer)
-        return envelopes
+        return [ports.Envelope(peer, digest)]
 
     def _answer_digest(
         self, peer: str, message: messages.MemberDigest
@@ -436,22 +435,6 @@
             envelopes.append(ports.Envelope(peer, digest))
         return envelopes
 
-    def _take_link(
-        self, peer: str, message: messages.MemberLink
-    ) -> list[ports.Envelope]:
-        self._tree.set_eager(peer, message.is_eager)
-        return []
-
-    def _prune(self, peer: str) -> list[ports.Envelope]:
-        now = self._environment.clock.monotonic()
-        if not self._tree.prune(peer, self._links.active, now):
-            return []
-        return [ports.Envelope(peer, messages.MemberLink(is_eager=False))]
-
-    def _graft(self, peer: str) -> list[ports.Envelope]:
-        self._tree.set_eager(peer, True)
-        return [ports.Envelope(peer, messages.MemberLink(is_eager=True))]
-
     def _report(self, known: members.Member | None, member: members.Member):
         emit = self._environment.events.emit
         if member.leaving and not (known and known.leaving):
--- a/trefoilwind/membership/leases.py
+++ b/trefoilwind/membership/leases.py
@@ -70,7 +70,6 @@
 
     def is_news(self, member: members.Member, renewal: int) -> bool:
         """Return True if an entry or its renewal is later than the known."""
-        order = (member.incarnation, renewal)
         known = self._leases.get(member.node_id)
         if known is not None:
             return (
@@ -78,8 +77,15 @@
                 or member.precedence == known.member.precedence
                 and renewal > known.renewal
             )
+        return not self.has_ended(member, renewal)
+
+    def has_ended(self, member: members.Member, renewal: int) -> bool:
+        """Return True if the lease of that renewal has ended here."""
+        if member.node_id in self._leases:
+            return False
         tombstone = self._tombstones.get(member.node_id)
-        return tombstone is None or order > tombstone.renewal_order
+        order = (member.incarnation, renewal)
+        return tombstone is not None and order <= tombstone.renewal_order
 
     def expire(self, now: float, own_id: str) -> list[str]:
         """Remove and return the nodes whose lease has ended.
--- a/trefoilwind/membership/messages.py
+++ b/trefoilwind/membership/messages.py
@@ -118,11 +118,3 @@
 
     values: tuple[int, ...]
     wants_answer: bool
-
-
-@codec.message("member-link")
-@dataclasses.dataclass(frozen=True)
-class MemberLink:
-    """Asks the receiver to send updates (eager) or digests only (lazy)."""
-
-    is_eager: bool
