--- a/benchmarks/lease_refresh.py
+++ b/benchmarks/lease_refresh.py
@@ -78,6 +78,7 @@
         )
         self.controllers = (self.links, self.membership)
         self.connected: set[str] = set()
+        self.paused_since = 0.0
         self.paused_until = 0.0
         self.expired = 0
         self.environment.events.connect(events.MEMBER_EXPIRED, self._count)
@@ -114,6 +115,7 @@
             self._clock.advance(TICK_S)
             if with_faults:
                 self._start_pause()
+                self._end_silent()
             self._deliver(self._case.loss if with_faults else 0.0)
             for node in self._nodes.values():
                 if not self._is_paused(node):
@@ -135,10 +137,19 @@
             return
         self._next_pause = now + PAUSE_INTERVAL_S
         node = self._rng.choice(list(self._nodes.values()))
-        node.paused_until = now + self._case.pause_s
-        if self._case.pause_s > SILENCE_TIMEOUT_S:
-            for peer in sorted(node.connected):
-                self._lose(node, self._nodes[peer])
+        if not self._is_paused(node):
+            node.paused_since = now
+            node.paused_until = now + self._case.pause_s
+
+    def _end_silent(self) -> None:
+        """Let peers close the streams of a node that was silent too long."""
+        now = self._clock.monotonic()
+        for node in self._nodes.values():
+            if not self._is_paused(node):
+                continue
+            if now - node.paused_since >= SILENCE_TIMEOUT_S:
+                for peer in sorted(node.connected):
+                    self._lose(node, self._nodes[peer])
 
     def _lose(self, node: _Node, peer: _Node) -> None:
         for one, other in ((node, peer), (peer, node)):
--- /dev/null
+++ b/tests/test_distribution/test_distribution_spreader.py
@@ -0,0 +1,110 @@
+import pytest
+
+from tests.test_distribution import oracle
+from trefoilwind import clock as clock_lib
+from trefoilwind import codec
+from trefoilwind import environment as environment_lib
+from trefoilwind import settings as settings_lib
+from trefoilwind.distribution import admission
+from trefoilwind.distribution import links as links_lib
+from trefoilwind.distribution import messages
+from trefoilwind.distribution import spreader as spreader_lib
+from trefoilwind.log import port
+from trefoilwind.model import records
+
+PEERS = ("b", "c")
+
+
+def entry(offset: int) -> port.Entry:
+    body = records.Publication(offset - 1, oracle.configuration(1.0 + offset))
+    return port.Entry(offset, records.encode(str(offset), "operator", body))
+
+
+def batch(start: int, end: int) -> messages.RecordBatch:
+    entries = tuple(entry(offset) for offset in range(start, end))
+    return messages.RecordBatch(start, entries, end)
+
+
+@pytest.fixture
+def environment():
+    settings = settings_lib.NodeSettings(
+        node_id="a",
+        data_centre="perth-a",
+        region="perth",
+        log=settings_lib.LogSettings(url=""),
+    )
+    return environment_lib.make(settings, clock_lib.VirtualClock(), seed=1)
+
+
+@pytest.fixture
+def links(environment):
+    links = links_lib.LinkController(environment)
+    for peer in PEERS:
+        links.peer_connected(peer)
+    return links
+
+
+@pytest.fixture
+def spreader(environment, links):
+    return spreader_lib.Spreader(environment, links)
+
+
+def pushed(envelopes, peer: str) -> messages.RecordBatch:
+    (message,) = (e.message for e in envelopes if e.peer == peer)
+    if isinstance(message, messages.Packed):
+        return messages.unpack(message, "a")
+    return message
+
+
+def test_a_batch_is_passed_on_from_where_this_node_stood(spreader, links):
+    for peer in PEERS:
+        links.ask_to_push(peer)
+    spreader.handle("b", batch(0, 3))
+    envelopes = spreader.handle("b", batch(1, 5))
+    relayed = pushed(envelopes, "c")
+    assert relayed.from_offset == 3
+    assert [e.offset for e in relayed.entries] == [3, 4]
+
+
+def test_a_gap_is_asked_for_and_not_folded(spreader):
+    envelopes = spreader.handle("b", batch(2, 4))
+    assert spreader.state.next_offset == 0
+    assert messages.Digest(0) in [e.message for e in envelopes]
+
+
+def test_an_older_state_is_ignored(spreader):
+    spreader.handle("b", batch(0, 2))
+    older = messages.StateTransfer(codec.encode(spreader.state))
+    spreader.handle("b", batch(2, 4))
+    spreader.handle("c", older)
+    assert (spreader.state.version, spreader.state.next_offset) == (3, 4)
+
+
+def test_a_reader_far_behind_gets_the_state(spreader, monkeypatch):
+    monkeypatch.setattr(spreader_lib, "RECENT_ENTRIES_KEPT", 2)
+    spreader.handle("b", batch(0, 5))
+    far = spreader.handle("c", messages.Digest(0))
+    assert isinstance(pushed(far, "c"), messages.StateTransfer)
+    near = spreader.handle("c", messages.Digest(4))
+    assert [e.offset for e in pushed(near, "c").entries] == [4]
+
+
+@pytest.mark.parametrize("data", [b"", b"no zlib", b"x\x9c"])
+def test_bytes_that_cannot_be_unpacked_are_dropped(spreader, data):
+    assert spreader.handle("b", messages.Packed(data)) == []
+
+
+def test_a_full_node_refuses_a_link(environment, links, monkeypatch):
+    monkeypatch.setattr(links_lib, "MAX_LINKS", len(PEERS))
+    assert links.peer_connected("d") == []
+    (envelope,) = links.handle("d", messages.LinkOpen())
+    assert isinstance(envelope.message, messages.Refusal)
+    assert "d" not in links.active
+
+
+def test_accepts_are_limited_to_a_rate():
+    clock = clock_lib.VirtualClock()
+    limit = admission.AcceptLimit(clock, rate_per_s=5)
+    assert sum(limit.admit() for _ in range(20)) == 5
+    clock.advance(0.4)
+    assert sum(limit.admit() for _ in range(20)) == 2
--- a/trefoilwind/membership/controller.py
+++ b/trefoilwind/membership/controller.py
@@ -21,7 +21,9 @@
 OVERDUE_RATIO = 0.15
 MAX_REQUESTED = 256
 SUSPECT_AFTER_S = 3.0
-SUSPECT_LEASE_S = 4.0
+SUSPECT_LEASE_S = 5.0
+# A node that finds links again outdoes a suspicion that it did not hear.
+RENEW_ON_LINK_S = 2.0
 _MILLISECONDS_PER_SECOND = 1000
 
 
@@ -48,6 +50,7 @@
         self._next_digest = 0.0
         self._next_overdue = 0.0
         self._renewal = 0
+        self._renewed_at = 0.0
         self._own = members.Member(
             node_id=environment.node_id,
             incarnation=environment.incarnation,
@@ -144,6 +147,8 @@
         fresh = sorted(links - self._greeted)
         self._greeted = links
         now = self._environment.clock.monotonic()
+        if fresh and now >= self._renewed_at + RENEW_ON_LINK_S:
+            self._renew_own(now)
         own = leases_lib.leased(self._table.leases[self._own.node_id], now)
         envelopes = []
         for peer in fresh:
@@ -167,6 +172,7 @@
         now = self._environment.clock.monotonic()
         lease_s = self._settings.lease_s
         self._renewal += 1
+        self._renewed_at = now
         self._table.keep(self._own, self._renewal, now + lease_s)
         # The jitter keeps nodes that started together from staying in step.
         jitter = self._environment.random.uniform(0.9, 1.0)
