Look twice at a digest before comparing the membership's buckets

Cause: an update on its way makes two digests differ for a moment; comparing buckets then sends whole entries for nothing, the more the larger the mesh.

--- a/trefoilwind/membership/controller.py
+++ b/trefoilwind/membership/controller.py
@@ -9,6 +9,7 @@
 from trefoilwind.distribution import links as links_lib
 from trefoilwind.distribution import ports
 from trefoilwind.membership import directory
+from trefoilwind.membership import history as history_lib
 from trefoilwind.membership import leases as leases_lib
 from trefoilwind.membership import messages
 from trefoilwind.model import members
@@ -16,6 +17,7 @@
 logger = logging.getLogger(__name__)
 
 DIGEST_INTERVAL_S = 2.0
+DOUBT_S = 1.0
 OVERDUE_INTERVAL_S = 1.0
 # Rest of a lease at which a missing renewal is asked for.
 OVERDUE_RATIO = 0.15
@@ -40,6 +42,10 @@
         self._links = links
         self._publish = environment.blackboard.members.claim("membership")
         self._table = leases_lib.LeaseTable()
+        self._history = history_lib.DigestHistory(self._table.digest)
+        # Peers compared with since they connected, and differences found.
+        self._compared: set[str] = set()
+        self._doubts: dict[str, history_lib.Doubt] = {}
         self._connected: set[str] = set()
         self._greeted: frozenset[str] = frozenset()
         self._lost_links: dict[str, float] = {}
@@ -117,6 +123,8 @@
     def peer_lost(self, peer: str) -> list[ports.Envelope]:
         """Note the loss; the entry stays until its lease ends."""
         self._connected.discard(peer)
+        self._compared.discard(peer)
+        self._doubts.pop(peer, None)
         if peer in self._greeted:
             now = self._environment.clock.monotonic()
             self._lost_links[peer] = now + SUSPECT_AFTER_S
@@ -127,6 +135,7 @@
         now = self._environment.clock.monotonic()
         self._expire(now)
         envelopes = self._greet()
+        envelopes += self._settle_doubts(now)
         envelopes += self._suspect(now)
         if now >= self._next_refresh:
             self._renew_own(now)
@@ -412,10 +421,32 @@
     def _answer_digest(
         self, peer: str, message: messages.MemberDigest
     ) -> list[ports.Envelope]:
-        if message.value == self._table.digest:
+        now = self._environment.clock.monotonic()
+        if self._history.is_recent(message.value, now):
+            self._doubts.pop(peer, None)
+            self._compared.add(peer)
+            return []
+        if peer in self._compared:
+            # The difference may be an update that is still on its way.
+            doubt = history_lib.Doubt(message.value, now + DOUBT_S)
+            self._doubts.setdefault(peer, doubt)
             return []
+        self._compared.add(peer)
+        return [self._send_buckets(peer)]
+
+    def _settle_doubts(self, now: float) -> list[ports.Envelope]:
+        """Compare buckets with the peers whose digest still differs."""
+        due = [p for p, d in self._doubts.items() if d.deadline <= now]
+        envelopes = []
+        for peer in due:
+            doubt = self._doubts.pop(peer)
+            if not self._history.is_recent(doubt.value, now):
+                envelopes.append(self._send_buckets(peer))
+        return envelopes
+
+    def _send_buckets(self, peer: str) -> ports.Envelope:
         buckets = messages.BucketDigest(self._table.bucket_hashes, True)
-        return [ports.Envelope(peer, buckets)]
+        return ports.Envelope(peer, buckets)
 
     def _answer_buckets(
         self, peer: str, message: messages.BucketDigest
@@ -459,5 +490,7 @@
             self._publish_snapshot()
 
     def _publish_snapshot(self) -> None:
+        now = self._environment.clock.monotonic()
+        self._history.note(self._table.digest, now)
         entries = (lease.member for lease in self._table.leases.values())
         self._publish(directory.snapshot(entries))
