Test the bridge over a broken tree, gaps and digests on their own

Cause: three mutants of the spread passed 40 examples of the fuzz test: no push on all links while the tree is broken, no request for a gap that a digest showed, no periodic digest. They repair for each other. Conclusion: redundant ways of repair need tests of their own.

--- a/tests/test_distribution/test_distribution_spreader.py
+++ b/tests/test_distribution/test_distribution_spreader.py
@@ -8,8 +8,13 @@
 from trefoilwind.distribution import admission
 from trefoilwind.distribution import links as links_lib
 from trefoilwind.distribution import messages
+from trefoilwind.distribution import ports
 from trefoilwind.distribution import spreader as spreader_lib
+from trefoilwind.distribution import topology
 from trefoilwind.log import port
+from trefoilwind.membership import directory
+from trefoilwind.model import addresses
+from trefoilwind.model import members as members_lib
 from trefoilwind.model import records
 
 PEERS = ("b", "c")
@@ -72,6 +77,23 @@
     assert messages.Digest(0) in [e.message for e in envelopes]
 
 
+def test_a_gap_that_a_digest_showed_is_asked_for(spreader, environment):
+    spreader.tick()
+    assert spreader.handle("b", messages.Digest(4)) == []
+    environment.clock.advance(spreader_lib.GRAFT_WAIT_S)
+    envelopes = spreader.tick()
+    assert ports.Envelope("b", messages.PushRequest()) in envelopes
+    assert ports.Envelope("b", messages.Digest(0)) in envelopes
+
+
+def test_a_random_link_gets_a_digest_at_each_interval(spreader, environment):
+    assert len(spreader.tick()) == len(PEERS) + 1
+    assert spreader.tick() == []
+    environment.clock.advance(spreader_lib.DIGEST_INTERVAL_S)
+    (envelope,) = spreader.tick()
+    assert envelope.message == messages.Digest(0, wants_answer=True)
+
+
 def test_an_older_state_is_ignored(spreader):
     spreader.handle("b", batch(0, 2))
     older = messages.StateTransfer(codec.encode(spreader.state))
@@ -108,3 +130,32 @@
     assert sum(limit.admit() for _ in range(20)) == 5
     clock.advance(0.4)
     assert sum(limit.admit() for _ in range(20)) == 2
+
+
+def test_all_links_push_while_a_tree_neighbour_is_missing(environment, links):
+    ids = tuple("abcdefghijklmnopqr")
+    publish = environment.blackboard.members.claim("test")
+    publish(directory.snapshot(topology_members(ids)))
+    links.tick()
+    wanted = topology.neighbours(environment.blackboard.members.value, "a")
+    tree = topology.tree(environment.blackboard.members.value, "a")
+    for peer in sorted(wanted | tree):
+        links.peer_connected(peer)
+    environment.clock.advance(links_lib.PUSH_LEASE_S)
+    links.tick()
+    assert set(links.eager()) == tree < links.active
+    links.peer_lost(min(tree))
+    assert set(links.eager()) == links.active
+    asked = {e.peer for e in links.tick() if is_push_request(e)}
+    assert asked == links.active
+
+
+def topology_members(ids):
+    return [
+        members_lib.Member(x, 1, 1, "perth-a", addresses.Address(), region="p")
+        for x in ids
+    ]
+
+
+def is_push_request(envelope) -> bool:
+    return isinstance(envelope.message, messages.PushRequest)
