--- a/tests/joint/world.py
+++ b/tests/joint/world.py
@@ -121,10 +121,23 @@
             return dataclasses.replace(lost, not_run=True)
         result = node.target.run(request)
         if self._world.rng.random() < self._world.answer_loss:
+            # The target's node has sent it whole, so it is released there.
+            _read(result)
             return lost
         return result
 
 
+def _read(
+    result: calls.Answer | errors.CallError,
+) -> calls.Answer | errors.CallError:
+    """Read an answer and release it, as the callers' HTTP edge does."""
+    if isinstance(result, errors.CallError):
+        return result
+    body = b"".join(result.body)
+    result.close()
+    return dataclasses.replace(result, body=iter((body,)))
+
+
 class Node:
     """One node of the world."""
 
@@ -331,12 +344,12 @@
             method=method,
             path=path,
             headers=(("Request-Id", request_id),),
-            body=iter(()),
+            body=calls.Body(held=b""),
             body_length=0,
             target=entry.target,
             deadline=self.clock.monotonic() + entry.target.timeout_s,
         )
-        return request_id, dispatcher.call(entry, request)
+        return request_id, _read(dispatcher.call(entry, request))
 
     def executions(self, request_id: str) -> int:
         """Return how often backend servers ran a request."""
--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -19,6 +19,8 @@
 from trefoilwind.proxy import backend as backend_lib
 from trefoilwind.proxy import target as target_lib
 from trefoilwind.rollout import controller as rollout_lib
+from trefoilwind.routing import keepers as keepers_lib
+from trefoilwind.routing import suspect_controller as suspect_lib
 from trefoilwind.routing import table
 
 logger = logging.getLogger(__name__)
@@ -47,11 +49,15 @@
         )
         self._coordinator = coordinator_lib.Coordinator(environment)
         self._rollout = rollout
+        self._keepers = keepers_lib.KeeperController(environment)
+        self._suspects = suspect_lib.SuspectController(environment)
         self._controllers = (
             self._links,
             self._spreader,
             self._membership,
             rollout,
+            self._keepers,
+            self._suspects,
         )
         self._controller_by_message = {
             cls: controller
