--- a/tests/test_distribution/mesh.py
+++ b/tests/test_distribution/mesh.py
@@ -22,6 +22,7 @@
 TICK_S = 0.2
 SILENCE_TIMEOUT_S = 3.0
 SLOW_LOG_S = 2.0
+LATEST_REPEAT_S = 4.0
 ANNOUNCE_INTERVAL_S = 1.0
 LOG_REGION = "perth"
 REGIONS = {"perth-a": "perth", "perth-b": "perth", "pilbara-a": "pilbara"}
@@ -34,7 +35,7 @@
         """Ignore the backend server: no calls are made."""
 
     def withdraw(self) -> None:
-        """Ignore that the backend server leaves."""
+        """Ignore the withdrawal."""
 
 
 class LogView:
@@ -170,6 +171,7 @@
     sender: str
     receiver: str
     data: bytes
+    due: float
 
 
 class Mesh:
@@ -247,9 +249,18 @@
 
     def post(self, sender: str, receiver: str, data: bytes) -> None:
         """Put a message on its way, once or twice."""
-        self._in_flight.append(_InFlight(sender, receiver, data))
+        now = self.clock.monotonic()
+        self._in_flight.append(_InFlight(sender, receiver, data, now))
         if self.rng.random() < self.message_repeats:
-            self._in_flight.append(_InFlight(sender, receiver, data))
+            due = now + self.rng.uniform(0.0, LATEST_REPEAT_S)
+            self._in_flight.append(_InFlight(sender, receiver, data, due))
+
+    def entry_at(self, offset: int) -> port_lib.Entry:
+        """Return a stored record, whatever the log's faults are."""
+        faults, self.log.faults = self.log.faults, log_service.LogFaults()
+        entry = self.log.read(offset, 1).entries[0]
+        self.log.faults = faults
+        return entry
 
     def step(self) -> None:
         """Let one tick pass."""
@@ -274,7 +285,9 @@
                     self._lose(self.nodes[node_id], peer)
 
     def _deliver(self) -> None:
-        in_flight, self._in_flight = self._in_flight, []
+        now = self.clock.monotonic()
+        in_flight = [item for item in self._in_flight if item.due <= now]
+        self._in_flight = [item for item in self._in_flight if item.due > now]
         if self.message_repeats:
             self.rng.shuffle(in_flight)
         for item in in_flight:
