--- a/trefoilwind/proxy/dispatcher.py
+++ b/trefoilwind/proxy/dispatcher.py
@@ -272,12 +272,11 @@
             self._budgets.answered(target, latency_s)
             self._clear_suspect(attempt)
         self._observe(
-            self._observation(
+            _observation(
                 attempt,
+                result,
                 latency_s,
-                is_failed,
                 is_shed or attempt.is_suspect or _is_cancelled(result),
-                _is_cut(result) and not attempt.is_suspect,
             )
         )
 
@@ -306,30 +305,6 @@
             fingerprint = attempt.call.request.fingerprint
             self._keys.post(suspect_messages.SuccessSeen(fingerprint))
 
-    def _observation(
-        self,
-        attempt: _Attempt,
-        latency_s: float,
-        failed: bool,
-        shed: bool,
-        cut: bool,
-    ) -> calls.Observation:
-        entry = attempt.call.entry
-        return calls.Observation(
-            move_id=entry.move_id,
-            service=entry.service,
-            half=entry.half,
-            path_prefix=entry.path_prefix,
-            class_name=entry.target.name,
-            version=attempt.split.version,
-            node_id=attempt.member.node_id,
-            latency_s=latency_s,
-            failed=failed,
-            shed=shed,
-            is_new=bool(attempt.split.move_id),
-            cut=cut,
-        )
-
     def _forget_gone(self) -> None:
         """Drop now and then what is kept about members that are gone."""
         now = self._clock.monotonic()
@@ -357,6 +332,26 @@
         self._environment.events.emit(kind, peer=error.peer, detail=str(error))
 
 
+def _observation(
+    attempt: _Attempt, result: _Result, latency_s: float, shed: bool
+) -> calls.Observation:
+    entry = attempt.call.entry
+    return calls.Observation(
+        move_id=entry.move_id,
+        service=entry.service,
+        half=entry.half,
+        path_prefix=entry.path_prefix,
+        class_name=entry.target.name,
+        version=attempt.split.version,
+        node_id=attempt.member.node_id,
+        latency_s=latency_s,
+        failed=_is_failed(result),
+        shed=shed,
+        is_new=bool(attempt.split.move_id),
+        cut=_is_cut(result) and not attempt.is_suspect,
+    )
+
+
 def _may_have_run(result: _Result) -> bool:
     return isinstance(result, calls.Answer) or not result.not_run
 
@@ -368,8 +363,9 @@
 
 
 def _is_shed(result: _Result) -> bool:
+    """Return True if the attempt says nothing about the backend server."""
     if isinstance(result, errors.CallError):
-        return result.not_run
+        return result.not_run or result.reason is errors.Reason.CANCELLED
     return result.status == _UNAVAILABLE_STATUS
 
 
