--- a/trefoilwind/admin/api.py
+++ b/trefoilwind/admin/api.py
@@ -1,32 +1,47 @@
 """Administration API of a node: JSON over HTTP under /v1."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
-import hmac
+import http
 import json
+import logging
 from typing import Any
-import urllib.parse
 
 import pykka
 
 from trefoilwind import environment as environment_lib
 from trefoilwind import errors
+from trefoilwind import json_documents
 from trefoilwind import settings as settings_lib
+from trefoilwind.admin import announcements
 from trefoilwind.admin import documents
+from trefoilwind.admin import metrics as metrics_lib
+from trefoilwind.admin import record_results
+from trefoilwind.admin import requests
 from trefoilwind.admin import views
 from trefoilwind.log import validation
 from trefoilwind.model import records
 from trefoilwind.node import messages
-from trefoilwind.proxy import callers
 
-MAX_BODY_BYTES = 4 * 1024 * 1024
-_JSON = "application/json"
+logger = logging.getLogger(__name__)
+
+RECORDS_PREFIX = "/v1/records/"
+_OK = 200
+_UNAVAILABLE = 503
+_DEFAULT_STATUS = 400
 _STATUS_BY_REASON = {
     errors.Reason.UNAUTHORIZED: 401,
+    errors.Reason.FORBIDDEN: 403,
     errors.Reason.NOT_FOUND: 404,
+    errors.Reason.METHOD_NOT_ALLOWED: 405,
+    errors.Reason.STALE_BASE: 409,
+    errors.Reason.MOVE_OPEN: 409,
+    errors.Reason.LENGTH_REQUIRED: 411,
     errors.Reason.BODY_TOO_LARGE: 413,
+    errors.Reason.INTERNAL: 500,
+    errors.Reason.DRAINING: 503,
 }
-_DEFAULT_STATUS = 400
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,6 +51,27 @@
     record_id: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class _Response:
+    """Bytes to answer with."""
+
+    status: int
+    content_type: str
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+_Handler = Callable[[requests.Request, str], Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Resource:
+    """One path with its methods and who may use it."""
+
+    handlers: dict[str, _Handler]
+    guard: Callable[[requests.Request], errors.AdminError | None]
+
+
 class AdminApplication:
     """WSGI application of the administration API."""
 
@@ -48,124 +84,194 @@
         self._environment = environment
         self._control = control
         self._log_actor = log_actor
-        self._local_handlers = {
-            ("POST", "/v1/announcement"): self._announce,
-            ("DELETE", "/v1/announcement"): self._withdraw,
-        }
-        self._operator_handlers = {
-            ("GET", "/v1/status"): self._status,
-            ("GET", "/v1/events"): self._events,
-            ("POST", "/v1/publications"): self._publish,
-            ("POST", "/v1/moves"): self._move,
+        local = _refuse_remote
+        operator = self._refuse_unauthorized
+        self._resources = {
+            "/v1/announcement": _Resource(
+                {"POST": self._announce, "DELETE": self._withdraw}, local
+            ),
+            "/v1/health": _Resource({"GET": self._health}, _refuse_nobody),
+            "/v1/status": _Resource({"GET": self._status}, operator),
+            "/v1/events": _Resource({"GET": self._events}, operator),
+            "/v1/publications": _Resource({"POST": self._publish}, operator),
+            "/v1/moves": _Resource({"POST": self._move}, operator),
+            "/metrics": _Resource({"GET": self._metrics}, operator),
         }
+        self._record = _Resource({"GET": self._find_record}, operator)
 
     def __call__(
-        self, environ: dict, start_response: callers.StartResponse
+        self,
+        environ: dict,
+        start_response: Callable[[str, list[tuple[str, str]]], Any],
     ) -> Iterable[bytes]:
         """Answer one request."""
-        result = self._handle(environ)
-        if isinstance(result, errors.Error):
-            status = _STATUS_BY_REASON.get(result.reason, _DEFAULT_STATUS)
-        else:
-            status = 200
-        body = json.dumps(documents.to_plain(result)).encode()
+        request = requests.read(environ)
+        try:
+            result = self._handle(request)
+        except Exception as error:  # A client must get an answer, no stack.
+            logger.error(
+                "admin: %s %s failed: %s",
+                request.method,
+                request.path,
+                type(error).__name__,
+            )
+            logger.debug("admin: stack of the failure", exc_info=error)
+            result = requests.error(errors.Reason.INTERNAL)
+        response = _respond(result)
         headers = [
-            ("Content-Type", _JSON),
-            ("Content-Length", str(len(body))),
+            ("Content-Type", response.content_type),
+            ("Content-Length", str(len(response.body))),
+            *response.headers,
         ]
-        start_response(callers.status_line(status), headers)
-        return [body]
+        start_response(_status_line(response.status), headers)
+        return [response.body]
 
-    def _handle(self, environ: dict) -> Any | errors.Error:
-        key = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
-        handler = self._local_handlers.get(key)
+    def _handle(self, request: requests.Request) -> Any | errors.Error:
+        resource = self._resources.get(request.path)
+        if resource is None and request.path.startswith(RECORDS_PREFIX):
+            resource = self._record
+        if resource is None:
+            return requests.error(errors.Reason.NOT_FOUND, request.path)
+        refusal = resource.guard(request)
+        if refusal is not None:
+            return refusal
+        handler = resource.handlers.get(request.method)
         if handler is None:
-            handler = self._operator_handlers.get(key)
-            if handler is None:
-                return _error(errors.Reason.NOT_FOUND, " ".join(key))
-            if not self._is_authorized(environ):
-                return _error(errors.Reason.UNAUTHORIZED)
-        body = _read_body(environ)
+            allowed = ", ".join(resource.handlers)
+            return requests.error(errors.Reason.METHOD_NOT_ALLOWED, allowed)
+        body = requests.body(request)
         if isinstance(body, errors.Error):
             return body
-        return handler(environ, body)
+        return handler(request, body)
 
-    def _is_authorized(self, environ: dict) -> bool:
+    def _refuse_unauthorized(
+        self, request: requests.Request
+    ) -> errors.AdminError | None:
         token = self._environment.settings.admin_token
-        given = environ.get("HTTP_AUTHORIZATION", "")
-        expected = f"Bearer {token}"
-        return bool(token) and hmac.compare_digest(
-            given.encode("latin-1", "replace"), expected.encode()
-        )
+        if requests.is_authorized(request, token):
+            return None
+        return requests.error(errors.Reason.UNAUTHORIZED)
 
-    def _announce(self, environ: dict, body: str) -> Any | errors.Error:
-        request = settings_lib.parse(body, messages.Announcement, "request")
-        if isinstance(request, errors.Error):
-            return request
-        self._control.tell(request)
+    def _announce(self, request: requests.Request, body: str) -> Any:
+        announcement = announcements.parse(body)
+        if isinstance(announcement, errors.Error):
+            return announcement
+        self._control.tell(announcement)
         return Accepted()
 
-    def _withdraw(self, environ: dict, body: str) -> Any | errors.Error:
+    def _withdraw(self, request: requests.Request, body: str) -> Any:
         self._control.tell(messages.Withdrawal())
         return Accepted()
 
-    def _status(self, environ: dict, body: str) -> Any | errors.Error:
+    def _health(self, request: requests.Request, body: str) -> Any:
+        return views.health(self._environment)
+
+    def _status(self, request: requests.Request, body: str) -> Any:
         return views.status(self._environment)
 
-    def _events(self, environ: dict, body: str) -> Any | errors.Error:
-        query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
-        since = query.get("since", ["0"])[0]
-        if not since.isdigit():
-            return _error(errors.Reason.BAD_REQUEST, "since")
-        return self._environment.events.since(int(since))
-
-    def _publish(self, environ: dict, body: str) -> Any | errors.Error:
-        request = settings_lib.parse(body, views.PublicationRequest, "request")
-        if isinstance(request, errors.Error):
-            return request
-        problems = validation.validate(request.configuration)
+    def _metrics(self, request: requests.Request, body: str) -> _Response:
+        gauges = views.gauges(self._environment)
+        data = self._environment.metrics.render(gauges)
+        return _Response(_OK, metrics_lib.CONTENT_TYPE, data)
+
+    def _events(self, request: requests.Request, body: str) -> Any:
+        since = requests.decimal(requests.query_value(request, "since", "0"))
+        if since < 0:
+            return requests.error(errors.Reason.BAD_REQUEST, "since")
+        return self._environment.events.since(since)
+
+    def _find_record(self, request: requests.Request, body: str) -> Any:
+        record_id = request.path.removeprefix(RECORDS_PREFIX)
+        if not json_documents.is_name(record_id):
+            return requests.error(errors.Reason.BAD_REQUEST, "record id")
+        return self._find(record_id)
+
+    def _find(self, record_id: str) -> record_results.RecordResult:
+        state = self._environment.blackboard.state.value
+        return self._environment.record_results.find(record_id, state)
+
+    def _publish(self, request: requests.Request, body: str) -> Any:
+        wanted = settings_lib.parse(body, views.PublicationRequest, "request")
+        if isinstance(wanted, errors.Error):
+            return wanted
+        if self._is_known(wanted.record_id):
+            return Accepted(wanted.record_id)
+        problems = validation.validate(wanted.configuration)
         if problems:
             return problems[0]
+        current = self._environment.blackboard.state.value.version
+        if wanted.base_version < current:
+            detail = f"based on {wanted.base_version}, current is {current}"
+            return requests.error(errors.Reason.STALE_BASE, detail)
         publication = records.Publication(
-            request.base_version, request.configuration
+            wanted.base_version, wanted.configuration
         )
-        return self._append(request.record_id, publication)
+        return self._append(wanted.record_id, publication)
 
-    def _move(self, environ: dict, body: str) -> Any | errors.Error:
-        request = settings_lib.parse(body, views.MoveSubmission, "request")
-        if isinstance(request, errors.Error):
-            return request
+    def _move(self, request: requests.Request, body: str) -> Any:
+        wanted = settings_lib.parse(body, views.MoveSubmission, "request")
+        if isinstance(wanted, errors.Error):
+            return wanted
+        if self._is_known(wanted.record_id):
+            return Accepted(wanted.record_id)
         move = records.MoveRequest(
-            service=request.service,
-            version=request.version,
-            deadline=request.deadline,
+            service=wanted.service,
+            version=wanted.version,
+            deadline=wanted.deadline,
             started=self._environment.clock.wall(),
-            half=request.half,
-            to_half=request.to_half,
+            half=wanted.half,
+            to_half=wanted.to_half,
         )
         state = self._environment.blackboard.state.value
         problem = validation.validate_move(state, move)
         if problem is not None:
             return problem
-        return self._append(request.record_id, move)
+        return self._append(wanted.record_id, move)
+
+    def _is_known(self, record_id: str) -> bool:
+        """Return True for a repeat of a record that the log has."""
+        result = self._find(record_id)
+        return result.progress is not record_results.Progress.PENDING
 
-    def _append(self, record_id: str, body: records.Body) -> Accepted:
-        payload = records.encode(record_id, "operator", body)
+    def _append(
+        self, record_id: str, body: records.Body
+    ) -> Accepted | errors.AdminError:
+        if self._environment.blackboard.lifecycle.value.draining:
+            return requests.error(errors.Reason.DRAINING)
+        stamp = self._environment.events.hybrid_clock.now()
+        payload = records.encode(
+            record_id, "operator", body, stamp.wall_ms, stamp.counter
+        )
         self._log_actor.tell(messages.Append(record_id, payload))
         return Accepted(record_id)
 
 
-def _error(reason: errors.Reason, detail: str = "") -> errors.AdminError:
-    return errors.AdminError(reason, "admin", detail=detail)
+def _refuse_nobody(request: requests.Request) -> None:
+    return None
+
+
+def _refuse_remote(request: requests.Request) -> errors.AdminError | None:
+    if requests.is_local(request):
+        return None
+    return requests.error(errors.Reason.FORBIDDEN, "loopback only")
+
+
+def _respond(result: Any) -> _Response:
+    if isinstance(result, _Response):
+        return result
+    status = _OK
+    headers: tuple[tuple[str, str], ...] = ()
+    if isinstance(result, errors.Error):
+        status = _STATUS_BY_REASON.get(result.reason, _DEFAULT_STATUS)
+        if result.reason is errors.Reason.METHOD_NOT_ALLOWED:
+            headers = (("Allow", result.detail),)
+        if result.reason is errors.Reason.UNAUTHORIZED:
+            headers = (("WWW-Authenticate", "Bearer"),)
+    if isinstance(result, views.Health) and not result.serving:
+        status = _UNAVAILABLE
+    body = json.dumps(documents.to_plain(result)).encode()
+    return _Response(status, "application/json", body, headers)
 
 
-def _read_body(environ: dict) -> str | errors.AdminError:
-    text = environ.get("CONTENT_LENGTH") or "0"
-    length = int(text) if text.isdigit() else 0
-    if length > MAX_BODY_BYTES:
-        return _error(errors.Reason.BODY_TOO_LARGE)
-    data = environ["wsgi.input"].read(length) if length else b""
-    try:
-        return data.decode("utf-8")
-    except UnicodeDecodeError:
-        return _error(errors.Reason.SYNTAX, "UTF-8 expected")
+def _status_line(status: int) -> str:
+    return f"{status} {http.HTTPStatus(status).phrase}"
--- a/trefoilwind/admin/client.py
+++ b/trefoilwind/admin/client.py
@@ -2,13 +2,16 @@
 
 import json
 from typing import Any
+import urllib.parse
 
 import cattrs
 import urllib3
 
 from trefoilwind import errors
 from trefoilwind import events
+from trefoilwind.admin import api
 from trefoilwind.admin import documents
+from trefoilwind.admin import record_results
 from trefoilwind.admin import views
 
 _STEP = "admin.request"
@@ -19,11 +22,17 @@
 class AdminClient:
     """Typed access to one node."""
 
-    def __init__(self, url: str, token: str):
+    def __init__(self, url: str, token: str, timeout_s: float = _TIMEOUT_S):
         self._url = url.rstrip("/")
         self._headers = {"Authorization": f"Bearer {token}"}
+        self._timeout_s = timeout_s
         self._pool = urllib3.PoolManager(retries=False)
 
+    @property
+    def url(self) -> str:
+        """Base URL of the node's administration API."""
+        return self._url
+
     def status(self) -> views.Status | errors.AdminError:
         """Return the node's status."""
         return self._call("GET", "/v1/status", None, views.Status)
@@ -36,6 +45,13 @@
             "GET", f"/v1/events?since={since}", None, tuple[events.Event, ...]
         )
 
+    def record(
+        self, record_id: str
+    ) -> record_results.RecordResult | errors.AdminError:
+        """Return what became of a record."""
+        path = api.RECORDS_PREFIX + urllib.parse.quote(record_id)
+        return self._call("GET", path, None, record_results.RecordResult)
+
     def publish(
         self, request: views.PublicationRequest
     ) -> None | errors.AdminError:
@@ -62,28 +78,39 @@
                 self._url + path,
                 body=data,
                 headers=self._headers,
-                timeout=_TIMEOUT_S,
+                timeout=self._timeout_s,
+                redirect=False,
             )
-            plain = json.loads(response.data)
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+        except (urllib3.exceptions.HTTPError, ValueError, OSError) as error:
             reason = errors.Reason.PEER_UNREACHABLE
             return self._error(reason, type(error).__name__)
-        if response.status != _OK:
-            return self._refusal(plain)
-        if cls is None:
-            return plain
+        return self.read_answer(response.status, response.data, cls)
+
+    def read_answer(
+        self, status: int, data: bytes, cls: Any
+    ) -> Any | errors.AdminError:
+        """Return the document in an answer, or an error; never raises.
+
+        Args:
+            status: HTTP status.
+            data: Body of the answer.
+            cls: Class of the document; None to leave it unread.
+        """
         try:
-            return documents.from_plain(plain, cls)
-        except (cattrs.BaseValidationError, ValueError):
-            return self._error(errors.Reason.UNDECODABLE, path)
+            plain = json.loads(data)
+            if status != _OK:
+                return self._refusal(plain)
+            return documents.from_plain(plain, cls) if cls else None
+        except (cattrs.BaseValidationError, ValueError, RecursionError):
+            return self._error(errors.Reason.UNDECODABLE, f"status {status}")
 
     def _refusal(self, plain: Any) -> errors.AdminError:
         try:
             reason = errors.Reason(plain["reason"])
             path = plain.get("path", "")
-            detail = " ".join(x for x in (path, plain["detail"]) if x)
-            step = plain["step"]
-        except (KeyError, TypeError, ValueError):
+            detail = " ".join(str(x) for x in (path, plain["detail"]) if x)
+            step = str(plain["step"])
+        except (KeyError, TypeError, ValueError, AttributeError):
             return self._error(errors.Reason.UNDECODABLE, "refusal")
         return errors.AdminError(reason, step, self._url, detail)
 
--- a/trefoilwind/admin/documents.py
+++ b/trefoilwind/admin/documents.py
@@ -8,7 +8,8 @@
 
 
 def _make_converter() -> cattrs.Converter:
-    converter = cattrs_json.make_converter(forbid_extra_keys=True)
+    # Fields that a later node adds to a document are ignored.
+    converter = cattrs_json.make_converter()
     converter.register_unstructure_hook(enum.Enum, lambda member: member.value)
     return converter
 
--- a/trefoilwind/admin/timeline.py
+++ b/trefoilwind/admin/timeline.py
@@ -1,11 +1,24 @@
-"""Merge of the events of many processes."""
+"""Merge of the events of many processes, and its forms as text."""
 
 from collections.abc import Iterable
 import datetime
+import html
+import importlib.resources
+import json
+import pathlib
 
+import cattrs
+
+from trefoilwind import errors
 from trefoilwind import events
+from trefoilwind.admin import documents
 
+_STEP = "timeline.read"
 _MILLISECONDS_PER_SECOND = 1000
+MAX_FILE_BYTES = 256 * 1024 * 1024
+_TEMPLATE = "timeline.html"
+_DATA_MARK = "@DATA@"
+_TITLE_MARK = "@TITLE@"
 
 
 def merge(
@@ -18,13 +31,21 @@
     )
 
 
+def clock_text(event: events.Event) -> str:
+    """Return an event's date and time in UTC, or its milliseconds."""
+    try:
+        at = datetime.datetime.fromtimestamp(
+            event.stamp.wall_ms / _MILLISECONDS_PER_SECOND, datetime.UTC
+        )
+    except (ValueError, OverflowError, OSError):
+        return f"{event.stamp.wall_ms}ms"
+    milliseconds = event.stamp.wall_ms % _MILLISECONDS_PER_SECOND
+    return at.strftime("%H:%M:%S.") + f"{milliseconds:03d}"
+
+
 def line(event: events.Event) -> str:
     """Return one line of text about an event."""
-    at = datetime.datetime.fromtimestamp(
-        event.stamp.wall_ms / _MILLISECONDS_PER_SECOND, datetime.UTC
-    )
-    clock = at.strftime("%H:%M:%S.") + f"{event.stamp.wall_ms % 1000:03d}"
-    parts = [clock, event.process, event.name]
+    parts = [clock_text(event), event.process, event.name]
     if event.subject:
         parts.append(event.subject)
     if event.peer:
@@ -32,3 +53,80 @@
     if event.detail:
         parts.append(f"({event.detail})")
     return " ".join(parts)
+
+
+def json_line(event: events.Event) -> str:
+    """Return one line of JSON about an event."""
+    return json.dumps(documents.to_plain(event))
+
+
+def page(merged: Iterable[events.Event], title: str) -> str:
+    """Return one HTML page with a lane per process.
+
+    The page loads nothing from elsewhere; its script sets texts only, never
+    markup, so that names from events cannot run.
+
+    Args:
+        merged: Events in causal order.
+        title: Title of the page.
+    """
+    rows = [
+        {
+            "at": clock_text(event),
+            "process": event.process,
+            "name": event.name,
+            "subject": event.subject,
+            "peer": event.peer,
+            "detail": event.detail,
+        }
+        for event in merged
+    ]
+    data = json.dumps(rows).replace("<", "\\u003c")
+    package = importlib.resources.files("trefoilwind.admin")
+    template = (package / _TEMPLATE).read_text(encoding="utf-8")
+    head, _, tail = template.partition(_DATA_MARK)
+    return head.replace(_TITLE_MARK, html.escape(title)) + data + tail
+
+
+def read_file(path: str) -> tuple[events.Event, ...] | errors.SettingsError:
+    """Return the events of a file of JSON lines, or an error.
+
+    Args:
+        path: File as written by `json_line`; empty lines are left out.
+    """
+    try:
+        if pathlib.Path(path).stat().st_size > MAX_FILE_BYTES:
+            reason = errors.Reason.BODY_TOO_LARGE
+            return errors.SettingsError(reason, _STEP, path)
+        data = pathlib.Path(path).read_bytes()
+    except (OSError, ValueError) as error:
+        detail = getattr(error, "strerror", None) or type(error).__name__
+        reason = errors.Reason.FILE_MISSING
+        return errors.SettingsError(reason, _STEP, path, detail)
+    return parse_lines(data, path)
+
+
+def parse_lines(
+    data: bytes, source: str
+) -> tuple[events.Event, ...] | errors.SettingsError:
+    """Return the events in JSON lines, or an error; never raises."""
+    found = []
+    for number, text in enumerate(data.splitlines(), start=1):
+        if not text.strip():
+            continue
+        event = _parse_line(text)
+        if event is None:
+            reason = errors.Reason.SYNTAX
+            detail = "line of an event expected"
+            return errors.SettingsError(
+                reason, _STEP, source, detail, line=number
+            )
+        found.append(event)
+    return tuple(found)
+
+
+def _parse_line(text: bytes) -> events.Event | None:
+    try:
+        return documents.from_plain(json.loads(text), events.Event)
+    except (cattrs.BaseValidationError, ValueError, RecursionError):
+        return None
--- a/trefoilwind/admin/views.py
+++ b/trefoilwind/admin/views.py
@@ -1,14 +1,86 @@
 """Documents of the administration API, as frozen data classes."""
 
+import collections
 import dataclasses
 
 from trefoilwind import environment as environment_lib
+from trefoilwind import events
+from trefoilwind import settings as settings_lib
+from trefoilwind.admin import metrics as metrics_lib
 from trefoilwind.model import configuration as configuration_lib
 from trefoilwind.model import members as members_lib
 from trefoilwind.model import moves as moves_lib
+from trefoilwind.model import state as state_lib
+from trefoilwind.rollout import shares
 from trefoilwind.routing import table
 
 
+@dataclasses.dataclass(frozen=True)
+class ClassSummary:
+    """How one class did on one half's backend servers in the last minute.
+
+    Attributes:
+        class_name: Name of the class.
+        half: Owner of the backend servers; empty if no rule names one.
+        calls: Attempts from this node that were not shed.
+        failed: Those that failed.
+        in_time: Those that succeeded within the latency target.
+        success_target: Share of calls that must succeed in time.
+    """
+
+    class_name: str
+    half: str
+    calls: int
+    failed: int
+    in_time: int
+    success_target: float
+
+    @property
+    def is_on_target(self) -> bool:
+        """True if the target is met or nothing was called."""
+        return self.in_time >= self.success_target * self.calls
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionSummary:
+    """What this node saw of one version on one route of a move.
+
+    Attributes:
+        path_prefix: Prefix of the route.
+        version: The version.
+        calls: Attempts from this node that were not shed.
+        failed: Those that failed.
+        in_time: Those that succeeded within the latency target.
+    """
+
+    path_prefix: str
+    version: str
+    calls: int
+    failed: int
+    in_time: int
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveProgress:
+    """Where a move is, as this node knows it.
+
+    Attributes:
+        move_id: Id of the move.
+        braked: True if its version gets no new call from this node.
+        brake_peer: Node that saw the fault; empty if not braked.
+        brake_detail: The fault; empty if not braked.
+        routes: Share of each route.
+        versions: What this node saw.
+    """
+
+    move_id: str
+    braked: bool
+    brake_peer: str
+    brake_detail: str
+    routes: tuple[shares.RouteShare, ...]
+    versions: tuple[VersionSummary, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class Status:
     """What a node knows.
@@ -22,6 +94,8 @@
         members: Live members.
         routes: Routes in force here.
         moves: Open and recently ended moves.
+        classes: Classes by half, as this node called them.
+        progress: Where the moves are.
     """
 
     node_id: str
@@ -32,6 +106,25 @@
     members: tuple[members_lib.Member, ...]
     routes: tuple[table.Entry, ...]
     moves: tuple[moves_lib.MoveStatus, ...]
+    classes: tuple[ClassSummary, ...] = ()
+    progress: tuple[MoveProgress, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Health:
+    """Whether a node serves.
+
+    Attributes:
+        node_id: Id of the node.
+        serving: True if it has a configuration and is not draining.
+        draining: True if it takes no new work.
+        version: Configuration version in force here; -1 if none.
+    """
+
+    node_id: str
+    serving: bool
+    draining: bool
+    version: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,9 +137,13 @@
         configuration: The whole new configuration.
     """
 
-    record_id: str
-    base_version: int
-    configuration: configuration_lib.Configuration
+    record_id: str = settings_lib.setting(
+        "Unique id of the record.", limits=settings_lib.NAME
+    )
+    base_version: int = settings_lib.setting("Version that was changed.")
+    configuration: configuration_lib.Configuration = settings_lib.setting(
+        "The whole new configuration."
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,10 +159,16 @@
         to_half: Half whose backend servers take over; empty for any.
     """
 
-    record_id: str
-    service: str
-    version: str
-    deadline: float
+    record_id: str = settings_lib.setting(
+        "Unique id of the record.", limits=settings_lib.NAME
+    )
+    service: str = settings_lib.setting(
+        "Service whose traffic moves.", limits=settings_lib.NAME
+    )
+    version: str = settings_lib.setting(
+        "Version that takes over.", limits=settings_lib.NAME
+    )
+    deadline: float = settings_lib.setting("Wall time of the deadline.", "s")
     half: str = ""
     to_half: str = ""
 
@@ -83,4 +186,107 @@
         members=board.members.value.members,
         routes=board.routes.value.entries,
         moves=state.moves,
+        classes=_classes(environment),
+        progress=tuple(
+            _progress(environment, found.move.move_id) for found in state.moves
+        ),
+    )
+
+
+def health(environment: environment_lib.Environment) -> Health:
+    """Return whether a node serves."""
+    version = environment.blackboard.state.value.version
+    draining = environment.blackboard.lifecycle.value.draining
+    has_version = version != state_lib.NO_VERSION
+    return Health(
+        environment.node_id, has_version and not draining, draining, version
+    )
+
+
+def gauges(environment: environment_lib.Environment) -> metrics_lib.Gauges:
+    """Return the values that metrics read from the blackboard."""
+    board = environment.blackboard
+    state = board.state.value
+    return metrics_lib.Gauges(
+        configuration_version=state.version,
+        next_offset=state.next_offset,
+        members=len(board.members.value.members),
+        open_moves=sum(1 for found in state.moves if found.is_open),
+        draining=board.lifecycle.value.draining,
+    )
+
+
+def _classes(
+    environment: environment_lib.Environment,
+) -> tuple[ClassSummary, ...]:
+    configuration = environment.blackboard.state.value.configuration
+    by_node = environment.blackboard.members.value.by_node
+    totals: dict[tuple[str, str], metrics_lib.Tally] = collections.defaultdict(
+        metrics_lib.Tally
+    )
+    recent = environment.metrics.recent_attempts()
+    for (class_name, node_id), tally in recent.items():
+        member = by_node.get(node_id)
+        half = member.half(configuration) if member else ""
+        key = (class_name, half)
+        totals[key] = totals[key].plus(tally)
+    summaries = []
+    for target in configuration.classes:
+        for half in (*configuration.halves, ""):
+            tally = totals.get((target.name, half))
+            if tally is not None or half:
+                summaries.append(_class_summary(target, half, tally))
+    return tuple(summaries)
+
+
+def _class_summary(
+    target: configuration_lib.ClassTarget,
+    half: str,
+    tally: metrics_lib.Tally | None,
+) -> ClassSummary:
+    counts = tally or metrics_lib.Tally()
+    return ClassSummary(
+        class_name=target.name,
+        half=half,
+        calls=counts.calls,
+        failed=counts.failed,
+        in_time=counts.in_time,
+        success_target=target.success_target,
+    )
+
+
+def _progress(
+    environment: environment_lib.Environment, move_id: str
+) -> MoveProgress:
+    table_of_shares = environment.blackboard.shares.value
+    brake = _brake_event(environment, move_id)
+    attempts = environment.metrics.move_attempts(move_id)
+    return MoveProgress(
+        move_id=move_id,
+        braked=move_id in table_of_shares.braked,
+        brake_peer=brake.peer if brake else "",
+        brake_detail=brake.detail if brake else "",
+        routes=tuple(
+            entry
+            for entry in table_of_shares.entries
+            if entry.move_id == move_id
+        ),
+        versions=tuple(
+            VersionSummary(prefix, version, t.calls, t.failed, t.in_time)
+            for (prefix, version), t in sorted(attempts.items())
+        ),
+    )
+
+
+def _brake_event(
+    environment: environment_lib.Environment, move_id: str
+) -> events.Event | None:
+    name = events.MOVE_BRAKED.name
+    return next(
+        (
+            event
+            for event in environment.events.since(0)
+            if event.name == name and event.subject == move_id
+        ),
+        None,
     )
--- a/trefoilwind/cmd/admin.py
+++ b/trefoilwind/cmd/admin.py
@@ -2,85 +2,151 @@
 
 import dataclasses
 import json
+import math
 import os
 import sys
 import time
+from typing import Annotated
+from typing import Any
 import uuid
 
 import cyclopts
 
+from trefoilwind import clock as clock_lib
 from trefoilwind import errors
-from trefoilwind import settings as settings_lib
+from trefoilwind import json_documents
 from trefoilwind.admin import client as client_lib
 from trefoilwind.admin import documents
+from trefoilwind.admin import operations
+from trefoilwind.admin import record_results
+from trefoilwind.admin import report
 from trefoilwind.admin import views
 from trefoilwind.cmd import common
-from trefoilwind.log import validation
-from trefoilwind.model import configuration as configuration_lib
 from trefoilwind.model import moves
-from trefoilwind.model import state as state_lib
 
 app = cyclopts.App(help="Publish configuration and moves, read outcomes.")
 
-_POLL_S = 0.2
 _DEFAULT_WAIT_S = 10.0
+_AFTER_DEADLINE_S = 10.0
+_MAX_WAIT_S = 7 * 86400.0
 TOKEN_VARIABLE = "TREFOILWIND_TOKEN"
 
+_Nodes = Annotated[list[str], cyclopts.Parameter(name="--node")]
+_Json = Annotated[bool, cyclopts.Parameter(name="--json", negative="")]
+
 
 def _client(node: str) -> client_lib.AdminClient:
+    common.check_url("--node", node)
     return client_lib.AdminClient(node, os.environ.get(TOKEN_VARIABLE, ""))
 
 
-def _status(client: client_lib.AdminClient) -> views.Status:
-    result = client.status()
+def _answer(result: Any) -> Any:
+    """Return a node's answer, or exit if it is an error."""
+    if isinstance(result, errors.SettingsError):
+        common.fail(result)
     if isinstance(result, errors.Error):
         common.fail(result, common.EXIT_FAILED)
     return result
 
 
-def _load_configuration(path: str) -> configuration_lib.Configuration:
-    configuration = common.unwrap(
-        settings_lib.load(path, configuration_lib.Configuration)
-    )
-    problems = validation.validate(configuration)
-    if problems:
-        common.fail(dataclasses.replace(problems[0], peer=path))
-    return configuration
+def _wait(seconds: float) -> operations.Wait:
+    clock = clock_lib.SystemClock()
+    return operations.Wait(clock, time.sleep, clock.monotonic() + seconds)
+
+
+def _check_seconds(name: str, seconds: float) -> None:
+    if not (math.isfinite(seconds) and 0 < seconds <= _MAX_WAIT_S):
+        common.fail(f"{name}: above 0 to {_MAX_WAIT_S:g} expected ({seconds})")
+
+
+def _record_id(given: str, kind: str) -> str:
+    if not given:
+        return f"{kind}/{uuid.uuid4()}"
+    if not json_documents.is_name(given):
+        common.fail(f"--record-id: a name without spaces expected ({given})")
+    return given
+
+
+def _print_json(value: Any) -> None:
+    print(json.dumps(documents.to_plain(value), indent=2))
+
+
+@app.command
+def check(configuration_file: str, *, as_json: _Json = False) -> None:
+    """Check a configuration without a node.
+
+    Args:
+        configuration_file: File of the configuration, JSON with comments.
+        as_json: Print the configuration with all defaults.
+    """
+    configuration = common.load_configuration(configuration_file)
+    if as_json:
+        _print_json(configuration)
+    else:
+        print(f"{configuration_file}: correct")
+
+
+@dataclasses.dataclass(frozen=True)
+class Published:
+    """Result of a publication.
+
+    Attributes:
+        record: Result of its record.
+        nodes: Nodes on which it is in force.
+    """
+
+    record: record_results.RecordResult
+    nodes: tuple[str, ...]
 
 
 @app.command
 def publish(
     configuration_file: str,
     *,
-    node: str,
+    node: _Nodes,
     base: int | None = None,
     wait_s: float = _DEFAULT_WAIT_S,
+    record_id: str = "",
+    as_json: _Json = False,
 ) -> None:
-    """Publish a configuration and wait until the node applied it.
+    """Publish a configuration and wait until it is in force.
 
     Args:
         configuration_file: File of the configuration, JSON with comments.
-        node: URL of a node's administration API.
+        node: URL of a node's administration API; the first one publishes, and
+            the version must come in force on all that are given.
         base: Version that was changed; the node's current one if not given.
         wait_s: Longest time to wait, in seconds.
+        record_id: Id of an earlier try whose result is not known.
+        as_json: Print the result as JSON.
     """
-    configuration = _load_configuration(configuration_file)
-    client = _client(node)
-    base_version = _status(client).version if base is None else base
+    configuration = common.load_configuration(configuration_file)
+    _check_seconds("--wait-s", wait_s)
+    clients = [_client(url) for url in node]
+    if not clients:
+        common.fail("--node: at least one expected")
+    first = clients[0]
+    base_version = base
+    if base_version is None:
+        base_version = _answer(first.status()).version
     request = views.PublicationRequest(
-        f"publication/{uuid.uuid4()}", base_version, configuration
+        _record_id(record_id, "publication"), base_version, configuration
     )
-    error = client.publish(request)
-    if error is not None:
-        common.fail(error, common.EXIT_FAILED)
-    deadline = time.monotonic() + wait_s
-    while time.monotonic() < deadline:
-        version = _status(client).version
-        if version > base_version:
-            print(f"version {version} is in force at {node}")
-            return
-        time.sleep(_POLL_S)
-    common.fail("the publication was not accepted", common.EXIT_FAILED)
+    wait = _wait(wait_s)
+    _answer(operations.submit(lambda: first.publish(request), time.sleep))
+    result = _answer(operations.wait_for_record(first, request.record_id, wait))
+    _answer(operations.rejection(result, first.url))
+    if result.offset < 0:
+        line = f"{request.record_id} is in the log; see status"
+        _print_json(Published(result, ())) if as_json else print(line)
+        return
+    problems = operations.wait_in_force(clients, result.offset, wait)
+    if problems:
+        common.fail(problems[0], common.EXIT_FAILED)
+    if as_json:
+        _print_json(Published(result, tuple(c.url for c in clients)))
+        return
+    print(f"version {result.offset} is in force at {', '.join(node)}")
 
 
 @app.command
@@ -93,6 +159,8 @@
     half: str = "",
     to_half: str = "",
     wait: bool = False,
+    record_id: str = "",
+    as_json: _Json = False,
 ) -> None:
     """Ask for a move of a service's traffic to a version.
 
@@ -104,85 +172,133 @@
         half: Move only this half's traffic.
         to_half: Move to this half's backend servers.
         wait: Wait for the outcome; exit with 1 if it is "undone".
+        record_id: Id of an earlier try whose result is not known.
+        as_json: Print the result as JSON.
     """
+    _check_seconds("--deadline-s", deadline_s)
     client = _client(node)
-    move_id = f"move/{uuid.uuid4()}"
-    deadline = time.time() + deadline_s
     request = views.MoveSubmission(
-        move_id, service, version, deadline, half, to_half
+        _record_id(record_id, "move"),
+        service,
+        version,
+        time.time() + deadline_s,
+        half,
+        to_half,
     )
-    error = client.move(request)
-    if error is not None:
-        common.fail(error, common.EXIT_FAILED)
-    print(f"{move_id} is asked for")
+    _answer(operations.submit(lambda: client.move(request), time.sleep))
+    result = _answer(
+        operations.wait_for_record(
+            client, request.record_id, _wait(_DEFAULT_WAIT_S)
+        )
+    )
+    _answer(operations.rejection(result, client.url))
     if wait:
-        _wait_for_outcome(client, move_id, deadline)
+        _follow(client, request.record_id, deadline_s, as_json, False)
+    elif as_json:
+        _print_json(result)
+    else:
+        print(f"{request.record_id} is accepted")
 
 
-def _wait_for_outcome(
-    client: client_lib.AdminClient, move_id: str, deadline: float
+@app.command
+def watch(
+    move_id: str,
+    *,
+    node: str,
+    wait_s: float = 3600.0,
+    as_json: _Json = False,
 ) -> None:
-    while time.time() < deadline + _DEFAULT_WAIT_S:
-        for status in _status(client).moves:
-            if status.move.move_id == move_id and status.outcome:
-                print(describe_move(status))
-                done = status.outcome.result is moves.Result.DONE
-                sys.exit(common.EXIT_DONE if done else common.EXIT_FAILED)
-        time.sleep(_POLL_S)
-    common.fail(f"{move_id} has no outcome yet", common.EXIT_FAILED)
-
-
-def describe_move(status: moves.MoveStatus) -> str:
-    """Return one line about a move."""
-    found = status.move
-    head = f"{found.move_id} {found.service} {found.version}"
-    if status.outcome is None:
-        return f"{head}: open"
-    outcome = status.outcome
-    parts = [f"{head}: {outcome.result.value} ({outcome.reason}"]
-    if outcome.step:
-        parts.append(f"on {outcome.step}")
-    if outcome.peer:
-        parts.append(f"at {outcome.peer}")
-    return " ".join(parts) + ")"
+    """Show a move's progress until it ended; exit with 1 if undone.
+
+    Args:
+        move_id: Id of the move.
+        node: URL of a node's administration API.
+        wait_s: Longest time to watch, in seconds.
+        as_json: Print each change as one line of JSON.
+    """
+    _check_seconds("--wait-s", wait_s)
+    client = _client(node)
+    _answer(operations.look(client, move_id))
+    _follow(client, move_id, wait_s, as_json, True)
+
+
+def _follow(
+    client: client_lib.AdminClient,
+    move_id: str,
+    wait_s: float,
+    as_json: bool,
+    shows_progress: bool,
+) -> None:
+    def show(sight: operations.Sight) -> None:
+        if as_json:
+            print(json.dumps(documents.to_plain(sight)), flush=True)
+            return
+        if sight.status.is_open and not shows_progress:
+            return
+        print(report.move_line(sight.status), flush=True)
+        if shows_progress:
+            for line in report.progress_lines(sight):
+                print(f"  {line}", flush=True)
+
+    wait = _wait(wait_s + _AFTER_DEADLINE_S)
+    sight = _answer(operations.follow(client, move_id, wait, show))
+    if sight.status.outcome.result is not moves.Result.DONE:
+        sys.exit(common.EXIT_FAILED)
 
 
 @app.command
-def status(*, node: str, as_json: bool = False) -> None:
-    """Show what a node knows.
+def status(*, node: _Nodes, as_json: _Json = False) -> None:
+    """Show what nodes know: versions, classes by half, moves.
 
     Args:
-        node: URL of a node's administration API.
-        as_json: Print the whole document.
+        node: URL of a node's administration API; may be given several times.
+        as_json: Print one document per node.
     """
-    found = _status(_client(node))
+    clients = [_client(url) for url in node]
+    if not clients:
+        common.fail("--node: at least one expected")
+    answers = [client.status() for client in clients]
+    statuses = [a for a in answers if not isinstance(a, errors.Error)]
     if as_json:
-        print(json.dumps(documents.to_plain(found), indent=2))
+        _print_json(statuses)
+    else:
+        _print_statuses(statuses)
+    for answer in answers:
+        _answer(answer)
+
+
+def _print_statuses(statuses: list[views.Status]) -> None:
+    if not statuses:
         return
-    version = "none" if found.version == state_lib.NO_VERSION else found.version
-    print(f"{found.node_id} in {found.data_centre}: version {version}")
-    for member in found.members:
-        leaving = " leaving" if member.leaving else ""
-        print(
-            f"  member {member.node_id} {member.data_centre} "
-            f"{member.service or '-'} {member.version or '-'}{leaving}"
-        )
-    for entry in found.routes:
-        splits = ", ".join(f"{s.version} {s.share:.0%}" for s in entry.splits)
-        print(f"  route {entry.service}{entry.path_prefix}: {splits or '-'}")
-    for move_status in found.moves:
-        print(f"  {describe_move(move_status)}")
+    print(report.everywhere(statuses))
+    for found in statuses:
+        for line in report.node_lines(found):
+            print(line)
+    if len(statuses) > 1:
+        print("all nodes asked:")
+        for summary in report.total_classes(statuses):
+            print(f"  {report.class_line(summary)}")
+    newest = max(statuses, key=lambda found: found.next_offset)
+    for sight in operations.sights(newest):
+        print(report.move_line(sight.status))
+        for line in report.progress_lines(sight):
+            print(f"  {line}")
 
 
 @app.command(name="moves")
-def list_moves(*, node: str) -> None:
+def list_moves(*, node: str, as_json: _Json = False) -> None:
     """Show open and recently ended moves.
 
     Args:
         node: URL of a node's administration API.
+        as_json: Print them as JSON.
     """
-    for found in _status(_client(node)).moves:
-        print(describe_move(found))
+    found = _answer(_client(node).status())
+    if as_json:
+        _print_json(operations.sights(found))
+        return
+    for move_status in found.moves:
+        print(report.move_line(move_status))
 
 
 def main() -> None:
--- a/trefoilwind/cmd/check.py
+++ b/trefoilwind/cmd/check.py
@@ -1,14 +1,9 @@
 """Program `trefoilwind-check`: checks files without a node."""
 
-import dataclasses
-import sys
-
 import cyclopts
 
 from trefoilwind import settings as settings_lib
 from trefoilwind.cmd import common
-from trefoilwind.log import validation
-from trefoilwind.model import configuration as configuration_lib
 
 app = cyclopts.App(help="Check settings and configuration offline.")
 
@@ -31,14 +26,7 @@
     Args:
         file: File of the configuration, JSON with comments.
     """
-    loaded = common.unwrap(
-        settings_lib.load(file, configuration_lib.Configuration)
-    )
-    problems = validation.validate(loaded)
-    for problem in problems:
-        print(dataclasses.replace(problem, peer=file), file=sys.stderr)
-    if problems:
-        sys.exit(common.EXIT_USAGE)
+    common.load_configuration(file)
     print(f"{file}: correct")
 
 
--- a/trefoilwind/cmd/common.py
+++ b/trefoilwind/cmd/common.py
@@ -1,6 +1,11 @@
 """What all programs share: exit codes, errors, logs, signals."""
 
+import dataclasses
+import datetime
+import io
+import json
 import logging
+import os
 import signal
 import sys
 import threading
@@ -9,20 +14,32 @@
 import cyclopts
 
 from trefoilwind import errors
+from trefoilwind import json_documents
+from trefoilwind import settings as settings_lib
+from trefoilwind.log import validation
+from trefoilwind.model import addresses
+from trefoilwind.model import configuration as configuration_lib
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
-_LOG_FORMAT = "%(asctime)s %(levelname)s %(message)s"
+_PACKAGE = "trefoilwind"
+_TEXT_FORMAT = "%(asctime)s %(levelname)s %(message)s"
 
 
 def fail(error: object, code: int = EXIT_USAGE) -> NoReturn:
     """Print one line to standard error and exit."""
-    print(f"{program_name()}: {error}", file=sys.stderr)
+    print(f"{program_name()}: {one_line(error)}", file=sys.stderr)
     sys.exit(code)
 
 
+def one_line(value: object) -> str:
+    """Return a text without line breaks and control characters."""
+    text = " ".join(str(value).split())
+    return "".join(c if c.isprintable() else ascii(c)[1:-1] for c in text)
+
+
 def program_name() -> str:
     """Return the name under which the program was started."""
     return sys.argv[0].rpartition("/")[2]
@@ -35,23 +52,102 @@
     return result
 
 
+def load_configuration(path: str) -> configuration_lib.Configuration:
+    """Return a file's configuration, or exit with its first problem."""
+    loaded = unwrap(settings_lib.load(path, configuration_lib.Configuration))
+    problems = validation.validate(loaded)
+    if problems:
+        first = dataclasses.replace(problems[0], peer=path)
+        fail(settings_lib.with_line(first))
+    return loaded
+
+
+def check_url(name: str, url: str) -> None:
+    """Exit with a usage error unless a text is the URL of an HTTP service.
+
+    Args:
+        name: Name of the option.
+        url: The text.
+    """
+    if not json_documents.is_http_url(url):
+        fail(f"{name}: URL such as http://127.0.0.1:7103 expected ({url})")
+
+
+def check_address(host: str, port: int) -> None:
+    """Exit with a usage error unless a server could listen there."""
+    if addresses.ip_number(host) is None:
+        fail(f"--host: IP number expected ({host})")
+    if not 0 <= port <= addresses.MAX_PORT:
+        fail(f"--port: 0 to {addresses.MAX_PORT} expected ({port})")
+
+
 def run(app: cyclopts.App) -> None:
     """Run an application; wrong arguments exit with the usage code."""
+    if isinstance(sys.stdout, io.TextIOWrapper):
+        # Names come from files, nodes and arguments; all must be printable.
+        sys.stdout.reconfigure(errors="backslashreplace")
     try:
-        app(exit_on_error=False, print_error=False)
+        app(sys.argv[1:], exit_on_error=False, print_error=False)
+        sys.stdout.flush()
     except cyclopts.CycloptsError as error:
-        fail(" ".join(str(error).split()))
+        fail(error)
+    except BrokenPipeError:
+        # The reader of the output went away; nothing is left to flush to.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(EXIT_FAILED)
+    except KeyboardInterrupt:
+        fail("interrupted", EXIT_FAILED)
+
+
+class _TextFormatter(logging.Formatter):
+    """Lines of text; other packages' lines get their name as prefix."""
+
+    def __init__(self) -> None:
+        super().__init__(_TEXT_FORMAT)
+
+    def formatMessage(self, record: logging.LogRecord) -> str:  # noqa: N802
+        """Return the line of a record."""
+        record.message = ": ".join(_part_and_sentence(record))
+        return super().formatMessage(record)
+
+
+class _JsonFormatter(logging.Formatter):
+    """Lines of JSON with the keys time, level, part and message."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record."""
+        at = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
+        part, sentence = _part_and_sentence(record)
+        line = {
+            "time": at.isoformat(timespec="milliseconds"),
+            "level": record.levelname,
+            "part": part,
+            "message": sentence,
+        }
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line)
+
+
+def _part_and_sentence(record: logging.LogRecord) -> tuple[str, str]:
+    message = record.getMessage()
+    part, separator, sentence = message.partition(": ")
+    if separator and record.name.partition(".")[0] == _PACKAGE:
+        return part, sentence
+    return record.name, message
 
 
-def set_up_logging(level: str) -> None:
-    """Log to standard error.
+def set_up_logging(level: str, log_format: str = "text") -> None:
+    """Log to standard error; a second call changes what the first set.
 
     Args:
-        level: Name of the smallest level; a wrong name exits.
+        level: Name of the smallest level.
+        log_format: "text" or "json".
     """
-    if level not in logging.getLevelNamesMapping():
-        fail(f"log_level: {errors.Reason.OUT_OF_RANGE.value} ({level})")
-    logging.basicConfig(level=level, format=_LOG_FORMAT)
+    handler = logging.StreamHandler()
+    is_json = log_format == "json"
+    handler.setFormatter(_JsonFormatter() if is_json else _TextFormatter())
+    logging.basicConfig(level=level, handlers=[handler], force=True)
 
 
 def wait_for_stop() -> None:
--- a/trefoilwind/cmd/demo.py
+++ b/trefoilwind/cmd/demo.py
@@ -7,9 +7,9 @@
 import cyclopts
 
 from trefoilwind.admin import client as client_lib
+from trefoilwind.admin import report
 from trefoilwind.admin import timeline
 from trefoilwind.admin import views
-from trefoilwind.cmd import admin
 from trefoilwind.cmd import common
 from trefoilwind.model import configuration as configuration_lib
 from trefoilwind.model import moves
@@ -154,7 +154,7 @@
     if show_timeline:
         _print_timeline(system)
     for status in statuses:
-        print(admin.describe_move(status))
+        print(report.move_line(status))
     lost = sum(user.lost for user in users)
     print(f"calls: {sum(u.answered for u in users)} answered, {lost} lost")
     return not lost and all(
--- a/trefoilwind/cmd/node.py
+++ b/trefoilwind/cmd/node.py
@@ -25,12 +25,12 @@
     settings = common.unwrap(
         settings_lib.load(settings_file, settings_lib.NodeSettings)
     )
-    common.set_up_logging(settings.log_level)
+    common.set_up_logging(settings.log_level, settings.log_format)
     log = http_client.HttpLog(settings.log.url, settings.log.timeout_s)
     node = process.Node(settings, log)
     bound = node.start()
     if isinstance(bound, errors.Error):
-        common.fail(f"{settings_file}: {bound}")
+        common.fail(_with_key(bound, settings, settings_file))
     print(
         f"{settings.node_id}: callers {bound.caller}, peers {bound.peer}, "
         f"administration {bound.admin}",
@@ -42,6 +42,23 @@
     node.stop()
 
 
+def _with_key(
+    error: errors.Error, settings: settings_lib.NodeSettings, path: str
+) -> errors.SettingsError:
+    """Return the error with the key of the address that it is about."""
+    keys = ("caller_address", "peer_address", "admin_address")
+    matching = [k for k in keys if str(getattr(settings, k)) == error.peer]
+    return settings_lib.with_line(
+        errors.SettingsError(
+            error.reason,
+            error.step,
+            path,
+            f"{error.peer} {error.detail}".strip(),
+            path=matching[0] if matching else "",
+        )
+    )
+
+
 def main() -> None:
     """Run the program."""
     common.run(app)
--- a/trefoilwind/cmd/standin_backend.py
+++ b/trefoilwind/cmd/standin_backend.py
@@ -7,6 +7,9 @@
 
 app = cyclopts.App(help="Stand-in of a backend server.")
 
+_HOST = "127.0.0.1"
+_MAX_DELAY_S = 3600.0
+
 
 @app.default
 def run(
@@ -30,11 +33,15 @@
         fail_every: Every n-th call answers with status 500; 0 for none.
         delay_s: Time in seconds that each call takes.
     """
+    common.check_url("--admin", admin)
+    common.check_address(_HOST, port)
+    if slots < 1 or fail_every < 0 or not 0 <= delay_s <= _MAX_DELAY_S:
+        common.fail("--slots, --fail-every or --delay-s: out-of-range")
     faults = backend.BackendFaults(fail_every, delay_s)
     try:
         server = backend.BackendServer(service, version, faults, port=port)
     except OSError as error:
-        common.fail(f"port {port}: {error}")
+        common.fail(f"{_HOST}:{port}: address-in-use ({error.strerror})")
     server.start()
     server.announce_until_stopped(admin, slots)
     print(f"{service} {version} on port {server.port}", flush=True)
--- a/trefoilwind/cmd/standin_caller.py
+++ b/trefoilwind/cmd/standin_caller.py
@@ -30,6 +30,8 @@
     """
     if not entry:
         common.fail("no entry given")
+    for url in entry:
+        common.check_url("entry", url)
     if not 0 < seconds <= _MAX_SECONDS:
         common.fail(f"--seconds: not in 0 to {_MAX_SECONDS}")
     user = caller.Caller(entry, (caller.Call(method, path),))
--- a/trefoilwind/cmd/standin_log.py
+++ b/trefoilwind/cmd/standin_log.py
@@ -20,6 +20,7 @@
         host: IP number to listen on.
         port: Port to listen on; 0 lets the system choose.
     """
+    common.check_address(host, port)
     server = wsgi.Server(
         (host, port),
         log_server.LogApplication(log_service.MemoryLog()),
@@ -28,7 +29,7 @@
     try:
         server.prepare()
     except OSError as error:
-        common.fail(f"{host}:{port}: {error}")
+        common.fail(f"{host}:{port}: address-in-use ({error.strerror})")
     threading.Thread(target=server.serve, daemon=True).start()
     print(f"log http://{host}:{server.bind_addr[1]}", flush=True)
     common.wait_for_stop()
--- a/trefoilwind/distribution/spreader.py
+++ b/trefoilwind/distribution/spreader.py
@@ -121,6 +121,9 @@
         folded = fold.fold(state, entry.offset, entry.payload)
         self._recent.append(entry)
         self._recent_from = self._recent[0].offset
+        self._environment.record_results.note(
+            entry.payload, entry.offset, folded
+        )
         self._report(folded, entry.offset)
         return folded.state
 
--- a/trefoilwind/distribution/transport.py
+++ b/trefoilwind/distribution/transport.py
@@ -95,6 +95,7 @@
             return
         stamp = self._environment.events.hybrid_clock.now()
         payload = codec.encode(envelope.message)
+        self._environment.metrics.control_sent(len(payload))
         stream.send(frames.Control(stamp.wall_ms, stamp.counter, payload))
 
     def find(self, peer: str) -> stream_lib.PeerStream | None:
@@ -231,6 +232,7 @@
     def _take_control(
         self, stream: stream_lib.PeerStream, frame: frames.Control
     ) -> None:
+        self._environment.metrics.control_received(len(frame.payload))
         message = codec.decode(frame.payload, "stream.control", stream.peer)
         if isinstance(message, errors.Error):
             logger.warning("stream: %s", message)
--- a/trefoilwind/environment.py
+++ b/trefoilwind/environment.py
@@ -7,6 +7,8 @@
 from trefoilwind import clock as clock_lib
 from trefoilwind import events as events_lib
 from trefoilwind import settings as settings_lib
+from trefoilwind.admin import metrics as metrics_lib
+from trefoilwind.admin import record_results as record_results_lib
 from trefoilwind.model import addresses
 
 
@@ -21,6 +23,8 @@
         blackboard: Snapshots that controllers share.
         events: The process's time line.
         incarnation: Wall milliseconds at the start of the process.
+        metrics: Counts for operators.
+        record_results: What became of records that operators asked for.
         peer_address: Where the node accepts peer streams, once it listens.
     """
 
@@ -30,6 +34,8 @@
     blackboard: blackboard_lib.Blackboard
     events: events_lib.EventLog
     incarnation: int
+    metrics: metrics_lib.Metrics
+    record_results: record_results_lib.RecordResults
     peer_address: addresses.Address = addresses.Address()
 
     @property
@@ -50,12 +56,17 @@
         clock: Source of time.
         seed: Seed of the random numbers; None for one from the system.
     """
+    events = events_lib.EventLog(settings.node_id, clock)
+    metrics = metrics_lib.Metrics(clock)
+    metrics.watch(events)
     return Environment(
         settings=settings,
         clock=clock,
         random=random.Random(seed),
         blackboard=blackboard_lib.Blackboard(),
-        events=events_lib.EventLog(settings.node_id, clock),
+        events=events,
         incarnation=int(clock.wall() * 1000),
+        metrics=metrics,
+        record_results=record_results_lib.RecordResults(events.hybrid_clock),
         peer_address=settings.peer_address,
     )
--- a/trefoilwind/errors.py
+++ b/trefoilwind/errors.py
@@ -56,6 +56,10 @@
     BODY_TOO_LARGE = "body-too-large"
     # Administration.
     UNAUTHORIZED = "unauthorized"
+    FORBIDDEN = "forbidden"
+    METHOD_NOT_ALLOWED = "method-not-allowed"
+    LENGTH_REQUIRED = "length-required"
+    INTERNAL = "internal"
     NOT_FOUND = "not-found"
     BAD_REQUEST = "bad-request"
 
--- a/trefoilwind/events.py
+++ b/trefoilwind/events.py
@@ -13,6 +13,7 @@
 
 _MILLISECONDS_PER_SECOND = 1000
 DEFAULT_CAPACITY_EVENTS = 4096
+MAX_DRIFT_MS = 24 * 3600 * 1000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -129,7 +130,14 @@
             return self._last
 
     def merge(self, remote: Stamp) -> None:
-        """Take in a peer's stamp, so that later local stamps exceed it."""
+        """Take in a peer's stamp, so that later local stamps exceed it.
+
+        A stamp that is more than `MAX_DRIFT_MS` ahead is a fault of the peer
+        and is left out, so that it cannot move the clocks of all nodes.
+        """
+        wall_ms = int(self._clock.wall() * _MILLISECONDS_PER_SECOND)
+        if remote.wall_ms - wall_ms > MAX_DRIFT_MS:
+            return
         with self._lock:
             self._last = max(self._last, remote)
 
--- a/trefoilwind/model/addresses.py
+++ b/trefoilwind/model/addresses.py
@@ -1,6 +1,9 @@
 """Network addresses."""
 
 import dataclasses
+import ipaddress
+
+MAX_PORT = 65535
 
 
 @dataclasses.dataclass(frozen=True, order=True)
@@ -18,3 +21,13 @@
     def __str__(self) -> str:
         """Return "host:port"."""
         return f"{self.host}:{self.port}"
+
+
+def ip_number(
+    text: str,
+) -> ipaddress.IPv4Address | ipaddress.IPv6Address | None:
+    """Return the IP number that a text stands for, or None."""
+    try:
+        return ipaddress.ip_address(text)
+    except ValueError:
+        return None
--- a/trefoilwind/model/records.py
+++ b/trefoilwind/model/records.py
@@ -109,12 +109,16 @@
         writer: Node or operator that appended it.
         kind: Name of the body's class.
         body: Encoded body.
+        wall_ms: Wall part of the writer's hybrid time; 0 if not told.
+        counter: Counter of the writer's hybrid time.
     """
 
     record_id: str
     writer: str
     kind: str
     body: bytes
+    wall_ms: int = 0
+    counter: int = 0
 
 
 def _register_bodies() -> None:
@@ -125,7 +129,23 @@
 _register_bodies()
 
 
-def encode(record_id: str, writer: str, body: Body) -> bytes:
-    """Return the bytes of a record for the log."""
-    record = Record(record_id, writer, type(body).__name__, codec.encode(body))
+def encode(
+    record_id: str,
+    writer: str,
+    body: Body,
+    wall_ms: int = 0,
+    counter: int = 0,
+) -> bytes:
+    """Return the bytes of a record for the log.
+
+    Args:
+        record_id: Unique id made by the writer.
+        writer: Node or operator that appends it.
+        body: What it says.
+        wall_ms: Wall part of the writer's hybrid time.
+        counter: Counter of the writer's hybrid time.
+    """
+    kind = type(body).__name__
+    data = codec.encode(body)
+    record = Record(record_id, writer, kind, data, wall_ms, counter)
     return codec.encode(record)
--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -104,7 +104,10 @@
     def _append_outcome(self, outcome) -> None:
         node_id = self._environment.node_id
         record_id = f"outcome/{outcome.move_id}/{node_id}"
-        payload = records.encode(record_id, node_id, outcome)
+        stamp = self._environment.events.hybrid_clock.now()
+        payload = records.encode(
+            record_id, node_id, outcome, stamp.wall_ms, stamp.counter
+        )
         self._tell_log(messages.Append(record_id, payload))
 
     def _connect_members(self) -> None:
--- a/trefoilwind/node/process.py
+++ b/trefoilwind/node/process.py
@@ -14,6 +14,8 @@
 from trefoilwind import events
 from trefoilwind import settings as settings_lib
 from trefoilwind.admin import api as api_lib
+from trefoilwind.admin import observations
+from trefoilwind.admin import requests
 from trefoilwind.distribution import frames
 from trefoilwind.distribution import transport as transport_lib
 from trefoilwind.log import port
@@ -23,6 +25,7 @@
 from trefoilwind.node import log_actor as log_actor_lib
 from trefoilwind.node import messages
 from trefoilwind.proxy import callers as callers_lib
+from trefoilwind.proxy import calls
 from trefoilwind.proxy import dispatcher as dispatcher_lib
 from trefoilwind.proxy import remote as remote_lib
 from trefoilwind.proxy import target as target_lib
@@ -64,7 +67,7 @@
         self._remote = remote_lib.RemoteCaller(self._transport)
         self._rollout = rollout_lib.RolloutController(self._environment)
         self._dispatcher = dispatcher_lib.Dispatcher(
-            self._environment, self._target, self._remote, self._rollout.observe
+            self._environment, self._target, self._remote, self._observe
         )
         self._servers: list[wsgi.Server] = []
 
@@ -110,6 +113,10 @@
         self._control.stop(block=False)
         self._log_actor.stop(block=False)
 
+    def _observe(self, observation: calls.Observation) -> None:
+        observations.count(self._environment, observation)
+        self._rollout.observe(observation)
+
     def _start_actors(self) -> None:
         self._log_actor = log_actor_lib.LogActor.start(
             self._environment, self._log
@@ -146,6 +153,7 @@
             if isinstance(result, errors.Error):
                 return result
             bound.append(result)
+        self._servers[-1].max_request_body_size = requests.MAX_BODY_BYTES
         return bound[0], bound[1]
 
     def _serve(
--- a/trefoilwind/proxy/dispatcher.py
+++ b/trefoilwind/proxy/dispatcher.py
@@ -149,5 +149,6 @@
         )
 
     def _report(self, error: errors.CallError) -> None:
+        self._environment.metrics.call_refused(error)
         kind = events.CALL_REFUSED if error.not_run else events.CALL_UNKNOWN
         self._environment.events.emit(kind, peer=error.peer, detail=str(error))
--- a/trefoilwind/settings.py
+++ b/trefoilwind/settings.py
@@ -1,33 +1,48 @@
-"""Central typed table of settings with their defaults, and its loader."""
+"""Central typed table of settings with their defaults and limits."""
 
+from collections.abc import Iterator
 import dataclasses
-import pathlib
-import types
 from typing import Any
 from typing import TypeVar
-from typing import get_args
-from typing import get_origin
-from typing import get_type_hints
-
-import pyjson5
 
 from trefoilwind import errors
+from trefoilwind import json_documents
 from trefoilwind.model import addresses
 
 _T = TypeVar("_T")
-_STEP = "settings.load"
-
-
-def setting(doc: str, unit: str = "", default: Any = dataclasses.MISSING):
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
+LOG_FORMATS = ("text", "json")
+
+POSITIVE = json_documents.Limits(minimum=0.0, above_minimum=True)
+ANY = json_documents.Limits()
+NAME = json_documents.Limits(is_name=True)
+URL = json_documents.Limits(is_url=True)
+RATIO = json_documents.Limits(minimum=0.0, maximum=1.0, above_minimum=True)
+
+
+def setting(
+    doc: str,
+    unit: str = "",
+    default: Any = dataclasses.MISSING,
+    limits: json_documents.Limits | None = None,
+    is_secret: bool = False,
+):
     """Return a field of the table.
 
     Args:
         doc: One sentence for the reference page.
         unit: Unit of the value; empty if it has none.
         default: Default; a field without one must be in the file.
+        limits: What the value must meet; a number with a unit must be
+            positive if none are given.
+        is_secret: True if the value must not stand in logs.
     """
+    if limits is None:
+        limits = POSITIVE if unit else ANY
     return dataclasses.field(
-        default=default, metadata={"doc": doc, "unit": unit}
+        default=default,
+        repr=not is_secret,
+        metadata={"doc": doc, "unit": unit, "limits": limits},
     )
 
 
@@ -35,7 +50,7 @@
 class LogSettings:
     """Access to the platform's log."""
 
-    url: str = setting("Base URL of the log service.")
+    url: str = setting("Base URL of the log service.", limits=URL)
     timeout_s: float = setting("Longest wait for an answer.", "s", 2.0)
     readers_per_data_centre: int = setting(
         "Nodes of a data centre that read the log.", "nodes", 2
@@ -58,7 +73,7 @@
 
     lease_s: float = setting("Length of a member's lease.", "s", 12.0)
     refresh_ratio: float = setting(
-        "Part of the lease after which it is refreshed.", "", 0.5
+        "Part of the lease after which it is refreshed.", "", 0.5, RATIO
     )
     announcement_lease_s: float = setting(
         "Time after which a silent backend server counts as gone.", "s", 5.0
@@ -116,9 +131,9 @@
 class NodeSettings:
     """Settings of one node."""
 
-    node_id: str = setting("Unique id of the node.")
-    data_centre: str = setting("Data centre of the node.")
-    region: str = setting("Region of the data centre.")
+    node_id: str = setting("Unique id of the node.", limits=NAME)
+    data_centre: str = setting("Data centre of the node.", limits=NAME)
+    region: str = setting("Region of the data centre.", limits=NAME)
     log: LogSettings = setting("Access to the platform's log.")
     caller_address: addresses.Address = setting(
         "Where callers' HTTP requests are taken.", "", addresses.Address()
@@ -132,7 +147,10 @@
         addresses.Address(),
     )
     admin_token: str = setting(
-        "Bearer token of the administration API; empty disables it.", "", ""
+        "Bearer token of the administration API; empty refuses operators.",
+        "",
+        "",
+        is_secret=True,
     )
     contacts: tuple[addresses.Address, ...] = setting(
         "Peer addresses to try first.", "", ()
@@ -144,7 +162,18 @@
         "Streams between nodes.", "", StreamSettings()
     )
     proxy: ProxySettings = setting("The path of a call.", "", ProxySettings())
-    log_level: str = setting("Smallest level that is logged.", "", "INFO")
+    log_level: str = setting(
+        "Smallest level that is logged.",
+        "",
+        "INFO",
+        json_documents.Limits(choices=LOG_LEVELS),
+    )
+    log_format: str = setting(
+        "Form of the log: lines of text or of JSON.",
+        "",
+        "text",
+        json_documents.Limits(choices=LOG_FORMATS),
+    )
 
 
 def load(path: str, cls: type[_T]) -> _T | errors.SettingsError:
@@ -154,13 +183,7 @@
         path: Path of the file.
         cls: Data class that describes it.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return errors.SettingsError(
-            errors.Reason.FILE_MISSING, _STEP, path, type(error).__name__
-        )
-    return parse(text, cls, path)
+    return json_documents.load(path, cls, _CHECKS)
 
 
 def parse(text: str, cls: type[_T], source: str) -> _T | errors.SettingsError:
@@ -171,107 +194,79 @@
         cls: Data class that describes it.
         source: Name of the file for errors.
     """
-    try:
-        plain = pyjson5.decode(text, maxdepth=64)
-    except (pyjson5.Json5Exception, ValueError) as error:
-        return errors.SettingsError(
-            errors.Reason.SYNTAX,
-            _STEP,
-            source,
-            str(error.args[0]) if error.args else "",
-            line=_line_of(error, text),
-        )
-    value = _structure(plain, cls, "")
-    if isinstance(value, errors.SettingsError):
-        line = _line_of_key(text, value.path)
-        return dataclasses.replace(value, peer=source, line=line)
-    return value
-
-
-def _line_of(error: Exception, text: str) -> int:
-    """Return the line of a syntax error; pyjson5 tells an offset."""
-    digits = [
-        word
-        for word in str(error).replace(",", " ").replace(".", " ").split()
-        if word.isdigit()
-    ]
-    if not digits:
-        return 0
-    return text.count("\n", 0, int(digits[-1])) + 1
-
-
-def _line_of_key(text: str, path: str) -> int:
-    """Return the line of the path's last key if that name stands once."""
-    name = path.rpartition(".")[2].partition("[")[0]
-    lines = [
-        number
-        for number, line in enumerate(text.splitlines(), start=1)
-        if f'"{name}"' in line
-    ]
-    return lines[0] if name and len(lines) == 1 else 0
-
-
-def _error(
-    reason: errors.Reason, path: str, detail: str = ""
-) -> errors.SettingsError:
-    return errors.SettingsError(reason, _STEP, detail=detail, path=path)
-
-
-def _structure(value: Any, expected: Any, path: str) -> Any:
-    if dataclasses.is_dataclass(expected):
-        return _structure_class(value, expected, path)
-    if get_origin(expected) is tuple:
-        return _structure_tuple(value, get_args(expected)[0], path)
-    if isinstance(expected, types.UnionType):
-        return _structure(value, get_args(expected)[0], path)
-    return _structure_scalar(value, expected, path)
-
-
-def _structure_class(value: Any, cls: type, path: str) -> Any:
-    if not isinstance(value, dict):
-        return _error(errors.Reason.WRONG_TYPE, path, "object expected")
-    hints = get_type_hints(cls)
-    fields = {field.name: field for field in dataclasses.fields(cls)}
-    prefix = f"{path}." if path else ""
-    for key in value:
-        if key not in fields:
-            return _error(errors.Reason.UNKNOWN_KEY, f"{prefix}{key}")
-    arguments = {}
-    for name, field in fields.items():
-        if name in value:
-            item = _structure(value[name], hints[name], f"{prefix}{name}")
-            if isinstance(item, errors.SettingsError):
-                return item
-            arguments[name] = item
-        elif _is_required(field):
-            return _error(errors.Reason.MISSING_KEY, f"{prefix}{name}")
-    return cls(**arguments)
-
-
-def _is_required(field: dataclasses.Field) -> bool:
-    return (
-        field.default is dataclasses.MISSING
-        and field.default_factory is dataclasses.MISSING
+    return json_documents.parse(text, cls, source, _CHECKS)
+
+
+def with_line(error: errors.SettingsError) -> errors.SettingsError:
+    """Return the error with the line of its key in its file, if found."""
+    return json_documents.with_line_of_file(error)
+
+
+def _problems_of_address(
+    address: addresses.Address,
+) -> Iterator[tuple[str, str]]:
+    if addresses.ip_number(address.host) is None:
+        yield "host", "IP number expected"
+    if not 0 <= address.port <= addresses.MAX_PORT:
+        yield "port", f"0 to {addresses.MAX_PORT} expected"
+
+
+def _problems_of_node(settings: NodeSettings) -> Iterator[tuple[str, str]]:
+    listening = {
+        "caller_address": settings.caller_address,
+        "peer_address": settings.peer_address,
+        "admin_address": settings.admin_address,
+    }
+    yield from _clashes(listening)
+    if addresses.ip_number(settings.peer_address.host).is_unspecified:
+        yield "peer_address.host", "an address that peers can reach expected"
+    admin_host = addresses.ip_number(settings.admin_address.host)
+    if not admin_host.is_loopback and not settings.admin_token:
+        yield "admin_token", "needed unless admin_address is on loopback"
+    for index, contact in enumerate(settings.contacts):
+        if contact.port == 0:
+            yield f"contacts[{index}].port", "1 or more expected"
+
+
+def _clashes(
+    listening: dict[str, addresses.Address],
+) -> Iterator[tuple[str, str]]:
+    taken: dict[int, list[tuple[str, str]]] = {}
+    for name, address in listening.items():
+        if address.port == 0:
+            continue
+        others = taken.setdefault(address.port, [])
+        for other_name, other_host in others:
+            if _overlap(address.host, other_host):
+                yield f"{name}.port", f"the port of {other_name}"
+        others.append((name, address.host))
+
+
+def _overlap(host: str, other: str) -> bool:
+    return host == other or any(
+        addresses.ip_number(each).is_unspecified for each in (host, other)
     )
 
 
-def _structure_tuple(value: Any, item_type: Any, path: str) -> Any:
-    if not isinstance(value, list):
-        return _error(errors.Reason.WRONG_TYPE, path, "list expected")
-    items = []
-    for index, plain in enumerate(value):
-        item = _structure(plain, item_type, f"{path}[{index}]")
-        if isinstance(item, errors.SettingsError):
-            return item
-        items.append(item)
-    return tuple(items)
-
-
-def _structure_scalar(value: Any, expected: type, path: str) -> Any:
-    if expected is float and type(value) is int:
-        return float(value)
-    if type(value) is not expected:
-        return _error(
-            errors.Reason.WRONG_TYPE, path, f"{expected.__name__} expected"
-        )
-    return value
+def _problems_of_membership(
+    settings: MembershipSettings,
+) -> Iterator[tuple[str, str]]:
+    if settings.refresh_ratio >= 1.0:
+        yield "refresh_ratio", "under 1 expected"
+
+
+def _problems_of_streams(
+    settings: StreamSettings,
+) -> Iterator[tuple[str, str]]:
+    if settings.silence_timeout_s <= settings.heartbeat_interval_s:
+        yield "silence_timeout_s", "longer than heartbeat_interval_s expected"
+    if settings.backoff_cap_s < settings.backoff_base_s:
+        yield "backoff_cap_s", "at least backoff_base_s expected"
+
+
+_CHECKS: json_documents.Checks = {
+    addresses.Address: _problems_of_address,
+    NodeSettings: _problems_of_node,
+    MembershipSettings: _problems_of_membership,
+    StreamSettings: _problems_of_streams,
+}
