--- a/trefoilwind/admin/metrics.py
+++ b/trefoilwind/admin/metrics.py
@@ -7,6 +7,7 @@
 import bisect
 import collections
 from collections.abc import Iterator
+from collections.abc import Sequence
 import dataclasses
 import threading
 
@@ -239,7 +240,7 @@
         yield (
             latencies,
             [
-                ({"class": name}, self._histogram(name, counts))
+                (_labels(("class",), (name,)), self._histogram(name, counts))
                 for name, counts in self._latencies.items()
             ],
         )
@@ -280,7 +281,7 @@
             yield (
                 collector,
                 [
-                    (dict(zip(labels, key, strict=True)), count)
+                    (_labels(labels, key), count)
                     for key, count in counts.items()
                 ],
             )
@@ -327,3 +328,13 @@
         filled.observations = total
         filled.sum = self._latency_sums[name]
         return filled
+
+
+def _labels(names: Sequence[str], values: Sequence[str]) -> dict[str, str]:
+    """Return labels; the formatter leaves escaping to its user."""
+    return {
+        name: value.replace("\\", r"\\")
+        .replace('"', r"\"")
+        .replace("\n", r"\n")
+        for name, value in zip(names, values, strict=True)
+    }
