--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format fuzz bench
+.PHONY: setup demo test lint format docs fuzz bench
 
 setup: $(VENV)/.ready
 
@@ -27,5 +27,8 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+docs: setup
+	$(BIN)/python -m trefoilwind.admin.reference docs
+
 fuzz: setup
 	TREFOILWIND_FUZZ_EXAMPLES=10000 $(BIN)/python -m pytest tests -k "fuzz"
--- a/tests/test_admin/test_admin_metrics.py
+++ b/tests/test_admin/test_admin_metrics.py
@@ -74,9 +74,8 @@
 def test_moves_kept_are_bounded():
     counted = metrics.Metrics(clock_lib.VirtualClock())
     for number in range(3 * metrics.MOVES_KEPT):
-        counted.attempt_ended(
-            metrics.Attempt("c", "n", f"m{number}", "/", "v2", 0, 0, 0, True)
-        )
+        seen = _observation(move_id=f"m{number}", version="v2")
+        counted.attempt_ended(seen, True)
     assert counted.move_attempts("m0") == {}
     last = counted.move_attempts(f"m{3 * metrics.MOVES_KEPT - 1}")
     assert last["/", "v2"].calls == 1
--- a/trefoilwind/admin/metrics.py
+++ b/trefoilwind/admin/metrics.py
@@ -18,6 +18,7 @@
 from trefoilwind import clock as clock_lib
 from trefoilwind import errors
 from trefoilwind import events
+from trefoilwind.proxy import calls
 
 LATENCY_BOUNDS_S = (
     0.0005,
@@ -40,33 +41,6 @@
 MOVES_KEPT = 64
 
 
-@dataclasses.dataclass(frozen=True)
-class Attempt:
-    """One attempt of a call, as its entry node saw it.
-
-    Attributes:
-        class_name: Class of the call.
-        node_id: Node whose backend server was tried.
-        move_id: Open move of the route; empty if none.
-        path_prefix: Prefix of the route.
-        version: Version that was tried.
-        latency_s: Time in seconds until the answer's head.
-        failed: True if the answer counts as a failure.
-        shed: True if the attempt was refused as not run.
-        in_time: True if it met the class's latency target.
-    """
-
-    class_name: str
-    node_id: str
-    move_id: str
-    path_prefix: str
-    version: str
-    latency_s: float
-    failed: bool
-    shed: bool
-    in_time: bool
-
-
 @dataclasses.dataclass(frozen=True)
 class Tally:
     """Counts of attempts that were not shed.
@@ -137,22 +111,30 @@
         with self._lock:
             self._events[event.name] += 1
 
-    def attempt_ended(self, attempt: Attempt) -> None:
-        """Count an attempt of a call."""
-        result = "shed" if attempt.shed else "answered"
-        if attempt.failed and not attempt.shed:
+    def attempt_ended(
+        self, attempt: calls.Observation, is_in_time: bool
+    ) -> None:
+        """Count an attempt of a call.
+
+        Args:
+            attempt: What the entry saw.
+            is_in_time: True if it met the class's latency target.
+        """
+        if attempt.shed:
+            result = "shed"
+        elif attempt.failed:
             result = "failed"
-        tally = Tally(
-            1, int(attempt.failed), int(attempt.in_time and not attempt.failed)
-        )
+        else:
+            result = "answered"
+        slot = self._slot()
         with self._lock:
             self._attempts[attempt.class_name, result] += 1
             if attempt.shed:
                 return
             self._count_latency(attempt.class_name, attempt.latency_s)
-            self._add_to_window(attempt, tally)
+            self._add_to_window(slot, attempt, is_in_time)
             if attempt.move_id:
-                self._add_to_move(attempt, tally)
+                self._add_to_move(attempt, is_in_time)
 
     def call_refused(self, error: errors.CallError) -> None:
         """Count a call that got no answer from a backend server."""
@@ -178,14 +160,15 @@
             for slot, tallies in self._window.items():
                 if slot <= oldest:
                     continue
-                for key, tally in tallies.items():
-                    totals[key] = totals.get(key, Tally()).plus(tally)
+                for key, counts in tallies.items():
+                    totals[key] = totals.get(key, Tally()).plus(Tally(*counts))
         return totals
 
     def move_attempts(self, move_id: str) -> dict[tuple[str, str], Tally]:
         """Return a move's tallies by (path prefix, version)."""
         with self._lock:
-            return dict(self._moves.get(move_id, {}))
+            tallies = self._moves.get(move_id, {})
+            return {key: Tally(*counts) for key, counts in tallies.items()}
 
     def render(self, gauges: Gauges) -> bytes:
         """Return all metrics in the text format of Prometheus."""
@@ -207,24 +190,29 @@
         counts[bisect.bisect_left(LATENCY_BOUNDS_S, latency_s)] += 1
         self._latency_sums[class_name] += latency_s
 
-    def _add_to_window(self, attempt: Attempt, tally: Tally) -> None:
-        slot = self._slot()
+    def _add_to_window(
+        self, slot: int, attempt: calls.Observation, is_in_time: bool
+    ) -> None:
         tallies = self._window.get(slot)
         if tallies is None:
             tallies = self._window[slot] = {}
             while len(self._window) > WINDOW_SLOTS:
                 self._window.popitem(last=False)
-        key = (attempt.class_name, attempt.node_id)
-        tallies[key] = tallies.get(key, Tally()).plus(tally)
+        _count(
+            tallies, (attempt.class_name, attempt.node_id), attempt, is_in_time
+        )
 
-    def _add_to_move(self, attempt: Attempt, tally: Tally) -> None:
+    def _add_to_move(
+        self, attempt: calls.Observation, is_in_time: bool
+    ) -> None:
         tallies = self._moves.get(attempt.move_id)
         if tallies is None:
             tallies = self._moves[attempt.move_id] = {}
             while len(self._moves) > MOVES_KEPT:
                 self._moves.popitem(last=False)
-        key = (attempt.path_prefix, attempt.version)
-        tallies[key] = tallies.get(key, Tally()).plus(tally)
+        _count(
+            tallies, (attempt.path_prefix, attempt.version), attempt, is_in_time
+        )
 
     def _collect(
         self, registry: collectors.Registry, gauges: Gauges
@@ -330,6 +318,23 @@
         return filled
 
 
+def _count(
+    tallies: dict[tuple[str, str], list[int]],
+    key: tuple[str, str],
+    attempt: calls.Observation,
+    is_in_time: bool,
+) -> None:
+    """Count an attempt in a list, which is cheaper than a new `Tally`."""
+    counts = tallies.get(key)
+    if counts is None:
+        counts = tallies[key] = [0, 0, 0]
+    counts[0] += 1
+    if attempt.failed:
+        counts[1] += 1
+    elif is_in_time:
+        counts[2] += 1
+
+
 def _labels(names: Sequence[str], values: Sequence[str]) -> dict[str, str]:
     """Return labels; the formatter leaves escaping to its user."""
     return {
--- a/trefoilwind/admin/observations.py
+++ b/trefoilwind/admin/observations.py
@@ -1,7 +1,6 @@
 """Counts what the entry of calls observed, for operators."""
 
 from trefoilwind import environment as environment_lib
-from trefoilwind.admin import metrics
 from trefoilwind.proxy import calls
 
 
@@ -14,16 +13,4 @@
     is_in_time = (
         target is not None and observation.latency_s <= target.latency_target_s
     )
-    environment.metrics.attempt_ended(
-        metrics.Attempt(
-            class_name=observation.class_name,
-            node_id=observation.node_id,
-            move_id=observation.move_id,
-            path_prefix=observation.path_prefix,
-            version=observation.version,
-            latency_s=observation.latency_s,
-            failed=observation.failed,
-            shed=observation.shed,
-            in_time=is_in_time,
-        )
-    )
+    environment.metrics.attempt_ended(observation, is_in_time)
