--- a/tests/test_admin/test_admin_timeline.py
+++ b/tests/test_admin/test_admin_timeline.py
@@ -108,9 +108,10 @@
 
 def test_wrong_line_is_named():
     good = timeline.json_line(_event())
-    error = timeline.parse_lines(f"{good}\nnothing\n".encode(), "f")
-    assert isinstance(error, errors.SettingsError)
-    assert error.line == 2
+    for text in ("nothing", "0", "[]", "{}", "null", '"a"'):
+        error = timeline.parse_lines(f"{good}\n{text}\n".encode(), "f")
+        assert isinstance(error, errors.SettingsError)
+        assert error.line == 2
 
 
 def test_any_stamp_has_a_text():
--- a/trefoilwind/admin/client.py
+++ b/trefoilwind/admin/client.py
@@ -4,7 +4,6 @@
 from typing import Any
 import urllib.parse
 
-import cattrs
 import urllib3
 
 from trefoilwind import errors
@@ -101,7 +100,7 @@
             if status != _OK:
                 return self._refusal(plain)
             return documents.from_plain(plain, cls) if cls else None
-        except (cattrs.BaseValidationError, ValueError, RecursionError):
+        except (ValueError, RecursionError):
             return self._error(errors.Reason.UNDECODABLE, f"status {status}")
 
     def _refusal(self, plain: Any) -> errors.AdminError:
--- a/trefoilwind/admin/documents.py
+++ b/trefoilwind/admin/documents.py
@@ -26,6 +26,9 @@
     """Return the data class that a document describes.
 
     Raises:
-        cattrs.BaseValidationError: The document does not fit.
+        ValueError: The document does not fit.
     """
-    return _converter.structure(plain, cls)
+    try:
+        return _converter.structure(plain, cls)
+    except (cattrs.BaseValidationError, LookupError, TypeError) as error:
+        raise ValueError(f"{cls} expected") from error
--- a/trefoilwind/admin/timeline.py
+++ b/trefoilwind/admin/timeline.py
@@ -7,8 +7,6 @@
 import json
 import pathlib
 
-import cattrs
-
 from trefoilwind import errors
 from trefoilwind import events
 from trefoilwind.admin import documents
@@ -128,5 +126,5 @@
 def _parse_line(text: bytes) -> events.Event | None:
     try:
         return documents.from_plain(json.loads(text), events.Event)
-    except (cattrs.BaseValidationError, ValueError, RecursionError):
+    except (ValueError, RecursionError):
         return None
--- a/trefoilwind/codec.py
+++ b/trefoilwind/codec.py
@@ -133,6 +133,11 @@
     return register
 
 
+def registry() -> tuple[tuple[str, type], ...]:
+    """Return the tags and classes of all messages, sorted by tag."""
+    return tuple(sorted(_classes_by_tag.items()))
+
+
 def to_plain(value: Any) -> Any:
     """Return the plain lists and scalars of a data class."""
     return _converter.unstructure(value)
--- a/trefoilwind/distribution/frames.py
+++ b/trefoilwind/distribution/frames.py
@@ -11,6 +11,7 @@
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 17 * 1024 * 1024
 MAX_CHUNK_BYTES = 64 * 1024
+MAX_ARRAY_ITEMS = 16384
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -195,7 +196,13 @@
     """Turns the bytes of one stream into frames; memory is bounded."""
 
     def __init__(self) -> None:
-        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+        # A claimed length takes memory before its items come.
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=MAX_FRAME_BYTES,
+            max_array_len=MAX_ARRAY_ITEMS,
+            max_map_len=0,
+            max_ext_len=0,
+        )
 
     def feed(self, data: bytes) -> list[Frame] | errors.StreamError:
         """Return the frames completed by `data`, or an error; never raises."""
--- a/trefoilwind/log/http_client.py
+++ b/trefoilwind/log/http_client.py
@@ -60,7 +60,7 @@
         if response.status != _OK:
             reason = errors.Reason.LOG_UNAVAILABLE
             return self._error(reason, "log.read", str(response.status))
-        return self._page(response.data)
+        return self._page(response.data, offset)
 
     def first_offset(self) -> int | errors.LogError:
         """Return the oldest offset that is kept; see `port.LogPort`."""
@@ -82,22 +82,46 @@
 
     def _offset(self, data: bytes, step: str) -> int | errors.LogError:
         try:
-            return int(json.loads(data)["offset"])
-        except (ValueError, KeyError, TypeError):
+            offset = json.loads(data)["offset"]
+        except (ValueError, KeyError, TypeError, RecursionError):
             return self._error(errors.Reason.UNDECODABLE, step)
+        if not _is_offset(offset):
+            return self._error(errors.Reason.UNDECODABLE, step)
+        return offset
 
-    def _page(self, data: bytes) -> port.Page | errors.LogError:
+    def _page(self, data: bytes, offset: int) -> port.Page | errors.LogError:
         try:
             entries, next_offset, end_offset = msgpack.unpackb(data)
-            return port.Page(
-                tuple(port.Entry(int(o), bytes(p)) for o, p in entries),
-                int(next_offset),
-                int(end_offset),
+            page = port.Page(
+                tuple(port.Entry(o, payload) for o, payload in entries),
+                next_offset,
+                end_offset,
             )
+            is_right = _is_ordered(page, offset)
         except Exception:  # Any malformed page is the log's fault.
+            is_right = False
+        if not is_right:
             return self._error(errors.Reason.UNDECODABLE, "log.read")
+        return page
 
     def _error(
         self, reason: errors.Reason, step: str, detail: str = ""
     ) -> errors.LogError:
         return errors.LogError(reason, step, self._url, detail)
+
+
+def _is_offset(value: object) -> bool:
+    return type(value) is int and value >= 0
+
+
+def _is_ordered(page: port.Page, offset: int) -> bool:
+    """Return True if offsets rise from the wanted one, over bytes."""
+    floor = offset
+    for entry in page.entries:
+        if not _is_offset(entry.offset) or entry.offset < floor:
+            return False
+        if type(entry.payload) is not bytes:
+            return False
+        floor = entry.offset + 1
+    is_pair = _is_offset(page.next_offset) and _is_offset(page.end_offset)
+    return is_pair and floor <= page.next_offset
