Refuse numbers that are not finite in messages and records

Cause: 3,000 examples of test_fuzz_message found a lease claim whose time was NaN; every comparison with it is false, so that such a lease counts as free for ever. The same holds for deadlines and latencies of any message.

Change: the codec takes finite floats only.

Conclusion: test_fuzz_message passes with 3,000 examples.

--- a/trefoilwind/codec.py
+++ b/trefoilwind/codec.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 from typing import Any
 from typing import TypeVar
 
@@ -24,20 +25,27 @@
 _tags_by_class: dict[type, str] = {}
 
 
-def _strict(expected: type, *accepted: type):
+def _strict(expected: type):
     def structure(value: Any, _: Any) -> Any:
-        if type(value) not in (expected, *accepted):
+        if type(value) is not expected:
             raise TypeError(f"{expected.__name__} expected")
-        return expected(value)
+        return value
 
     return structure
 
 
+def _structure_float(value: Any, _: Any) -> float:
+    """Return a finite number; others would defeat every comparison."""
+    if type(value) not in (float, int) or not math.isfinite(value):
+        raise TypeError("finite number expected")
+    return float(value)
+
+
 def _make_converter() -> cattrs.Converter:
     converter = cattrs_msgpack.make_converter(detailed_validation=False)
     for scalar in (str, bool, bytes, int):
         converter.register_structure_hook(scalar, _strict(scalar))
-    converter.register_structure_hook(float, _strict(float, int))
+    converter.register_structure_hook(float, _structure_float)
     converter.register_structure_hook_factory(
         dataclasses.is_dataclass, _structure_fields(converter)
     )
