--- a/trefoilwind/distribution/frames.py
+++ b/trefoilwind/distribution/frames.py
@@ -12,6 +12,8 @@
 MAX_FRAME_BYTES = 17 * 1024 * 1024
 MAX_CHUNK_BYTES = 64 * 1024
 MAX_ARRAY_ITEMS = 16384
+# What may be sent of a body before the first `Credit` for it.
+INITIAL_CREDIT_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,11 +96,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Status and headers of an answer."""
+    """Status and headers of an answer.
+
+    Attributes:
+        call_id: Id of the call.
+        status: HTTP status.
+        headers: Pairs of names and values.
+        body: First bytes of the body.
+        is_last: True if the body ends here.
+    """
 
     call_id: int
     status: int
     headers: list
+    body: bytes
+    is_last: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
