--- a/tests/test_cmd/test_cmd_logging.py
+++ b/tests/test_cmd/test_cmd_logging.py
@@ -41,7 +41,9 @@
     for path in _SOURCES:
         for line, message in _messages(path):
             assert isinstance(message, ast.Constant), f"{path.name}:{line}"
-            assert re.match(r"([a-z]+|%s): \S", message.value), f"{path.name}:{line}"
+            assert re.match(r"([a-z]+|%s): \S", message.value), (
+                f"{path.name}:{line}"
+            )
 
 
 def test_lines_of_text(restore_logging, capsys):
--- a/trefoilwind/cmd/standin_caller.py
+++ b/trefoilwind/cmd/standin_caller.py
@@ -36,6 +36,7 @@
         common.fail(f"--seconds: not in 0 to {_MAX_SECONDS}")
     user = caller.Caller(entry, (caller.Call(method, path),))
     user.start()
+    print(f"calling {path} for {seconds:g} s", flush=True)
     time.sleep(seconds)
     user.stop()
     print(f"{user.answered} answered, {user.failed} failed, {user.lost} lost")
