Keep refused calls from pushing other events out of the time line

Cause: each refused call took one of the 4,096 places of a node's time line, so that an overload of a few seconds removed the events of a move.

Change: call.refused and call.unknown are kept at most five times a second, while listeners and metrics get all; rendering of metrics is a module of its own; the stand-in answers 400.

Conclusion: after 15,000 refusals in three seconds 15 are kept and the event before them too, as a test shows.

--- a/tests/test_admin/test_admin_timeline.py
+++ b/tests/test_admin/test_admin_timeline.py
@@ -133,3 +133,20 @@
 def test_page_shows_marks_of_the_template_as_text():
     text = timeline.page([_event(detail="@DATA@ @TITLE@")], "t")
     assert '"detail": "@DATA@ @TITLE@"' in text
+
+
+def test_frequent_events_do_not_push_out_others():
+    clock = clock_lib.VirtualClock()
+    log = events.EventLog("p", clock)
+    seen = []
+    log.connect(events.CALL_REFUSED, seen.append)
+    log.emit(events.MOVE_STARTED)
+    for _ in range(3):
+        for _ in range(5000):
+            log.emit(events.CALL_REFUSED)
+        clock.advance(1.0)
+    kept = log.since(0)
+    assert kept[0].name == "move.started"
+    assert len(kept) == 1 + 3 * events.CALL_REFUSED.max_per_s
+    assert [event.sequence for event in kept] == list(range(len(kept)))
+    assert len(seen) == 15000
--- a/tests/test_fuzz/test_fuzz_http.py
+++ b/tests/test_fuzz/test_fuzz_http.py
@@ -15,6 +15,8 @@
 from trefoilwind import errors
 from trefoilwind.log import http_client
 from trefoilwind.log import port
+from trefoilwind.standins import log_server
+from trefoilwind.standins import log_service
 from trefoilwind.standins import mesh
 
 _READ_BYTES = 65536
@@ -153,3 +155,26 @@
 def test_fuzz_node_still_serves(system):
     health = f"http://{system.bound[0].admin}/v1/health"
     assert urllib3.request("GET", health).status in (200, 503)
+
+
+@hypothesis.given(
+    strategies.sampled_from(["GET", "POST", "X"]),
+    strategies.sampled_from(["/v1/first", "/v1/records", "/"]),
+    strategies.sampled_from(["offset=0&limit=1", "offset=x&limit=1", ""])
+    | strategies.text(max_size=12),
+    strategies.sampled_from(["", "x", "-1", "3"]),
+)
+def test_fuzz_log_standin_request(method, path, query, length):
+    application = log_server.LogApplication(log_service.MemoryLog())
+    statuses = []
+    application(
+        {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "CONTENT_LENGTH": length,
+            "wsgi.input": io.BytesIO(b"payload"),
+        },
+        lambda status, headers: statuses.append(status[:3]),
+    )
+    assert statuses in (["200"], ["400"], ["410"])
--- a/trefoilwind/admin/api.py
+++ b/trefoilwind/admin/api.py
@@ -16,7 +16,7 @@
 from trefoilwind import settings as settings_lib
 from trefoilwind.admin import announcements
 from trefoilwind.admin import documents
-from trefoilwind.admin import metrics as metrics_lib
+from trefoilwind.admin import metrics_page
 from trefoilwind.admin import record_results
 from trefoilwind.admin import requests
 from trefoilwind.admin import views
@@ -171,8 +171,8 @@
 
     def _metrics(self, request: requests.Request, body: str) -> _Response:
         gauges = views.gauges(self._environment)
-        data = self._environment.metrics.render(gauges)
-        return _Response(_OK, metrics_lib.CONTENT_TYPE, data)
+        data = metrics_page.render(self._environment.metrics.counts(), gauges)
+        return _Response(_OK, metrics_page.CONTENT_TYPE, data)
 
     def _events(self, request: requests.Request, body: str) -> Any:
         since = requests.decimal(requests.query_value(request, "since", "0"))
--- a/trefoilwind/admin/metrics.py
+++ b/trefoilwind/admin/metrics.py
@@ -1,20 +1,10 @@
-"""Metrics of a node, rendered in the text format of Prometheus.
-
-Counting takes a lock and a few additions; the collectors of aioprometheus
-are filled only when somebody reads them.
-"""
+"""Counts of a node, taken on the path of calls: a lock and a few additions."""
 
 import bisect
 import collections
-from collections.abc import Iterator
-from collections.abc import Sequence
 import dataclasses
 import threading
 
-from aioprometheus import collectors
-from aioprometheus import histogram
-from aioprometheus.formats import text
-
 from trefoilwind import clock as clock_lib
 from trefoilwind import errors
 from trefoilwind import events
@@ -35,7 +25,6 @@
     2.5,
     10.0,
 )
-CONTENT_TYPE = text.TEXT_CONTENT_TYPE
 WINDOW_SLOT_S = 10.0
 WINDOW_SLOTS = 6
 MOVES_KEPT = 64
@@ -65,22 +54,35 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Gauges:
-    """Values read from the blackboard when metrics are rendered.
+class Latencies:
+    """Distribution of the latencies of one class.
 
     Attributes:
-        configuration_version: Version in force; -1 if none.
-        next_offset: Offset of the first record not seen.
-        members: Live members.
-        open_moves: Moves without an outcome.
-        draining: True once a planned stop began.
+        counts: Attempts by `LATENCY_BOUNDS_S`; the last one is above all.
+        total_s: Sum in seconds.
     """
 
-    configuration_version: int
-    next_offset: int
-    members: int
-    open_moves: int
-    draining: bool
+    counts: tuple[int, ...]
+    total_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Counts:
+    """Everything that was counted since the process began.
+
+    Attributes:
+        attempts: Attempts by class and result.
+        latencies: Distributions by class.
+        refusals: Calls without an answer by reason and result.
+        control_bytes: Bytes by direction.
+        events: Events by name.
+    """
+
+    attempts: dict[tuple[str, str], int]
+    latencies: dict[str, Latencies]
+    refusals: dict[tuple[str, str], int]
+    control_bytes: dict[str, int]
+    events: dict[str, int]
 
 
 class Metrics:
@@ -170,14 +172,19 @@
             tallies = self._moves.get(move_id, {})
             return {key: Tally(*counts) for key, counts in tallies.items()}
 
-    def render(self, gauges: Gauges) -> bytes:
-        """Return all metrics in the text format of Prometheus."""
-        registry = collectors.Registry()
+    def counts(self) -> Counts:
+        """Return what was counted so far."""
         with self._lock:
-            for collector, values in self._collect(registry, gauges):
-                for labels, value in values:
-                    collector.set_value(labels, value)
-        return text.TextFormatter().marshall(registry)
+            return Counts(
+                attempts=dict(self._attempts),
+                latencies={
+                    name: Latencies(tuple(counts), self._latency_sums[name])
+                    for name, counts in self._latencies.items()
+                },
+                refusals=dict(self._refusals),
+                control_bytes=dict(self._control_bytes),
+                events=dict(self._events),
+            )
 
     def _slot(self) -> int:
         return int(self._clock.monotonic() // WINDOW_SLOT_S)
@@ -214,109 +221,6 @@
             tallies, (attempt.path_prefix, attempt.version), attempt, is_in_time
         )
 
-    def _collect(
-        self, registry: collectors.Registry, gauges: Gauges
-    ) -> Iterator[tuple[collectors.Collector, list]]:
-        yield from self._collect_counters(registry)
-        yield from self._collect_gauges(registry, gauges)
-        latencies = collectors.Histogram(
-            "trefoilwind_attempt_latency_seconds",
-            "Time until the head of an answer, by class.",
-            registry=registry,
-            buckets=LATENCY_BOUNDS_S,
-        )
-        yield (
-            latencies,
-            [
-                (_labels(("class",), (name,)), self._histogram(name, counts))
-                for name, counts in self._latencies.items()
-            ],
-        )
-
-    def _collect_counters(
-        self, registry: collectors.Registry
-    ) -> Iterator[tuple[collectors.Collector, list]]:
-        tables = (
-            (
-                "attempts",
-                "Attempts of calls by class and result.",
-                ("class", "result"),
-                self._attempts,
-            ),
-            (
-                "refusals",
-                "Calls without an answer of a backend server.",
-                ("reason", "result"),
-                self._refusals,
-            ),
-            (
-                "control_bytes",
-                "Bytes of control messages on peer streams.",
-                ("direction",),
-                {(key,): n for key, n in self._control_bytes.items()},
-            ),
-            (
-                "events",
-                "Events of the time line by name.",
-                ("name",),
-                {(key,): n for key, n in self._events.items()},
-            ),
-        )
-        for name, doc, labels, counts in tables:
-            collector = collectors.Counter(
-                f"trefoilwind_{name}_total", doc, registry=registry
-            )
-            yield (
-                collector,
-                [
-                    (_labels(labels, key), count)
-                    for key, count in counts.items()
-                ],
-            )
-
-    def _collect_gauges(
-        self, registry: collectors.Registry, gauges: Gauges
-    ) -> Iterator[tuple[collectors.Collector, list]]:
-        streams = self._balance(events.PEER_CONNECTED, events.PEER_LOST)
-        log_outages = self._balance(
-            events.LOG_UNAVAILABLE, events.LOG_RECOVERED
-        )
-        values = (
-            (
-                "configuration_version",
-                "Configuration version in force; -1 if none.",
-                gauges.configuration_version,
-            ),
-            (
-                "next_offset",
-                "Offset of the first log record not seen.",
-                gauges.next_offset,
-            ),
-            ("members", "Live members.", gauges.members),
-            ("open_moves", "Moves without an outcome.", gauges.open_moves),
-            ("draining", "1 once a planned stop began.", int(gauges.draining)),
-            ("peer_streams", "Peers with an open stream.", streams),
-            ("log_available", "0 while the log fails.", int(log_outages <= 0)),
-        )
-        for name, doc, value in values:
-            collector = collectors.Gauge(
-                f"trefoilwind_{name}", doc, registry=registry
-            )
-            yield collector, [({}, value)]
-
-    def _balance(self, up: events.EventKind, down: events.EventKind) -> int:
-        return self._events[up.name] - self._events[down.name]
-
-    def _histogram(self, name: str, counts: list[int]) -> histogram.Histogram:
-        filled = histogram.Histogram(*LATENCY_BOUNDS_S)
-        total = 0
-        for bound, count in zip(filled.buckets, counts, strict=True):
-            total += count
-            filled.buckets[bound] = total
-        filled.observations = total
-        filled.sum = self._latency_sums[name]
-        return filled
-
 
 def _count(
     tallies: dict[tuple[str, str], list[int]],
@@ -333,13 +237,3 @@
         counts[1] += 1
     elif is_in_time:
         counts[2] += 1
-
-
-def _labels(names: Sequence[str], values: Sequence[str]) -> dict[str, str]:
-    """Return labels; the formatter leaves escaping to its user."""
-    return {
-        name: value.replace("\\", r"\\")
-        .replace('"', r"\"")
-        .replace("\n", r"\n")
-        for name, value in zip(names, values, strict=True)
-    }
--- a/trefoilwind/admin/reference.py
+++ b/trefoilwind/admin/reference.py
@@ -44,7 +44,8 @@
 def events_page() -> str:
     """Return the page of all events of the time line."""
     rows = [
-        f"| `{kind.name}` | {kind.description} |" for kind in events.registry()
+        f"| `{kind.name}` | {kind.description}{_rate_text(kind)} |"
+        for kind in events.registry()
     ]
     lines = [
         "# Events of the time line",
@@ -63,6 +64,12 @@
     return "\n".join(lines)
 
 
+def _rate_text(kind: events.EventKind) -> str:
+    if not kind.max_per_s:
+        return ""
+    return f" At most {kind.max_per_s} a second are kept; metrics count all."
+
+
 def pages() -> dict[str, str]:
     """Return the text of each generated page by file name."""
     return {"settings.md": settings_page(), "events.md": events_page()}
--- a/trefoilwind/admin/views.py
+++ b/trefoilwind/admin/views.py
@@ -7,6 +7,7 @@
 from trefoilwind import events
 from trefoilwind import settings as settings_lib
 from trefoilwind.admin import metrics as metrics_lib
+from trefoilwind.admin import metrics_page
 from trefoilwind.model import configuration as configuration_lib
 from trefoilwind.model import members as members_lib
 from trefoilwind.model import moves as moves_lib
@@ -203,11 +204,11 @@
     )
 
 
-def gauges(environment: environment_lib.Environment) -> metrics_lib.Gauges:
+def gauges(environment: environment_lib.Environment) -> metrics_page.Gauges:
     """Return the values that metrics read from the blackboard."""
     board = environment.blackboard
     state = board.state.value
-    return metrics_lib.Gauges(
+    return metrics_page.Gauges(
         configuration_version=state.version,
         next_offset=state.next_offset,
         members=len(board.members.value.members),
--- a/trefoilwind/cmd/standin_log.py
+++ b/trefoilwind/cmd/standin_log.py
@@ -6,6 +6,7 @@
 import cyclopts
 
 from trefoilwind.cmd import common
+from trefoilwind.node import http_log
 from trefoilwind.standins import log_server
 from trefoilwind.standins import log_service
 
@@ -26,6 +27,7 @@
         log_server.LogApplication(log_service.MemoryLog()),
         numthreads=32,
     )
+    server.error_log = http_log.write
     try:
         server.prepare()
     except OSError as error:
--- a/trefoilwind/events.py
+++ b/trefoilwind/events.py
@@ -13,6 +13,7 @@
 
 _MILLISECONDS_PER_SECOND = 1000
 DEFAULT_CAPACITY_EVENTS = 4096
+_MAX_CALL_EVENTS_PER_S = 5
 MAX_DRIFT_MS = 24 * 3600 * 1000
 
 
@@ -23,17 +24,20 @@
     Attributes:
         name: Dotted public name.
         description: One sentence for the reference page.
+        max_per_s: Events kept per second; 0 for all. Frequent kinds would
+            push all others out of the time line.
     """
 
     name: str
     description: str
+    max_per_s: int = 0
 
 
 _registry: dict[str, EventKind] = {}
 
 
-def _register(name: str, description: str) -> EventKind:
-    kind = EventKind(name, description)
+def _register(name: str, description: str, max_per_s: int = 0) -> EventKind:
+    kind = EventKind(name, description, max_per_s)
     _registry[name] = kind
     return kind
 
@@ -67,8 +71,14 @@
 MEMBER_EJECTED = _register(
     "member.ejected", "Outlier ejection took a backend server out."
 )
-CALL_REFUSED = _register("call.refused", "A call was refused as not run.")
-CALL_UNKNOWN = _register("call.unknown", "A call ended with unknown effect.")
+CALL_REFUSED = _register(
+    "call.refused", "A call was refused as not run.", _MAX_CALL_EVENTS_PER_S
+)
+CALL_UNKNOWN = _register(
+    "call.unknown",
+    "A call ended with unknown effect.",
+    _MAX_CALL_EVENTS_PER_S,
+)
 REQUEST_SUSPECTED = _register(
     "request.suspected", "A request was in flight when its server died."
 )
@@ -158,6 +168,8 @@
         capacity: int = DEFAULT_CAPACITY_EVENTS,
     ):
         self._process = process
+        self._clock = clock
+        self._kept: dict[tuple[str, int], int] = {}
         self._hybrid_clock = HybridClock(clock)
         self._lock = threading.Lock()
         self._events: collections.deque[Event] = collections.deque(
@@ -184,8 +196,13 @@
         peer: str = "",
         detail: str = "",
     ) -> Event:
-        """Record an event and return it."""
+        """Record an event and return it.
+
+        Beyond the kind's limit listeners are called but nothing is kept; the
+        event returned has no sequence of its own then.
+        """
         with self._lock:
+            is_kept = not kind.max_per_s or self._is_under_limit(kind)
             event = Event(
                 stamp=self._hybrid_clock.now(),
                 process=self._process,
@@ -195,13 +212,22 @@
                 peer=peer,
                 detail=detail,
             )
-            self._next_sequence += 1
-            self._events.append(event)
+            if is_kept:
+                self._next_sequence += 1
+                self._events.append(event)
         for name, listener in self._listeners:
             if name == kind.name:
                 listener(event)
         return event
 
+    def _is_under_limit(self, kind: EventKind) -> bool:
+        second = int(self._clock.monotonic())
+        count = self._kept.get((kind.name, second), 0)
+        if not count:
+            self._kept = {k: n for k, n in self._kept.items() if k[1] == second}
+        self._kept[kind.name, second] = count + 1
+        return count < kind.max_per_s
+
     def since(self, sequence: int) -> tuple[Event, ...]:
         """Return the retained events from `sequence` on."""
         with self._lock:
--- a/trefoilwind/standins/log_server.py
+++ b/trefoilwind/standins/log_server.py
@@ -10,7 +10,10 @@
 from trefoilwind.proxy import callers
 from trefoilwind.standins import log_service
 
-_STATUS_BY_REASON = {errors.Reason.OFFSET_EXPIRED: 410}
+_STATUS_BY_REASON = {
+    errors.Reason.OFFSET_EXPIRED: 410,
+    errors.Reason.BAD_REQUEST: 400,
+}
 _UNAVAILABLE = 503
 
 
@@ -24,7 +27,12 @@
         self, environ: dict, start_response: callers.StartResponse
     ) -> Iterable[bytes]:
         """Answer one request."""
-        result = self._handle(environ)
+        try:
+            result = self._handle(environ)
+        except (KeyError, ValueError) as error:
+            detail = f"{type(error).__name__} {error}"
+            reason = errors.Reason.BAD_REQUEST
+            result = errors.LogError(reason, "standin.log", detail=detail)
         status = 200
         if isinstance(result, errors.Error):
             status = _STATUS_BY_REASON.get(result.reason, _UNAVAILABLE)
