Read files of events up to their limit only

Cause: the size of a device or pipe is told as 0, so that the time line read /dev/zero without end.

Change: at most one byte more than the limit is read.

--- a/trefoilwind/admin/timeline.py
+++ b/trefoilwind/admin/timeline.py
@@ -93,14 +93,15 @@
         path: File as written by `json_line`; empty lines are left out.
     """
     try:
-        if pathlib.Path(path).stat().st_size > MAX_FILE_BYTES:
-            reason = errors.Reason.BODY_TOO_LARGE
-            return errors.SettingsError(reason, _STEP, path)
-        data = pathlib.Path(path).read_bytes()
+        with pathlib.Path(path).open("rb") as file:
+            data = file.read(MAX_FILE_BYTES + 1)
     except (OSError, ValueError) as error:
         detail = getattr(error, "strerror", None) or type(error).__name__
         reason = errors.Reason.FILE_MISSING
         return errors.SettingsError(reason, _STEP, path, detail)
+    if len(data) > MAX_FILE_BYTES:
+        reason = errors.Reason.BODY_TOO_LARGE
+        return errors.SettingsError(reason, _STEP, path)
     return parse_lines(data, path)
 
 
--- a/trefoilwind/cmd/admin.py
+++ b/trefoilwind/cmd/admin.py
@@ -31,7 +31,7 @@
 _MAX_WAIT_S = 7 * 86400.0
 TOKEN_VARIABLE = "TREFOILWIND_TOKEN"
 
-_Nodes = Annotated[list[str], cyclopts.Parameter(name="--node")]
+_Nodes = Annotated[list[str], cyclopts.Parameter(name="--node", negative="")]
 _Json = Annotated[bool, cyclopts.Parameter(name="--json", negative="")]
 
 
