Repeat a publication only with the base of its first try

If the first try never reached the log, the repeat could undo what another operator had published since, without a warning.

--- a/tests/test_cmd/test_cmd_admin.py
+++ b/tests/test_cmd/test_cmd_admin.py
@@ -69,7 +69,8 @@
 
     # The version is in force on every node that is named.
     publish = ("publish", configuration_file)
-    code, out, err = run(*publish, *nodes, "--record-id", "p/1", "--json")
+    first_try = (*publish, "--base", "-1", "--record-id", "p/1")
+    code, out, err = run(*first_try, *nodes, "--json")
     assert (code, err) == (0, "")
     published = json.loads(out)
     assert published["record"]["progress"] == "accepted"
@@ -77,7 +78,7 @@
     version = published["record"]["offset"]
 
     # A repeat after a lost answer tells the same result.
-    code, out, _ = run(*publish, *first, "--record-id", "p/1")
+    code, out, _ = run(*first_try, *first)
     assert (code, out.split()[1]) == (0, str(version))
 
     # The operator whose base is stale learns the current version.
--- a/tests/test_cmd/test_cmd_bad_input.py
+++ b/tests/test_cmd/test_cmd_bad_input.py
@@ -1,6 +1,7 @@
 """Bad input: one line naming the file and the key, exit code 2."""
 
 import json
+import pathlib
 import socket
 import sys
 
@@ -15,6 +16,8 @@
 from trefoilwind.cmd import timeline
 
 _URL = "http://127.0.0.1:9"
+_ROOT = pathlib.Path(__file__).resolve().parents[2]
+_EXAMPLE = str(_ROOT / "examples" / "configuration.jsonc")
 _BASE = {
     "node_id": "node-a",
     "data_centre": "perth-a",
@@ -187,6 +190,7 @@
         (admin, ["move", "a", "v2", "--node", _URL, "--deadline-s", "x"]),
         (admin, ["move", "a", "v2", "--node", _URL, "--deadline-s", "-1"]),
         (admin, ["move", "a", "v2", "--node", _URL, "--deadline-s", "nan"]),
+        (admin, ["publish", _EXAMPLE, "--node", _URL, "--record-id", "p"]),
         (admin, ["status"]),
         (admin, ["status", "--node", "nowhere"]),
         (admin, ["watch", "m", "--node", "http://"]),
--- a/trefoilwind/admin/operations.py
+++ b/trefoilwind/admin/operations.py
@@ -61,12 +61,21 @@
 
 
 def wait_for_record(
-    client: client_lib.AdminClient, record_id: str, wait: Wait
+    client: client_lib.AdminClient,
+    record_id: str,
+    wait: Wait,
+    options: str = "",
 ) -> record_results.RecordResult | errors.AdminError:
     """Return a record's result once the node folded it.
 
     A record that stays pending, or a node that stays away, is an error that
     tells to repeat the request with the same record id.
+
+    Args:
+        client: Node that took the request.
+        record_id: Id of the record.
+        wait: How long to wait.
+        options: Further options with which a repeat must be made.
     """
     last: errors.AdminError | None = None
     for _ in wait.looks():
@@ -80,7 +89,7 @@
         else:
             last = None
     reason = last.reason if last else errors.Reason.DEADLINE_EXCEEDED
-    detail = f"no result yet; repeat with --record-id {record_id}"
+    detail = f"no result yet; repeat with --record-id {record_id}{options}"
     return errors.AdminError(reason, _STEP, client.url, detail)
 
 
--- a/trefoilwind/cmd/admin.py
+++ b/trefoilwind/cmd/admin.py
@@ -115,13 +115,16 @@
         configuration_file: File of the configuration, JSON with comments.
         node: URL of a node's administration API; the first one publishes, and
             the version must come in force on all that are given.
-        base: Version that was changed; the node's current one if not given.
+        base: Version that was changed; the node's current one if not given. A
+            repeat must name the one of the earlier try.
         wait_s: Longest time to wait, in seconds.
         record_id: Id of an earlier try whose result is not known.
         as_json: Print the result as JSON.
     """
     configuration = common.load_configuration(configuration_file)
     _check_seconds("--wait-s", wait_s)
+    if record_id and base is None:
+        common.fail("--record-id: --base of the earlier try is needed too")
     clients = [_client(url) for url in node]
     if not clients:
         common.fail("--node: at least one expected")
