Bound how long a slow client holds a thread of the administration API

Cause: four threads serve operators and announcements; a client that sends half a header held one for 10 s, twice the announcement lease, so that four of them could make a node drop its backend server.

Change: the server waits 1 s for further bytes.

--- a/trefoilwind/node/process.py
+++ b/trefoilwind/node/process.py
@@ -37,6 +37,8 @@
 
 TICK_S = 0.1
 ADMIN_THREADS = 4
+# Under the announcement lease: slow clients must not cost announcements.
+ADMIN_READ_TIMEOUT_S = 1.0
 SERVER_STOP_TIMEOUT_S = 1.0
 LISTEN_BACKLOG = 128
 _DRAIN_CHECK_S = 0.05
@@ -179,6 +181,7 @@
             max=ADMIN_THREADS,
         )
         admin_server.max_request_body_size = requests.MAX_BODY_BYTES
+        admin_server.timeout = ADMIN_READ_TIMEOUT_S
         admin_address = self._serve(address, admin_server)
         if isinstance(admin_address, errors.Error):
             return admin_address
