Check the links between the pages

Cause: pages are written side by side, and a link to one that is renamed or never written would not show.

Change: a test follows the relative links of all pages under docs.

--- /dev/null
+++ b/tests/test_docs/test_docs_links.py
@@ -0,0 +1,17 @@
+"""Links between the pages lead somewhere."""
+
+import pathlib
+import re
+
+import pytest
+
+_DOCS = pathlib.Path(__file__).resolve().parents[2] / "docs"
+_LINK = re.compile(r"\]\((?!https?://|#)([^)#]+)(?:#[^)]*)?\)")
+
+
+@pytest.mark.parametrize(
+    "page", sorted(_DOCS.rglob("*.md")), ids=lambda p: str(p.name)
+)
+def test_relative_links_lead_to_files(page):
+    for target in _LINK.findall(page.read_text(encoding="utf-8")):
+        assert (page.parent / target).exists(), target
