Prove that slow clients do not keep announcements out

Change: eight clients that send half a header, twice the number of threads, and one that must be answered within the announcement lease.

--- a/tests/test_cmd/test_cmd_admin.py
+++ b/tests/test_cmd/test_cmd_admin.py
@@ -1,14 +1,20 @@
 """The admin program against whole nodes."""
 
+import contextlib
 import json
+import socket
 import sys
 
 import pytest
 
+from trefoilwind import errors
+from trefoilwind import settings as settings_lib
+from trefoilwind.admin import client as client_lib
 from trefoilwind.admin import documents
 from trefoilwind.cmd import admin
 from trefoilwind.cmd import demo
 from trefoilwind.cmd import timeline
+from trefoilwind.node import process
 from trefoilwind.standins import caller
 from trefoilwind.standins import mesh
 
@@ -161,3 +167,15 @@
     code, out, err = run(saved, program=timeline)
     assert (code, out) == (2, "")
     assert f"{saved}:1: syntax" in err
+
+
+def test_slow_clients_do_not_keep_others_out(system):
+    address = system.bound[0].admin
+    with contextlib.ExitStack() as stack:
+        for _ in range(2 * process.ADMIN_THREADS):
+            slow = socket.create_connection((address.host, address.port))
+            stack.enter_context(slow)
+            slow.sendall(b"GET /v1/status HTTP/1.1\r\nHost: ")
+        lease_s = settings_lib.MembershipSettings().announcement_lease_s
+        client = client_lib.AdminClient(f"http://{address}", "", lease_s)
+        assert not isinstance(client.health(), errors.Error)
