--- a/trefoilwind/admin/report.py
+++ b/trefoilwind/admin/report.py
@@ -113,7 +113,10 @@
     if progress is None:
         return
     for route in progress.routes:
-        yield f"route {route.path_prefix}: share {route.share:.0%}"
+        yield (
+            f"route {route.path_prefix} ({route.class_name}): "
+            f"share {route.share:.0%}"
+        )
     for seen in progress.versions:
         yield (
             f"route {seen.path_prefix} {seen.version}: {seen.calls} calls, "
--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -124,7 +124,9 @@
 
     def _append_outcome(self, outcome) -> None:
         node_id = self._environment.node_id
-        record_id = f"outcome/{outcome.move_id}/{node_id}"
+        # A proposal and its confirmation are two records of one node.
+        stamp_ms = int(outcome.at * 1000)
+        record_id = f"outcome/{outcome.move_id}/{node_id}/{stamp_ms}"
         stamp = self._environment.events.hybrid_clock.now()
         payload = records.encode(
             record_id, node_id, outcome, stamp.wall_ms, stamp.counter
