--- /dev/null
+++ b/trefoilwind/admin/metrics.py
@@ -0,0 +1,239 @@
+"""Counts of a node, taken on the path of calls: a lock and a few additions."""
+
+import bisect
+import collections
+import dataclasses
+import threading
+
+from trefoilwind import clock as clock_lib
+from trefoilwind import errors
+from trefoilwind import events
+from trefoilwind.proxy import calls
+
+LATENCY_BOUNDS_S = (
+    0.0005,
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    10.0,
+)
+WINDOW_SLOT_S = 10.0
+WINDOW_SLOTS = 6
+MOVES_KEPT = 64
+
+
+@dataclasses.dataclass(frozen=True)
+class Tally:
+    """Counts of attempts that were not shed.
+
+    Attributes:
+        calls: All of them.
+        failed: Those that failed.
+        in_time: Those that succeeded within the class's latency target.
+    """
+
+    calls: int = 0
+    failed: int = 0
+    in_time: int = 0
+
+    def plus(self, other: "Tally") -> "Tally":
+        """Return the sum."""
+        return Tally(
+            self.calls + other.calls,
+            self.failed + other.failed,
+            self.in_time + other.in_time,
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Latencies:
+    """Distribution of the latencies of one class.
+
+    Attributes:
+        counts: Attempts by `LATENCY_BOUNDS_S`; the last one is above all.
+        total_s: Sum in seconds.
+    """
+
+    counts: tuple[int, ...]
+    total_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Counts:
+    """Everything that was counted since the process began.
+
+    Attributes:
+        attempts: Attempts by class and result.
+        latencies: Distributions by class.
+        refusals: Calls without an answer by reason and result.
+        control_bytes: Bytes by direction.
+        events: Events by name.
+    """
+
+    attempts: dict[tuple[str, str], int]
+    latencies: dict[str, Latencies]
+    refusals: dict[tuple[str, str], int]
+    control_bytes: dict[str, int]
+    events: dict[str, int]
+
+
+class Metrics:
+    """Counts of one process. Safe for use by many threads."""
+
+    def __init__(self, clock: clock_lib.Clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._attempts: collections.Counter = collections.Counter()
+        self._latencies: dict[str, list[int]] = {}
+        self._latency_sums: collections.Counter = collections.Counter()
+        self._refusals: collections.Counter = collections.Counter()
+        self._control_bytes: collections.Counter = collections.Counter()
+        self._events: collections.Counter = collections.Counter()
+        self._window: collections.OrderedDict[int, dict] = (
+            collections.OrderedDict()
+        )
+        self._moves: collections.OrderedDict[str, dict] = (
+            collections.OrderedDict()
+        )
+
+    def watch(self, log: events.EventLog) -> None:
+        """Count each later event of a time line."""
+        for kind in events.registry():
+            log.connect(kind, self._count_event)
+
+    def _count_event(self, event: events.Event) -> None:
+        with self._lock:
+            self._events[event.name] += 1
+
+    def attempt_ended(
+        self, attempt: calls.Observation, is_in_time: bool
+    ) -> None:
+        """Count an attempt of a call.
+
+        Args:
+            attempt: What the entry saw.
+            is_in_time: True if it met the class's latency target.
+        """
+        if attempt.shed:
+            result = "shed"
+        elif attempt.failed:
+            result = "failed"
+        else:
+            result = "answered"
+        slot = self._slot()
+        with self._lock:
+            self._attempts[attempt.class_name, result] += 1
+            if attempt.shed:
+                return
+            self._count_latency(attempt.class_name, attempt.latency_s)
+            self._add_to_window(slot, attempt, is_in_time)
+            if attempt.move_id:
+                self._add_to_move(attempt, is_in_time)
+
+    def call_refused(self, error: errors.CallError) -> None:
+        """Count a call that got no answer from a backend server."""
+        result = "not-run" if error.not_run else "unknown"
+        with self._lock:
+            self._refusals[error.reason.value, result] += 1
+
+    def control_sent(self, count: int) -> None:
+        """Count bytes of control messages sent to peers."""
+        with self._lock:
+            self._control_bytes["sent"] += count
+
+    def control_received(self, count: int) -> None:
+        """Count bytes of control messages received from peers."""
+        with self._lock:
+            self._control_bytes["received"] += count
+
+    def recent_attempts(self) -> dict[tuple[str, str], Tally]:
+        """Return the last minute's tallies by (class, node)."""
+        oldest = self._slot() - WINDOW_SLOTS
+        totals: dict[tuple[str, str], Tally] = {}
+        with self._lock:
+            for slot, tallies in self._window.items():
+                if slot <= oldest:
+                    continue
+                for key, counts in tallies.items():
+                    totals[key] = totals.get(key, Tally()).plus(Tally(*counts))
+        return totals
+
+    def move_attempts(self, move_id: str) -> dict[tuple[str, str], Tally]:
+        """Return a move's tallies by (path prefix, version)."""
+        with self._lock:
+            tallies = self._moves.get(move_id, {})
+            return {key: Tally(*counts) for key, counts in tallies.items()}
+
+    def counts(self) -> Counts:
+        """Return what was counted so far."""
+        with self._lock:
+            return Counts(
+                attempts=dict(self._attempts),
+                latencies={
+                    name: Latencies(tuple(counts), self._latency_sums[name])
+                    for name, counts in self._latencies.items()
+                },
+                refusals=dict(self._refusals),
+                control_bytes=dict(self._control_bytes),
+                events=dict(self._events),
+            )
+
+    def _slot(self) -> int:
+        return int(self._clock.monotonic() // WINDOW_SLOT_S)
+
+    def _count_latency(self, class_name: str, latency_s: float) -> None:
+        counts = self._latencies.get(class_name)
+        if counts is None:
+            counts = [0] * (len(LATENCY_BOUNDS_S) + 1)
+            self._latencies[class_name] = counts
+        counts[bisect.bisect_left(LATENCY_BOUNDS_S, latency_s)] += 1
+        self._latency_sums[class_name] += latency_s
+
+    def _add_to_window(
+        self, slot: int, attempt: calls.Observation, is_in_time: bool
+    ) -> None:
+        tallies = self._window.get(slot)
+        if tallies is None:
+            tallies = self._window[slot] = {}
+            while len(self._window) > WINDOW_SLOTS:
+                self._window.popitem(last=False)
+        _count(
+            tallies, (attempt.class_name, attempt.node_id), attempt, is_in_time
+        )
+
+    def _add_to_move(
+        self, attempt: calls.Observation, is_in_time: bool
+    ) -> None:
+        tallies = self._moves.get(attempt.move_id)
+        if tallies is None:
+            tallies = self._moves[attempt.move_id] = {}
+            while len(self._moves) > MOVES_KEPT:
+                self._moves.popitem(last=False)
+        _count(
+            tallies, (attempt.path_prefix, attempt.version), attempt, is_in_time
+        )
+
+
+def _count(
+    tallies: dict[tuple[str, str], list[int]],
+    key: tuple[str, str],
+    attempt: calls.Observation,
+    is_in_time: bool,
+) -> None:
+    """Count an attempt in a list, which is cheaper than a new `Tally`."""
+    counts = tallies.get(key)
+    if counts is None:
+        counts = tallies[key] = [0, 0, 0]
+    counts[0] += 1
+    if attempt.failed:
+        counts[1] += 1
+    elif is_in_time:
+        counts[2] += 1
--- /dev/null
+++ b/trefoilwind/admin/observations.py
@@ -0,0 +1,16 @@
+"""Counts what the entry of calls observed, for operators."""
+
+from trefoilwind import environment as environment_lib
+from trefoilwind.proxy import calls
+
+
+def count(
+    environment: environment_lib.Environment, observation: calls.Observation
+) -> None:
+    """Count one attempt; may be called by any thread."""
+    configuration = environment.blackboard.state.value.configuration
+    target = configuration.target(observation.class_name)
+    is_in_time = (
+        target is not None and observation.latency_s <= target.latency_target_s
+    )
+    environment.metrics.attempt_ended(observation, is_in_time)
--- a/trefoilwind/cmd/standin_caller.py
+++ b/trefoilwind/cmd/standin_caller.py
@@ -30,10 +30,13 @@
     """
     if not entry:
         common.fail("no entry given")
+    for url in entry:
+        common.check_url("entry", url)
     if not 0 < seconds <= _MAX_SECONDS:
         common.fail(f"--seconds: not in 0 to {_MAX_SECONDS}")
     user = caller.Caller(entry, (caller.Call(method, path),))
     user.start()
+    print(f"calling {path} for {seconds:g} s", flush=True)
     time.sleep(seconds)
     user.stop()
     print(f"{user.answered} answered, {user.failed} failed, {user.lost} lost")
