--- a/trefoilwind/node/process.py
+++ b/trefoilwind/node/process.py
@@ -35,6 +35,8 @@
 ADMIN_THREADS = 4
 SERVER_STOP_TIMEOUT_S = 1.0
 LISTEN_BACKLOG = 128
+# Beyond it the server closes a connection after each answer.
+KEPT_CONNECTIONS = 1024
 _DRAIN_CHECK_S = 0.05
 _FINISH_TIMEOUT_S = 1.0
 _TARGET_FRAMES = (frames.CallOpen, frames.CallBody, frames.Cancel)
@@ -193,6 +195,7 @@
     ) -> addresses.Address | errors.Error:
         server.shutdown_timeout = SERVER_STOP_TIMEOUT_S
         server.request_queue_size = LISTEN_BACKLOG
+        server.keep_alive_conn_limit = KEPT_CONNECTIONS
         server.max_request_header_size = (
             self._environment.settings.proxy.max_header_bytes
         )
