--- a/tests/test_proxy/fakes.py
+++ b/tests/test_proxy/fakes.py
@@ -218,7 +218,8 @@
         self.environment = environment("target", **proxy)
         window = self.environment.settings.streams.credit_window_bytes
         self.target = target_lib.Target(self.environment)
-        self.target.set_backend(backend_lib.BackendClient(backend.address, 4))
+        self.client = backend_lib.BackendClient(backend.address, 4)
+        self.target.set_backend(self.client)
         self.remote = remote_lib.RemoteCaller(FakeTransport(self.near), window)
         for stream, name in ((self.near, "entry"), (self.far, "target")):
             stream.send(frames.Hello(frames.PROTOCOL_VERSION, name, "perth-a"))
--- /dev/null
+++ b/tests/test_proxy/test_proxy_bodies.py
@@ -0,0 +1,99 @@
+"""Fuzz of a body's credit: both sides against what was sent."""
+
+import threading
+import time
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from trefoilwind import errors
+from trefoilwind.distribution import frames
+from trefoilwind.proxy import bodies
+
+_FAR_S = 60.0
+
+
+class BodyMachine(stateful.RuleBasedStateMachine):
+    """Frames and grants travel late; the consumer reads when it likes."""
+
+    @stateful.initialize(window=st.integers(1, 300_000))
+    def start(self, window):
+        deadline = time.monotonic() + _FAR_S
+        self.window = max(window, frames.INITIAL_CREDIT_BYTES)
+        self.grants = []
+        self.frames = []
+        self.sent = b""
+        self.taken = b""
+        self.credit = bodies.Credit(deadline)
+        self.body = bodies.ReceivedBody(window, deadline, self.grants.append)
+        self.chunks = iter(self.body)
+        self.queued = 0
+        self.body.open_window()
+
+    @stateful.rule(count=st.integers(1, 100_000), fill=st.integers(0, 255))
+    def send(self, count, fill):
+        if self.credit._available_bytes <= 0:
+            return
+        count = self.credit.take(count)
+        chunk = bytes([fill]) * count
+        self.sent += chunk
+        self.frames.append(chunk)
+
+    @stateful.precondition(lambda self: self.frames)
+    @stateful.rule()
+    def deliver(self):
+        chunk = self.frames.pop(0)
+        assert self.body.put(chunk, False)
+        self.queued += 1
+
+    @stateful.precondition(lambda self: self.grants)
+    @stateful.rule()
+    def grant(self):
+        self.credit.add(self.grants.pop(0))
+
+    @stateful.precondition(lambda self: self.queued)
+    @stateful.rule()
+    def consume(self):
+        self.taken += next(self.chunks)
+        self.queued -= 1
+
+    @stateful.invariant()
+    def window_bounds_what_is_held(self):
+        if not hasattr(self, "sent"):
+            return
+        assert len(self.sent) - len(self.taken) <= self.window
+        assert self.sent.startswith(self.taken)
+
+
+BodyMachine.TestCase.settings = hypothesis.settings(stateful_step_count=40)
+TestBodyFuzz = BodyMachine.TestCase
+
+
+def test_a_body_larger_than_the_window_arrives_whole():
+    deadline = time.monotonic() + _FAR_S
+    credit = bodies.Credit(deadline)
+    body = bodies.ReceivedBody(1, deadline, credit.add)
+    chunks = [bytes([i]) * 70_000 for i in range(20)]
+
+    def send():
+        bodies.send(iter(chunks), credit, lambda x: body.put(x, False) and None)
+        body.put(b"", True)
+
+    thread = threading.Thread(target=send)
+    thread.start()
+    assert b"".join(body) == b"".join(chunks)
+    thread.join(_FAR_S)
+
+
+def test_a_stopped_sender_ends_without_error():
+    credit = bodies.Credit(time.monotonic() + _FAR_S)
+    credit.stop()
+    assert bodies.send(iter([b"x"]), credit, lambda x: None) is None
+
+
+def test_a_sender_without_credit_ends_at_its_deadline():
+    credit = bodies.Credit(time.monotonic())
+    credit.take(frames.INITIAL_CREDIT_BYTES)
+    error = bodies.send(iter([b"x"]), credit, lambda x: None)
+    assert error.reason is errors.Reason.DEADLINE_EXCEEDED
--- a/tests/test_proxy/test_proxy_path.py
+++ b/tests/test_proxy/test_proxy_path.py
@@ -204,6 +204,16 @@
     assert results[0].status == 200
 
 
+def test_a_backend_server_that_left_is_refused_until_it_is_back(connect):
+    path = connect(fakes.answers(_OK))
+    path.target.withdraw()
+    error = path.call(fakes.request())
+    assert error.reason is errors.Reason.DRAINING
+    assert error.not_run
+    path.target.set_backend(path.client)
+    assert path.call(fakes.request()).status == 200
+
+
 def test_a_call_sent_after_the_last_taken_one_is_not_run(connect):
     path = connect(fakes.answers(_OK))
     received = []
--- a/tests/test_proxy/test_proxy_silence.py
+++ b/tests/test_proxy/test_proxy_silence.py
@@ -1,6 +1,7 @@
 """Streams that go silent, over a link that swallows bytes."""
 
 import contextlib
+import socket
 import threading
 
 import pytest
@@ -114,3 +115,26 @@
         )
     )
     assert not stream.is_closed
+
+
+def test_a_busy_stream_whose_peer_takes_nothing_is_replaced(nodes):
+    (entry, _, _), _ = nodes
+    connection = socket.create_connection(
+        (entry.address.host, entry.address.port)
+    )
+    hello = frames.Hello(frames.PROTOCOL_VERSION, "stuck", "perth-a")
+    connection.sendall(frames.encode(hello))
+    fakes.wait_until(lambda: entry.transport.find("stuck") is not None)
+    stream = entry.transport.find("stuck")
+    call_id = stream.open_call(lambda frame: None)
+
+    def is_closed():
+        # Bytes move both ways all the time, but heartbeats get no answer.
+        with contextlib.suppress(OSError):
+            connection.sendall(frames.encode(frames.Ping()))
+            connection.recv(65536)
+        stream.send(frames.CallBody(call_id, b"x", False))
+        return stream.is_closed
+
+    fakes.wait_until(is_closed)
+    connection.close()
--- a/trefoilwind/proxy/callers.py
+++ b/trefoilwind/proxy/callers.py
@@ -12,6 +12,7 @@
 from trefoilwind import errors
 from trefoilwind.proxy import calls
 from trefoilwind.proxy import dispatcher as dispatcher_lib
+from trefoilwind.proxy import http_server
 from trefoilwind.proxy import problems
 from trefoilwind.proxy import watch as watch_lib
 from trefoilwind.routing import table
@@ -73,6 +74,7 @@
         self._board = environment.blackboard
         self._dispatcher = dispatcher
         self._watch = watch_lib.CallWatch()
+        self._date = http_server.DateHeader()
 
     @property
     def in_flight(self) -> int:
@@ -166,6 +168,10 @@
         status = problems.status_line(answer.status)
         http_request.status = status.encode("latin-1")
         http_request.outheaders.extend(_answer_headers(answer.headers))
+        if not any(
+            name.lower() == b"date" for name, _ in http_request.outheaders
+        ):
+            http_request.outheaders.append((b"Date", self._date.value))
         self._close_if_needed(http_request, request)
         try:
             for chunk in answer.body:
@@ -348,9 +354,11 @@
     if http_request.chunked_read:
         dropped = dropped | {b"content-length"}
     return tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in http_request.inheaders.items()
-        if name.lower() not in dropped
+        [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in http_request.inheaders.items()
+            if name.lower() not in dropped
+        ]
     )
 
 
--- a/trefoilwind/proxy/http_server.py
+++ b/trefoilwind/proxy/http_server.py
@@ -5,10 +5,12 @@
   next request often follows: that saves two changes of thread.
 """
 
+import email.utils
 import io
 import select
 import socket
 import threading
+import time
 from typing import Any
 
 from cheroot import server as cheroot_server
@@ -62,6 +64,8 @@
 
     def __init__(self, server: "CallerServer", sock: socket.socket, _: Any):
         super().__init__(server, sock, _make_file)
+        self._poll = select.poll()
+        self._poll.register(sock, select.POLLIN)
 
     def communicate(self) -> bool:
         """Answer requests; return True if the connection is to be kept."""
@@ -78,13 +82,28 @@
         if not staying.acquire(blocking=False):
             return False
         try:
-            poll = select.poll()
-            poll.register(self.socket, select.POLLIN)
-            return bool(poll.poll(_STAY_MS))
+            return bool(self._poll.poll(_STAY_MS))
         finally:
             staying.release()
 
 
+class DateHeader:
+    """Value of the header Date, made once a second."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._value = b""
+
+    @property
+    def value(self) -> bytes:
+        """The present time as HTTP writes it."""
+        second = int(time.time())
+        if second != self._second:
+            self._value = email.utils.formatdate(second, usegmt=True).encode()
+            self._second = second
+        return self._value
+
+
 class CallerServer(cheroot_server.HTTPServer):
     """HTTP server with a fixed number of threads."""
 
