--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -7,9 +7,11 @@
 
 from trefoilwind import environment as environment_lib
 from trefoilwind import events
+from trefoilwind.distribution import links as links_lib
 from trefoilwind.distribution import ports
 from trefoilwind.distribution import spreader as spreader_lib
 from trefoilwind.distribution import transport as transport_lib
+from trefoilwind.log import coordinator as coordinator_lib
 from trefoilwind.membership import controller as membership_lib
 from trefoilwind.model import lifecycle
 from trefoilwind.model import records
@@ -17,6 +19,8 @@
 from trefoilwind.proxy import backend as backend_lib
 from trefoilwind.proxy import target as target_lib
 from trefoilwind.rollout import controller as rollout_lib
+from trefoilwind.routing import keepers as keepers_lib
+from trefoilwind.routing import suspect_controller as suspect_lib
 from trefoilwind.routing import table
 
 logger = logging.getLogger(__name__)
@@ -38,10 +42,23 @@
         self._transport = transport
         self._target = target
         self._tell_log = tell_log
-        self._spreader = spreader_lib.Spreader(environment)
-        self._membership = membership_lib.MembershipController(environment)
+        self._links = links_lib.LinkController(environment)
+        self._spreader = spreader_lib.Spreader(environment, self._links)
+        self._membership = membership_lib.MembershipController(
+            environment, self._links
+        )
+        self._coordinator = coordinator_lib.Coordinator(environment)
         self._rollout = rollout
-        self._controllers = (self._spreader, self._membership, rollout)
+        self._keepers = keepers_lib.KeeperController(environment)
+        self._suspects = suspect_lib.SuspectController(environment)
+        self._controllers = (
+            self._links,
+            self._spreader,
+            self._membership,
+            rollout,
+            self._keepers,
+            self._suspects,
+        )
         self._controller_by_message = {
             cls: controller
             for controller in self._controllers
@@ -70,6 +87,8 @@
             return self._from_all("peer_lost", message.peer)
         if isinstance(message, messages.PageRead):
             return self._spreader.take_page(message.from_offset, message.page)
+        if isinstance(message, messages.CheckpointRead):
+            return self._spreader.take_checkpoint(message.state)
         if isinstance(message, messages.Announcement):
             return self._announce(message)
         if isinstance(message, messages.Withdrawal):
@@ -97,10 +116,10 @@
     def _tick(self) -> list[ports.Envelope]:
         self._expire_announcement()
         envelopes = self._from_all("tick")
+        self._coordinate()
         self._tell_log(messages.Tick())
         for outcome in self._rollout.take_outcomes():
             self._append_outcome(outcome)
-        self._connect_members()
         return envelopes
 
     def _append_outcome(self, outcome) -> None:
@@ -109,14 +128,14 @@
         payload = records.encode(record_id, node_id, outcome)
         self._tell_log(messages.Append(record_id, payload))
 
-    def _connect_members(self) -> None:
-        """Keep a stream to every other member."""
-        own = self._environment.node_id
-        connected = set(self._transport.peers)
-        for member in self._board.members.value.members:
-            # One side connects, so that two nodes share one stream.
-            if member.node_id > own and member.node_id not in connected:
-                self._transport.connect_later(member.node_id)
+    def _coordinate(self) -> None:
+        self._coordinator.tick()
+        for request in self._coordinator.take_requests():
+            self._tell_log(
+                messages.Append(
+                    request.record_id, request.payload, request.deadline
+                )
+            )
 
     def _announce(
         self, announcement: messages.Announcement
--- a/trefoilwind/node/process.py
+++ b/trefoilwind/node/process.py
@@ -91,6 +91,7 @@
         if isinstance(peer_address, errors.Error):
             return peer_address
         self._start_actors()
+        self._connect_call_threads()
         servers = self._start_servers()
         if isinstance(servers, errors.Error):
             self.stop()
@@ -209,6 +210,14 @@
         ).start()
         return addresses.Address(address.host, server.bind_addr[1])
 
+    def _connect_call_threads(self) -> None:
+        def post(message) -> None:
+            own_id = self._environment.node_id
+            self._tell(messages.PeerMessage(own_id, message))
+
+        self._dispatcher.keys.post = post
+        self._target.guard.post = post
+
     def _connect_transport(self) -> None:
         self._transport.on_message = lambda peer, message: self._tell(
             messages.PeerMessage(peer, message)
@@ -223,7 +232,7 @@
         self._transport.on_stream_closed = self._take_stream_closed
         self._transport.start()
 
-    def _take_page(self, message: messages.PageRead) -> None:
+    def _take_page(self, message) -> None:
         with contextlib.suppress(pykka.ActorDeadError):
             self._control.ask(message)
 
@@ -247,8 +256,6 @@
         self._target.stream_closed(stream)
 
     def _start_threads(self) -> None:
-        for contact in self._environment.settings.contacts:
-            self._transport.connect_later(str(contact), contact)
         for target in (self._tick, self._read_log):
             threading.Thread(
                 target=target, name=target.__name__, daemon=True
@@ -262,4 +269,4 @@
         reader = log_actor_lib.Reader(self._environment, self._log)
         while not self._stopped.is_set():
             if not reader.read_for(self._take_page):
-                self._stopped.wait(log_actor_lib.IDLE_WAIT_S)
+                self._stopped.wait(reader.idle_wait_s)
