--- a/trefoilwind/distribution/spreader.py
+++ b/trefoilwind/distribution/spreader.py
@@ -223,7 +223,9 @@
         if folded.state.version == offset:
             emit(events.CONFIGURATION_APPLIED, subject=str(offset))
         elif isinstance(folded.body, moves.Outcome):
-            self._report_outcome(folded.body)
+            # A proposal leaves the move open.
+            if not folded.state.is_open(folded.body.move_id):
+                self._report_outcome(folded.body)
         elif isinstance(folded.body, records.MoveRequest):
             move_id = folded.state.moves[-1].move.move_id
             emit(events.MOVE_STARTED, subject=move_id)
