--- a/trefoilwind/node/process.py
+++ b/trefoilwind/node/process.py
@@ -29,6 +29,7 @@
 from trefoilwind.proxy import callers as callers_lib
 from trefoilwind.proxy import calls
 from trefoilwind.proxy import dispatcher as dispatcher_lib
+from trefoilwind.proxy import http_server
 from trefoilwind.proxy import remote as remote_lib
 from trefoilwind.proxy import target as target_lib
 from trefoilwind.rollout import controller as rollout_lib
@@ -41,6 +42,8 @@
 ADMIN_READ_TIMEOUT_S = 1.0
 SERVER_STOP_TIMEOUT_S = 1.0
 LISTEN_BACKLOG = 128
+# Beyond it the server closes a connection after each answer.
+KEPT_CONNECTIONS = 1024
 _DRAIN_CHECK_S = 0.05
 _FINISH_TIMEOUT_S = 1.0
 _TARGET_FRAMES = (frames.CallOpen, frames.CallBody, frames.Cancel)
@@ -193,13 +196,7 @@
     ) -> cheroot_server.HTTPServer:
         threads = self._environment.settings.proxy.caller_threads
         self._callers.start()
-        return cheroot_server.HTTPServer(
-            (address.host, address.port),
-            gateway=self._callers.gateway,
-            minthreads=threads,
-            maxthreads=threads,
-            server_name="trefoilwind",
-        )
+        return http_server.CallerServer(address, self._callers.gateway, threads)
 
     def _serve(
         self, address: addresses.Address, server: cheroot_server.HTTPServer
@@ -207,6 +204,7 @@
         server.error_log = http_log.write
         server.shutdown_timeout = SERVER_STOP_TIMEOUT_S
         server.request_queue_size = LISTEN_BACKLOG
+        server.keep_alive_conn_limit = KEPT_CONNECTIONS
         server.max_request_header_size = (
             self._environment.settings.proxy.max_header_bytes
         )
