--- a/trefoilwind/proxy/dispatcher.py
+++ b/trefoilwind/proxy/dispatcher.py
@@ -273,7 +273,10 @@
             self._clear_suspect(attempt)
         self._observe(
             _observation(
-                attempt, result, latency_s, is_shed or attempt.is_suspect
+                attempt,
+                result,
+                latency_s,
+                is_shed or attempt.is_suspect or _is_cancelled(result),
             )
         )
 
@@ -334,7 +337,6 @@
     attempt: _Attempt, result: _Result, latency_s: float, shed: bool
 ) -> calls.Observation:
     entry = attempt.call.entry
-    is_error = isinstance(result, errors.CallError)
     return calls.Observation(
         move_id=entry.move_id,
         service=entry.service,
@@ -347,7 +349,7 @@
         failed=_is_failed(result),
         shed=shed,
         is_new=bool(attempt.split.move_id),
-        cut=is_error and result.reason in _CUT_REASONS,
+        cut=_is_cut(result) and not attempt.is_suspect,
     )
 
 
@@ -372,3 +374,13 @@
     if isinstance(result, errors.CallError):
         return result.not_run and result.reason in _SATURATION_REASONS
     return result.status == _UNAVAILABLE_STATUS
+
+
+def _is_cut(result: _Result) -> bool:
+    is_error = isinstance(result, errors.CallError)
+    return is_error and result.reason in _CUT_REASONS
+
+
+def _is_cancelled(result: _Result) -> bool:
+    is_error = isinstance(result, errors.CallError)
+    return is_error and result.reason is errors.Reason.CANCELLED
