--- a/trefoilwind/distribution/spreader.py
+++ b/trefoilwind/distribution/spreader.py
@@ -172,6 +172,9 @@
         self, state: state_lib.State, entry: port.Entry
     ) -> state_lib.State:
         folded = fold.fold(state, entry.offset, entry.payload)
+        self._environment.record_results.note(
+            entry.payload, entry.offset, folded
+        )
         self._keep_recent(entry)
         self._report(folded, entry.offset)
         return folded.state
--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -127,7 +127,10 @@
         # A proposal and its confirmation are two records of one node.
         stamp_ms = int(outcome.at * 1000)
         record_id = f"outcome/{outcome.move_id}/{node_id}/{stamp_ms}"
-        payload = records.encode(record_id, node_id, outcome)
+        stamp = self._environment.events.hybrid_clock.now()
+        payload = records.encode(
+            record_id, node_id, outcome, stamp.wall_ms, stamp.counter
+        )
         self._tell_log(messages.Append(record_id, payload))
 
     def _coordinate(self) -> None:
--- a/trefoilwind/proxy/backend.py
+++ b/trefoilwind/proxy/backend.py
@@ -1,7 +1,6 @@
 """Calls from a node to the backend server beside it."""
 
 from collections.abc import Iterator
-import dataclasses
 import http.client
 import time
 
@@ -24,24 +23,6 @@
 _FAILURES = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
 
 
-class _EarlyAnswer(Exception):  # noqa: N818 - leaves an iterator.
-    """The backend server answers before the body ended."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Sending:
-    """How far a request went.
-
-    Attributes:
-        body_started: True once the head was written as a whole. A backend
-            server cannot run a request whose head it does not have.
-        is_whole: True if all of the request was written.
-    """
-
-    body_started: bool = False
-    is_whole: bool = False
-
-
 class BackendClient:
     """Calls one backend server over pooled connections."""
 
@@ -89,92 +70,97 @@
     ) -> calls.Answer | errors.CallError:
         cancellation = request.cancellation
         cancellation.add(pooled.abort)
-        sending = _Sending()
-        result = self._send(pooled, request, sending)
+        result = self._send_head(pooled, request)
         if result is None:
-            result = self._receive(pooled, request, sending)
+            result = self._send_body(pooled, request)
+        if not isinstance(result, errors.CallError):
+            result = self._receive(pooled, request, is_whole=result)
         if isinstance(result, errors.CallError):
             cancellation.discard(pooled.abort)
             pooled.discard()
         return result
 
-    def _send(
-        self,
-        pooled: connections.Pooled,
-        request: calls.Request,
-        sending: _Sending,
+    def _send_head(
+        self, pooled: connections.Pooled, request: calls.Request
     ) -> errors.CallError | None:
-        """Send a request; None if an answer can be expected."""
+        """Send the head; a failure is not run, as part of a head cannot run."""
         remaining_s = request.deadline - time.monotonic()
         if remaining_s <= 0 or request.cancellation.reason is not None:
             return self._cancelled(request, not_run=True)
-        headers = dict(request.headers)
-        headers[TIMEOUT_HEADER] = f"{remaining_s:.3f}"
-        body = None
-        if request.body_length:
-            body = _watch_body(pooled, request, sending)
-        pooled.http.timeout = remaining_s
+        headers = [*request.headers, (TIMEOUT_HEADER, f"{remaining_s:.3f}")]
+        if _is_chunked(request):
+            headers.append(("Transfer-Encoding", "chunked"))
+        pooled.sock.settimeout(remaining_s)
         try:
-            pooled.http.request(
-                request.method,
-                request.path,
-                body=body,
-                headers=headers,
-                preload_content=False,
-                decode_content=False,
-            )
-        except _EarlyAnswer:
-            return None
-        except calls.BodyCut as error:
-            reason = request.cancellation.reason or error.reason
-            return self._error(reason, str(error), False)
+            pooled.send_head(request.method, request.path, headers)
         except (ValueError, http.client.InvalidURL) as error:
             reason = errors.Reason.BAD_REQUEST
-            return self._error(
-                reason, type(error).__name__, not sending.body_started
-            )
+            return self._error(reason, type(error).__name__, True)
         except _FAILURES as error:
-            if sending.body_started and _may_have_answered(pooled, error):
-                return None
-            return self._failed(request, error, not sending.body_started)
-        sending.is_whole = True
+            return self._failed(request, error, True)
         return None
 
+    def _send_body(
+        self, pooled: connections.Pooled, request: calls.Request
+    ) -> bool | errors.CallError:
+        """Send the body; return False if the answer came before its end."""
+        if not request.body_length:
+            return True
+        is_chunked = _is_chunked(request)
+        try:
+            for chunk in request.body:
+                if connections.is_readable(pooled.sock):
+                    return False
+                if not chunk:
+                    continue
+                pooled.sock.settimeout(_remaining_s(request))
+                pooled.send_chunk(chunk, is_chunked)
+            if is_chunked:
+                pooled.send_chunk(b"", is_chunked)
+        except calls.BodyCut as error:
+            reason = request.cancellation.reason or error.reason
+            return self._error(reason, str(error), False)
+        except _FAILURES as error:
+            if _may_have_answered(pooled, error):
+                return False
+            return self._failed(request, error, False)
+        return True
+
     def _receive(
         self,
         pooled: connections.Pooled,
         request: calls.Request,
-        sending: _Sending,
+        is_whole: bool,
     ) -> calls.Answer | errors.CallError:
         try:
-            pooled.http.timeout = _remaining_s(request)
-            response = pooled.http.getresponse()
+            pooled.sock.settimeout(_remaining_s(request))
+            response = pooled.receive_head()
         except _FAILURES as error:
             return self._failed(request, error, False)
         held = None
-        if sending.is_whole and _is_short(response):
+        if is_whole and _is_short(response):
             try:
                 held = response.read()
             except _FAILURES as error:
                 return self._failed(request, error, False)
-        return self._answer(pooled, request, sending, response, held)
+        return self._answer(pooled, request, is_whole, response, held)
 
     def _answer(
         self,
         pooled: connections.Pooled,
         request: calls.Request,
-        sending: _Sending,
-        response: urllib3.HTTPResponse,
+        is_whole: bool,
+        response: http.client.HTTPResponse,
         held: bytes | None,
     ) -> calls.Answer:
-        headers = tuple(response.headers.items())
+        headers = tuple(response.msg.items())
         if held is not None:
             self.release(pooled, request)
             body = (held,) if held else ()
             return calls.Answer(
                 response.status, headers, body, _do_nothing, len(held)
             )
-        state = _Unread(self, pooled, request, sending.is_whole)
+        state = _Unread(self, pooled, request, is_whole)
         return calls.Answer(
             response.status, headers, state.read(response), state.close
         )
@@ -230,7 +216,7 @@
         self._is_reusable = is_reusable
         self._is_closed = False
 
-    def read(self, response: urllib3.HTTPResponse) -> Iterator[bytes]:
+    def read(self, response: http.client.HTTPResponse) -> Iterator[bytes]:
         """Yield the body as it arrives.
 
         Raises:
@@ -250,16 +236,14 @@
         """End the connection unless the body was read to its end."""
         self._finish(False)
 
-    def _chunks(self, response: urllib3.HTTPResponse) -> Iterator[bytes]:
-        # Each read has the time that is left of the whole call.
-        if response.chunked:
-            for chunk in response.read_chunked(_READ_BYTES):
-                yield chunk
-                self._pooled.sock.settimeout(_remaining_s(self._request))
-            return
+    def _chunks(self, response: http.client.HTTPResponse) -> Iterator[bytes]:
         while chunk := response.read1(_READ_BYTES):
             yield chunk
+            # Each read has the time that is left of the whole call.
             self._pooled.sock.settimeout(_remaining_s(self._request))
+        if response.length:
+            raise http.client.IncompleteRead(b"", response.length)
+        response.close()
 
     def _finish(self, is_reusable: bool) -> None:
         if self._is_closed:
@@ -273,15 +257,10 @@
         self._pooled.discard()
 
 
-def _watch_body(
-    pooled: connections.Pooled, request: calls.Request, sending: _Sending
-) -> Iterator[bytes]:
-    sending.body_started = True
-    for chunk in request.body:
-        if connections.is_readable(pooled.sock):
-            raise _EarlyAnswer
-        pooled.sock.settimeout(_remaining_s(request))
-        yield chunk
+def _is_chunked(request: calls.Request) -> bool:
+    if request.body_length == 0:
+        return False
+    return not any(n.lower() == "content-length" for n, _ in request.headers)
 
 
 def _may_have_answered(pooled: connections.Pooled, error: Exception) -> bool:
@@ -299,8 +278,8 @@
     )
 
 
-def _is_short(response: urllib3.HTTPResponse) -> bool:
-    length = response.length_remaining
+def _is_short(response: http.client.HTTPResponse) -> bool:
+    length = response.length
     return length is not None and length <= HELD_ANSWER_BYTES
 
 
