--- a/tests/test_log/test_log_fold.py
+++ b/tests/test_log/test_log_fold.py
@@ -1,3 +1,4 @@
+import dataclasses
 import math
 
 import pytest
@@ -51,7 +52,15 @@
     publication = records.Publication(0, without)
     assert writer.write(publication) is errors.Reason.MOVE_OPEN
     assert writer.state.version == 0
-    writer.write(moves.Outcome("move", moves.Result.DONE, "test"))
+    proposal = moves.Outcome("move", moves.Result.DONE, "test")
+    assert writer.write(proposal) is None
+    assert writer.state.is_open("move")
+    assert writer.write(publication) is errors.Reason.MOVE_OPEN
+    early = dataclasses.replace(proposal, at=proposal.at + 1.0)
+    assert writer.write(early) is errors.Reason.REPEATED_RECORD
+    confirmed_at = proposal.at + moves.CONFIRMATION_DELAY_S
+    assert writer.write(dataclasses.replace(proposal, at=confirmed_at)) is None
+    assert not writer.state.is_open("move")
     assert writer.state.stable_version(oracle.SERVICE, "") == "v2"
     assert writer.write(publication) is None
     assert writer.state.stable == ()
@@ -59,7 +68,9 @@
 
 def test_a_repeated_move_does_not_start_again(writer):
     writer.write(move(), "move")
-    writer.write(moves.Outcome("move", moves.Result.DONE, "test"))
+    for at in (0.0, moves.CONFIRMATION_DELAY_S):
+        writer.write(moves.Outcome("move", moves.Result.DONE, "test", at=at))
+    assert not writer.state.is_open("move")
     assert writer.write(move(), "move") is errors.Reason.REPEATED_RECORD
 
 
