--- a/tests/test_membership/test_membership_controller.py
+++ b/tests/test_membership/test_membership_controller.py
@@ -3,6 +3,11 @@
 import pytest
 
 from tests.test_distribution import mesh as mesh_lib
+from trefoilwind import clock as clock_lib
+from trefoilwind import environment as environment_lib
+from trefoilwind import settings as settings_lib
+from trefoilwind.distribution import links as links_lib
+from trefoilwind.membership import controller as membership_lib
 from trefoilwind.membership import messages as membership_messages
 from trefoilwind.model import members as members_lib
 from trefoilwind.node import messages
@@ -65,3 +70,20 @@
     mesh.nodes["a"].control.receive(messages.Withdrawal())
     run(mesh, 1.0)
     assert all(entry(mesh, at, "a").leaving for at in "bcd")
+
+
+def test_a_suspected_node_pushes_a_later_renewal_at_once():
+    settings = settings_lib.NodeSettings(
+        node_id="a",
+        data_centre="perth-a",
+        region="perth",
+        log=settings_lib.LogSettings(url=""),
+    )
+    environment = environment_lib.make(settings, clock_lib.VirtualClock(), 1)
+    links = links_lib.LinkController(environment)
+    controller = membership_lib.MembershipController(environment, links)
+    links.peer_connected("b")
+    suspicion = membership_messages.Suspicion("a", environment.incarnation, 99)
+    (envelope,) = controller.handle("b", suspicion)
+    (leased,) = envelope.message.entries
+    assert (envelope.peer, leased.renewal) == ("b", 100)
