--- a/trefoilwind/admin/documents.py
+++ b/trefoilwind/admin/documents.py
@@ -8,7 +8,8 @@
 
 
 def _make_converter() -> cattrs.Converter:
-    converter = cattrs_json.make_converter(forbid_extra_keys=True)
+    # Fields that a later node adds to a document are ignored.
+    converter = cattrs_json.make_converter()
     converter.register_unstructure_hook(enum.Enum, lambda member: member.value)
     return converter
 
@@ -25,6 +26,9 @@
     """Return the data class that a document describes.
 
     Raises:
-        cattrs.BaseValidationError: The document does not fit.
+        ValueError: The document does not fit.
     """
-    return _converter.structure(plain, cls)
+    try:
+        return _converter.structure(plain, cls)
+    except (cattrs.BaseValidationError, LookupError, TypeError) as error:
+        raise ValueError(f"{cls} expected") from error
--- a/trefoilwind/node/process.py
+++ b/trefoilwind/node/process.py
@@ -15,16 +15,21 @@
 from trefoilwind import events
 from trefoilwind import settings as settings_lib
 from trefoilwind.admin import api as api_lib
+from trefoilwind.admin import observations
+from trefoilwind.admin import requests
 from trefoilwind.distribution import frames
 from trefoilwind.distribution import transport as transport_lib
 from trefoilwind.log import port
 from trefoilwind.model import addresses
 from trefoilwind.node import control as control_lib
 from trefoilwind.node import control_actor
+from trefoilwind.node import http_log
 from trefoilwind.node import log_actor as log_actor_lib
 from trefoilwind.node import messages
 from trefoilwind.proxy import callers as callers_lib
+from trefoilwind.proxy import calls
 from trefoilwind.proxy import dispatcher as dispatcher_lib
+from trefoilwind.proxy import http_server
 from trefoilwind.proxy import remote as remote_lib
 from trefoilwind.proxy import target as target_lib
 from trefoilwind.rollout import controller as rollout_lib
@@ -33,8 +38,12 @@
 
 TICK_S = 0.1
 ADMIN_THREADS = 4
+# Under the announcement lease: slow clients must not cost announcements.
+ADMIN_READ_TIMEOUT_S = 1.0
 SERVER_STOP_TIMEOUT_S = 1.0
 LISTEN_BACKLOG = 128
+# Beyond it the server closes a connection after each answer.
+KEPT_CONNECTIONS = 1024
 _DRAIN_CHECK_S = 0.05
 _FINISH_TIMEOUT_S = 1.0
 _TARGET_FRAMES = (frames.CallOpen, frames.CallBody, frames.Cancel)
@@ -70,7 +79,7 @@
         )
         self._rollout = rollout_lib.RolloutController(self._environment)
         self._dispatcher = dispatcher_lib.Dispatcher(
-            self._environment, self._target, self._remote, self._rollout.observe
+            self._environment, self._target, self._remote, self._observe
         )
         self._callers = callers_lib.CallerApplication(
             self._environment, self._dispatcher
@@ -138,6 +147,10 @@
         self._control.stop(block=False)
         self._log_actor.stop(block=False)
 
+    def _observe(self, observation: calls.Observation) -> None:
+        observations.count(self._environment, observation)
+        self._rollout.observe(observation)
+
     def _start_actors(self) -> None:
         self._log_actor = log_actor_lib.LogActor.start(
             self._environment, self._log
@@ -171,6 +184,8 @@
             numthreads=ADMIN_THREADS,
             max=ADMIN_THREADS,
         )
+        admin_server.max_request_body_size = requests.MAX_BODY_BYTES
+        admin_server.timeout = ADMIN_READ_TIMEOUT_S
         admin_address = self._serve(address, admin_server)
         if isinstance(admin_address, errors.Error):
             return admin_address
@@ -181,19 +196,15 @@
     ) -> cheroot_server.HTTPServer:
         threads = self._environment.settings.proxy.caller_threads
         self._callers.start()
-        return cheroot_server.HTTPServer(
-            (address.host, address.port),
-            gateway=self._callers.gateway,
-            minthreads=threads,
-            maxthreads=threads,
-            server_name="trefoilwind",
-        )
+        return http_server.CallerServer(address, self._callers.gateway, threads)
 
     def _serve(
         self, address: addresses.Address, server: cheroot_server.HTTPServer
     ) -> addresses.Address | errors.Error:
+        server.error_log = http_log.write
         server.shutdown_timeout = SERVER_STOP_TIMEOUT_S
         server.request_queue_size = LISTEN_BACKLOG
+        server.keep_alive_conn_limit = KEPT_CONNECTIONS
         server.max_request_header_size = (
             self._environment.settings.proxy.max_header_bytes
         )
