--- a/tests/test_routing/test_routing_fuzz.py
+++ b/tests/test_routing/test_routing_fuzz.py
@@ -118,22 +118,29 @@
                 self.mesh.add(node_id, place)
         self.mesh.run(SETTLED_S)
 
-    @stateful.rule(node=_NODES)
-    def replace_as_planned(self, node):
-        if node not in self.mesh.nodes:
-            return
-        place = dict(PLACES)[node]
-        self.mesh.leave(node)
-        self.mesh.run(SETTLED_S)
-        if node in self.mesh.nodes:
-            self.mesh.remove(node)
-            self.mesh.add(node, place)
-        self.mesh.run(SETTLED_S)
+    @stateful.rule(node=_NODES, again=_NODES)
+    def replace_while_ordering(self, node, again):
+        """Order while views of the members differ."""
+        self._replace(node)
+        self.order_with_key(again, node)
+
+    @stateful.rule(
+        nodes=strategies.lists(_NODES, min_size=2, max_size=3, unique=True),
+        again=_NODES,
+    )
+    def replace_some_as_planned(self, nodes, again):
+        for node in nodes:
+            self._replace(node)
+            self.mesh.run(SETTLED_S)
+        self.repeat_last_order(again)
 
-    @stateful.rule(is_cut=strategies.booleans())
-    def cut_regions(self, is_cut):
+    @stateful.rule(is_cut=strategies.booleans(), near=_NODES)
+    def cut_regions(self, is_cut, near):
+        """Cut or heal the link and order on both sides."""
         self.mesh.cut_regions(is_cut)
         self.sides = 2 if is_cut else 1
+        self.mesh.run(fake_mesh.LEASE_S + 1.0)
+        self.order_with_key(near, "c")
 
     @stateful.rule(seconds=strategies.sampled_from([0.5, 5.0, 15.0]))
     def wait(self, seconds):
@@ -150,6 +157,14 @@
         for call_id in self.not_run:
             assert self.mesh.executions_by_call[call_id] == 0
 
+    def _replace(self, node: str) -> None:
+        if node not in self.mesh.nodes:
+            return
+        self.mesh.leave(node)
+        self.mesh.run(SETTLED_S)
+        self.mesh.remove(node)
+        self.mesh.add(node, dict(PLACES)[node])
+
     def _order(self, node: str, key: str) -> None:
         if node not in self.mesh.nodes:
             return
--- a/trefoilwind/proxy/dispatcher.py
+++ b/trefoilwind/proxy/dispatcher.py
@@ -268,7 +268,9 @@
             return self._no_backend(call)
         call.tried.add(member.node_id)
         started = self._clock.monotonic()
-        is_suspect = suspect is not None and suspect.count > 0
+        is_suspect = call.cuts > 0 or (
+            suspect is not None and suspect.count > 0
+        )
         attempt = _Attempt(call, split, member, started, is_suspect)
         self._loads.started(member.node_id)
         result = self._run(member, call.attempt_request())
