--- a/tests/test_distribution/mesh.py
+++ b/tests/test_distribution/mesh.py
@@ -33,6 +33,9 @@
     def set_backend(self, backend) -> None:
         """Ignore the backend server: no calls are made."""
 
+    def withdraw(self) -> None:
+        """Ignore that the backend server leaves."""
+
 
 class LogView:
     """The log as one node or operator reaches it."""
