--- a/trefoilwind/routing/pick.py
+++ b/trefoilwind/routing/pick.py
@@ -1,7 +1,6 @@
 """Choice of a version and of a backend server for one attempt."""
 
 import bisect
-import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
@@ -21,10 +20,12 @@
 MAX_HINT_FACTOR = 1.5
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(slots=True)
 class Load:
     """What this node knows first-hand of a backend server.
 
+    Its tracker alone changes it; a reader may see a value a moment old.
+
     Attributes:
         in_flight: Own attempts under way.
         latency_s: Moving average of the latency in seconds.
@@ -72,23 +73,26 @@
         return 1.0 + load * (MAX_HINT_FACTOR - 1.0)
 
 
+_IDLE = Load()
+
+
 class LoadTracker:
     """Own load on each backend server. Safe for use by many threads."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._loads: dict[str, Load] = collections.defaultdict(Load)
+        self._loads: dict[str, Load] = {}
         self._hints: dict[str, Hint] = {}
 
     def load(self, node_id: str) -> Load:
         """Return the load on a node's backend server."""
-        return self._loads.get(node_id, Load())
+        return self._loads.get(node_id, _IDLE)
 
     def cost(self, node_id: str, now: float) -> float:
         """Return the expected wait, corrected by a live hint."""
+        cost = self._loads.get(node_id, _IDLE).cost(now)
         hint = self._hints.get(node_id)
-        factor = 1.0 if hint is None else hint.factor(now)
-        return self.load(node_id).cost(now) * factor
+        return cost if hint is None else cost * hint.factor(now)
 
     def hinted(self, node_id: str, hint: Hint) -> None:
         """Take a report of a backend server."""
@@ -97,10 +101,10 @@
     def started(self, node_id: str) -> None:
         """Count an attempt that starts."""
         with self._lock:
-            old = self._loads[node_id]
-            self._loads[node_id] = dataclasses.replace(
-                old, in_flight=old.in_flight + 1
-            )
+            load = self._loads.get(node_id)
+            if load is None:
+                load = self._loads[node_id] = Load()
+            load.in_flight += 1
 
     def ended(
         self, node_id: str, latency_s: float, failed: bool, now: float
@@ -115,16 +119,13 @@
             now: Monotonic time in seconds.
         """
         with self._lock:
-            old = self._loads[node_id]
+            load = self._loads[node_id]
+            load.in_flight -= 1
             if failed:
-                penalty_s = max(latency_s, old.latency_s * _FAILURE_FACTOR)
+                penalty_s = max(latency_s, load.latency_s * _FAILURE_FACTOR)
                 latency_s = min(_MAX_LATENCY_S, penalty_s)
-            average = old.latency_s + _LATENCY_WEIGHT * (
-                latency_s - old.latency_s
-            )
-            self._loads[node_id] = Load(
-                old.in_flight - 1, average, old.saturated_until, now
-            )
+            load.latency_s += _LATENCY_WEIGHT * (latency_s - load.latency_s)
+            load.updated = now
 
     def refused(self, node_id: str, until: float) -> None:
         """Count an attempt that did not run; its latency tells nothing.
@@ -135,10 +136,9 @@
                 saturated.
         """
         with self._lock:
-            old = self._loads[node_id]
-            self._loads[node_id] = dataclasses.replace(
-                old, in_flight=old.in_flight - 1, saturated_until=until
-            )
+            load = self._loads[node_id]
+            load.in_flight -= 1
+            load.saturated_until = until
 
     def keep_only(self, is_live: Callable[[str], bool]) -> None:
         """Forget idle backend servers that are gone."""
