Let unreachable servers repel calls, cancelled callers leave the queue

Cause: a refusal by an unreachable backend server came fast and did not raise its cost, so it drew calls between ejections; a call in the queue or waiting for a key did not see that its caller had left. Change: only overload and final refusals leave the latency average alone; cancellation ends both waits. The joint world passes call threads' messages to the control, as the node does.

--- a/tests/joint/world.py
+++ b/tests/joint/world.py
@@ -180,6 +180,8 @@
             FakeRemote(world, node_id),
             self.rollout.observe,
         )
+        self.dispatcher.keys.post = self._post
+        self.target.guard.post = self._post
         self.backend: FakeBackend | None = None
         self.announcement: messages.Announcement | None = None
 
@@ -201,6 +203,11 @@
         offset = self.environment.blackboard.state.value.next_offset
         self._appender.run(offset)
 
+    def _post(self, message) -> None:
+        """Take a message of this node's call threads."""
+        own_id = self.environment.node_id
+        self.control.receive(messages.PeerMessage(own_id, message))
+
     def _tell_log(self, message) -> None:
         if isinstance(message, messages.Append):
             self._appender.add(
--- a/tests/test_routing/test_routing_retry.py
+++ b/tests/test_routing/test_routing_retry.py
@@ -103,3 +103,12 @@
     mesh.make_call("n0", fake_mesh.LOOKUPS, "lookup")
     seen = len(mesh.nodes["n0"].observations)
     assert 1 <= seen <= dispatcher_lib.MAX_ATTEMPTS
+
+
+def test_an_unreachable_server_does_not_attract_calls():
+    mesh = _mesh()
+    mesh.nodes["n3"].backend.is_alive = False
+    for number in range(CALLS):
+        mesh.make_call("n0", fake_mesh.LOOKUPS, f"r{number}")
+    seen = [o.node_id for o in mesh.nodes["n0"].observations]
+    assert 0 < seen.count("n3") < CALLS / 10
--- a/trefoilwind/proxy/dispatcher.py
+++ b/trefoilwind/proxy/dispatcher.py
@@ -165,9 +165,9 @@
 
     def _may_retry(self, call: _Call, result: _Result) -> bool:
         target = call.request.target
+        if _is_final(result):
+            return False
         if isinstance(result, errors.CallError):
-            if result.reason in _FINAL_REASONS:
-                return False
             is_allowed = result.not_run or target.idempotent
         else:
             is_shed = result.status == _UNAVAILABLE_STATUS
@@ -233,9 +233,10 @@
         is_shed = _is_shed(result)
         is_failed = _is_failed(result)
         node_id = attempt.member.node_id
-        if is_shed:
-            until = now + SATURATED_S if _is_saturated(result) else 0.0
-            self._loads.refused(node_id, until)
+        if _is_saturated(result):
+            self._loads.refused(node_id, now + SATURATED_S)
+        elif _is_final(result):
+            self._loads.refused(node_id, 0.0)
         else:
             self._loads.ended(node_id, latency_s, is_failed, now)
         self._judge_member(attempt, result, now)
@@ -256,7 +257,7 @@
         is_error = isinstance(result, errors.CallError)
         if is_error and result.reason is errors.Reason.BACKEND_FAILED:
             attempt.call.cuts += 1
-        if is_error and result.reason in _FINAL_REASONS:
+        if _is_final(result):
             return
         node_id = attempt.member.node_id
         if not _is_failed(result):
@@ -349,6 +350,11 @@
     return result.status >= _FAILURE_STATUS
 
 
+def _is_final(result: _Result) -> bool:
+    is_error = isinstance(result, errors.CallError)
+    return is_error and result.reason in _FINAL_REASONS
+
+
 def _is_shed(result: _Result) -> bool:
     if isinstance(result, errors.CallError):
         return result.not_run
--- a/trefoilwind/routing/admission.py
+++ b/trefoilwind/routing/admission.py
@@ -19,6 +19,7 @@
     QUEUED = "queued"
     SHED = "shed"
     EXPIRED = "expired"
+    CANCELLED = "cancelled"
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- a/trefoilwind/routing/guard.py
+++ b/trefoilwind/routing/guard.py
@@ -67,7 +67,7 @@
             request.deadline,
             inbox.put,
         )
-        verdict = self._await_admission(state, ticket, inbox)
+        verdict = self._await_admission(state, ticket, request, inbox)
         if verdict is not admission.Verdict.ADMITTED:
             return self._refusal(_reason(verdict), True)
         return self._run_admitted(state, ticket, request, run)
@@ -92,19 +92,31 @@
         self,
         state: admission.Admission,
         ticket: admission.Ticket,
+        request: calls.Request,
         inbox: queue.SimpleQueue,
     ) -> admission.Verdict:
         with self._lock:
             verdict = state.submit(ticket, self._clock.monotonic())
         if verdict is not admission.Verdict.QUEUED:
             return verdict
+
+        def wake() -> None:
+            inbox.put(admission.Verdict.CANCELLED)
+
+        request.cancellation.add(wake)
         decided = self._waiter.wait(inbox, ticket.deadline)
-        if decided is not None:
+        request.cancellation.discard(wake)
+        if decided not in (None, admission.Verdict.CANCELLED):
             return decided
         with self._lock:
             is_withdrawn = state.withdraw(ticket)
+        if is_withdrawn:
+            return decided or admission.Verdict.EXPIRED
         # A ticket that left the queue meanwhile has its verdict already.
-        return admission.Verdict.EXPIRED if is_withdrawn else inbox.get()
+        verdict = inbox.get()
+        while verdict is admission.Verdict.CANCELLED:
+            verdict = inbox.get()
+        return verdict
 
     def _run_admitted(
         self,
@@ -171,6 +183,8 @@
 def _reason(verdict: admission.Verdict) -> errors.Reason:
     if verdict is admission.Verdict.EXPIRED:
         return errors.Reason.DEADLINE_EXCEEDED
+    if verdict is admission.Verdict.CANCELLED:
+        return errors.Reason.CANCELLED
     return errors.Reason.OVERLOADED
 
 
--- a/trefoilwind/routing/key_client.py
+++ b/trefoilwind/routing/key_client.py
@@ -80,7 +80,8 @@
                 return self._outcome(decision)
             retry_at = self._clock.monotonic() + self._random.random() * poll_s
             poll_s = min(2 * poll_s, LAST_POLL_S)
-            if retry_at >= request.deadline:
+            is_cancelled = request.cancellation.reason is not None
+            if is_cancelled or retry_at >= request.deadline:
                 return self._outcome(decision)
             self._waiter.wait(queue.SimpleQueue(), retry_at)
 
--- a/trefoilwind/routing/pick.py
+++ b/trefoilwind/routing/pick.py
@@ -138,7 +138,7 @@
         with self._lock:
             load = self._loads[node_id]
             load.in_flight -= 1
-            load.saturated_until = until
+            load.saturated_until = max(load.saturated_until, until)
 
     def keep_only(self, is_live: Callable[[str], bool]) -> None:
         """Forget idle backend servers that are gone."""
