--- a/tests/joint/world.py
+++ b/tests/joint/world.py
@@ -351,7 +351,7 @@
             method=method,
             path=path,
             headers=(("Request-Id", request_id),),
-            body=iter(()),
+            body=calls.Body(held=b""),
             body_length=0,
             target=entry.target,
             deadline=self.clock.monotonic() + entry.target.timeout_s,
--- a/trefoilwind/proxy/calls.py
+++ b/trefoilwind/proxy/calls.py
@@ -128,7 +128,7 @@
     method: str
     path: str
     headers: tuple[Header, ...]
-    body: Iterable[bytes]
+    body: Body
     body_length: int
     target: configuration_lib.ClassTarget
     deadline: float
@@ -141,9 +141,7 @@
     @property
     def is_repeatable(self) -> bool:
         """True if a further attempt can send the same body."""
-        if isinstance(self.body, Body):
-            return self.body.is_repeatable
-        return self.body_length == 0
+        return self.body.is_repeatable
 
 
 @dataclasses.dataclass(frozen=True)
--- a/trefoilwind/proxy/dispatcher.py
+++ b/trefoilwind/proxy/dispatcher.py
@@ -321,9 +321,7 @@
 
 def _with_fingerprint(request: calls.Request) -> calls.Request:
     """Return the request, marked if its body is held whole."""
-    held = b"" if request.body_length == 0 else None
-    if isinstance(request.body, calls.Body):
-        held = request.body.held
+    held = request.body.held
     if held is None:
         return request
     fingerprint = _fingerprint(request, held)
