--- a/tests/test_routing/test_routing_keys.py
+++ b/tests/test_routing/test_routing_keys.py
@@ -1,7 +1,7 @@
 import dataclasses
 import itertools
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies
 
 from tests.test_routing import fake_mesh
@@ -109,7 +109,7 @@
     return [set(c) for c in itertools.combinations(group, count)]
 
 
-@given(
+@hypothesis.given(
     size=strategies.integers(3, 9),
     changed=strategies.integers(0, 9),
     is_join=strategies.booleans(),
@@ -226,6 +226,19 @@
     assert mesh.executions["order"] == 0
 
 
+def test_a_claim_meant_for_an_earlier_life_of_a_keeper_is_not_recorded():
+    mesh = fake_mesh.FakeMesh(1)
+    node = mesh.add("n0", "perth-a")
+    mesh.run(8.0)
+    incarnation = node.environment.incarnation
+    counts = []
+    for meant in (incarnation - 1, incarnation):
+        claim = dataclasses.replace(_claim(), incarnation=meant)
+        node.receive("n1", claim)
+        counts.append(len(node.keepers.store))
+    assert counts == [0, 1]
+
+
 def test_messages_survive_the_codec():
     answer = key_messages.RecordedAnswer(200, (("A", "b"),), b"body")
     messages = (
