Settle claims that nobody ended; follow members on ticks only

Cause: a call thread that ended by a defect left its claim in the bounded table for good; each claim compared all members, milliseconds at 5,500. Change: a granted claim is settled as unknown 30 s after its deadline; the view of the members is renewed each 0.5 s, well inside the 5 s that an earlier view counts.

--- a/tests/test_routing/test_routing_keys.py
+++ b/tests/test_routing/test_routing_keys.py
@@ -239,6 +239,20 @@
     assert counts == [0, 1]
 
 
+def test_a_granted_claim_that_nobody_ends_becomes_unknown():
+    mesh = fake_mesh.FakeMesh(1)
+    node = mesh.add("n0", "perth-a")
+    mesh.run(8.0)
+    decisions = []
+    deadline = mesh.clock.monotonic() + 1.0
+    start = key_messages.StartClaim("k", "d", "t1", deadline, decisions.append)
+    node.post(start)
+    mesh.run(40.0)
+    node.post(dataclasses.replace(start, token="t2"))
+    mesh.run(1.0)
+    assert [d.status for d in decisions] == [Status.NEW, Status.UNKNOWN]
+
+
 def test_messages_survive_the_codec():
     answer = key_messages.RecordedAnswer(200, (("A", "b"),), b"body")
     messages = (
--- a/trefoilwind/routing/keepers.py
+++ b/trefoilwind/routing/keepers.py
@@ -20,6 +20,7 @@
 
 CLAIM_TIMEOUT_S = 0.3
 HELD_MARGIN_S = 2.0
+ABANDONED_S = 30.0
 RESEND_S = 0.5
 RESEND_LIMIT_S = 30.0
 VIEW_INTERVAL_S = 0.5
@@ -151,15 +152,15 @@
         self, _: str, start: key_messages.StartClaim
     ) -> list[ports.Envelope]:
         now = self._clock.monotonic()
-        envelopes = self._follow_members(now)
         sets = self._placement.keeper_sets(start.key, now)
         if not sets[0] or len(self._claims) >= MAX_OPEN_CLAIMS:
             start.decide(key_messages.Decision(_Status.REFUSED))
-            return envelopes
+            return []
         claim = _Claim(start, sets, set(), now + CLAIM_TIMEOUT_S)
         self._claims[start.token] = claim
         held_s = max(0.0, start.deadline - now) + HELD_MARGIN_S
         lifetime_s = max(self._lifetime_s, held_s)
+        envelopes = []
         for keeper in claim.asked:
             message = key_messages.KeyClaim(
                 start.key,
@@ -282,13 +283,16 @@
         return []
 
     def _end_late_claims(self, now: float) -> list[ports.Envelope]:
-        late = [
-            claim
-            for claim in self._claims.values()
-            if not claim.is_granted and claim.round_deadline <= now
-        ]
+        """Give up claims without a majority and those that nobody ended."""
+        open_claims = list(self._claims.values())
         refused = key_messages.Decision(_Status.REFUSED)
-        return [e for claim in late for e in self._give_up(claim, refused)]
+        envelopes: list[ports.Envelope] = []
+        for claim in open_claims:
+            if not claim.is_granted and claim.round_deadline <= now:
+                envelopes += self._give_up(claim, refused)
+            elif claim.start.deadline + ABANDONED_S <= now:
+                envelopes += self._settle(claim, _Status.UNKNOWN, None)
+        return envelopes
 
     def _follow_members(self, now: float) -> list[ports.Envelope]:
         members = self._environment.blackboard.members.value
