--- a/trefoilwind/settings.py
+++ b/trefoilwind/settings.py
@@ -63,6 +63,9 @@
     refresh_ratio: float = setting(
         "Part of the lease after which it is refreshed.", "", 0.75
     )
+    coalesce_s: float = setting(
+        "Time for which renewals of leases are gathered.", "s", 0.5
+    )
     announcement_lease_s: float = setting(
         "Time after which a silent backend server counts as gone.", "s", 5.0
     )
