--- a/trefoilwind/proxy/connections.py
+++ b/trefoilwind/proxy/connections.py
@@ -1,6 +1,7 @@
 """Pooled HTTP connections to one backend server."""
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 import http.client
 import select
@@ -63,19 +64,59 @@
     """A connection that is in use or idle.
 
     Attributes:
-        http: The connection.
-        sock: Its socket; kept here, as `http` drops it early.
+        connection: The connection.
+        sock: Its socket; kept here, as `connection` drops it.
         expires: Monotonic time after which it is not used again.
         idle_until: Monotonic time until which it may lie idle.
         is_fresh: True if it has carried no request.
     """
 
-    http: connection_lib.HTTPConnection
+    connection: connection_lib.HTTPConnection
     sock: socket.socket
     expires: float
     idle_until: float = 0.0
     is_fresh: bool = True
 
+    def send_head(
+        self, method: str, path: str, headers: Iterable[tuple[str, str]]
+    ) -> None:
+        """Send a request's head, by the methods that are inherited.
+
+        Raises:
+            ValueError: The head cannot be sent as it is; nothing was sent.
+            http.client.HTTPException: Likewise.
+            OSError: The connection failed; the head was not sent whole.
+        """
+        connection = self.connection
+        base = http.client.HTTPConnection
+        base.putrequest(connection, method, path, skip_accept_encoding=True)
+        for name, value in headers:
+            base.putheader(connection, name, value)
+        connection.endheaders()
+
+    def send_chunk(self, chunk: bytes, is_chunked: bool) -> None:
+        """Send bytes of a body; an empty chunk ends a chunked one.
+
+        Raises:
+            OSError: The connection failed.
+        """
+        if is_chunked:
+            chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+        self.connection.send(chunk)
+
+    def receive_head(self) -> http.client.HTTPResponse:
+        """Return an answer with its body unread.
+
+        This is the method that the connection inherits: what its own adds
+        for each answer (header dicts, decoders, checks) costs much and is not
+        needed to pass an answer on.
+
+        Raises:
+            http.client.HTTPException: The backend server sent no answer.
+            OSError: The connection failed.
+        """
+        return http.client.HTTPConnection.getresponse(self.connection)
+
     def abort(self) -> None:
         """End the connection at once, also under a thread that waits for it."""
         try:
@@ -85,7 +126,7 @@
 
     def discard(self) -> None:
         """Close the connection."""
-        self.http.close()
+        self.connection.close()
         self.sock.close()
 
 
@@ -138,7 +179,7 @@
 
     def put_back(self, pooled: Pooled) -> None:
         """Keep a connection whose last answer was read to its end."""
-        if pooled.http.sock is None or len(self._idle) >= self._max_idle:
+        if pooled.connection.sock is None or len(self._idle) >= self._max_idle:
             pooled.discard()
             return
         pooled.is_fresh = False
