--- a/trefoilwind/proxy/dispatcher.py
+++ b/trefoilwind/proxy/dispatcher.py
@@ -62,7 +62,7 @@
 
     Attributes:
         entry: Route of the call.
-        request: The request.
+        request: The request with its fingerprint.
         tried: Nodes that were tried.
         cuts: Attempts during which a backend server cut the connection.
     """
@@ -131,7 +131,7 @@
     def call(self, entry: table.Entry, request: calls.Request) -> _Result:
         """Run a request and return the answer or a typed error."""
         self._forget_gone()
-        call = self._prepare(entry, request)
+        call = _Call(entry, _with_fingerprint(request))
         if request.idempotency_key and not request.target.idempotent:
             result = self._run_once(call)
         else:
@@ -146,30 +146,10 @@
             return ""
         return own.half(self._board.state.value.configuration)
 
-    def _prepare(self, entry: table.Entry, request: calls.Request) -> _Call:
-        """Mark a request whose body is held with its fingerprint."""
-        if request.body.held is None:
-            return _Call(entry, request)
-        fingerprint = fingerprints.fingerprint(
-            request.service,
-            request.method,
-            request.path,
-            request.idempotency_key,
-            request.body.held,
-        )
-        marked = dataclasses.replace(request, fingerprint=fingerprint)
-        return _Call(entry, marked)
-
     def _run_once(self, call: _Call) -> _Result:
         """Run a call whose key no other call has claimed."""
         request = call.request
-        digest = request.fingerprint or fingerprints.fingerprint(
-            request.service,
-            request.method,
-            request.path,
-            request.idempotency_key,
-            b"",
-        )
+        digest = request.fingerprint or _fingerprint(request, b"")
         grant = self._keys.acquire(request, digest)
         if not isinstance(grant, key_client.Grant):
             return grant
@@ -193,9 +173,9 @@
 
     def _may_retry(self, call: _Call, result: _Result) -> bool:
         target = call.request.target
+        if _is_final(result):
+            return False
         if isinstance(result, errors.CallError):
-            if result.reason in _FINAL_REASONS:
-                return False
             is_allowed = result.not_run or target.idempotent
         else:
             is_shed = result.status == _UNAVAILABLE_STATUS
@@ -228,7 +208,9 @@
             return self._no_backend(call)
         call.tried.add(member.node_id)
         started = self._clock.monotonic()
-        is_suspect = suspect is not None and suspect.count > 0
+        is_suspect = call.cuts > 0 or (
+            suspect is not None and suspect.count > 0
+        )
         attempt = _Attempt(call, split, member, started, is_suspect)
         self._loads.started(member.node_id)
         result = self._run(member, call.request)
@@ -261,9 +243,10 @@
         is_shed = _is_shed(result)
         is_failed = _is_failed(result)
         node_id = attempt.member.node_id
-        if is_shed:
-            until = now + SATURATED_S if _is_saturated(result) else 0.0
-            self._loads.refused(node_id, until)
+        if _is_saturated(result):
+            self._loads.refused(node_id, now + SATURATED_S)
+        elif _is_final(result):
+            self._loads.refused(node_id, 0.0)
         else:
             self._loads.ended(node_id, latency_s, is_failed, now)
         self._judge_member(attempt, result, now)
@@ -287,7 +270,7 @@
         is_error = isinstance(result, errors.CallError)
         if is_error and result.reason is errors.Reason.BACKEND_FAILED:
             attempt.call.cuts += 1
-        if is_error and result.reason in _FINAL_REASONS:
+        if _is_final(result):
             return
         node_id = attempt.member.node_id
         if not _is_failed(result):
@@ -333,6 +316,25 @@
         self._environment.events.emit(kind, peer=error.peer, detail=str(error))
 
 
+def _with_fingerprint(request: calls.Request) -> calls.Request:
+    """Return the request, marked if its body is held whole."""
+    held = request.body.held
+    if held is None:
+        return request
+    fingerprint = _fingerprint(request, held)
+    return dataclasses.replace(request, fingerprint=fingerprint)
+
+
+def _fingerprint(request: calls.Request, body: bytes) -> str:
+    return fingerprints.fingerprint(
+        request.service,
+        request.method,
+        request.path,
+        request.idempotency_key,
+        body,
+    )
+
+
 def _observation(
     attempt: _Attempt, result: _Result, latency_s: float, shed: bool
 ) -> calls.Observation:
@@ -363,6 +365,11 @@
     return result.status >= _FAILURE_STATUS
 
 
+def _is_final(result: _Result) -> bool:
+    is_error = isinstance(result, errors.CallError)
+    return is_error and result.reason in _FINAL_REASONS
+
+
 def _is_shed(result: _Result) -> bool:
     """Return True if the attempt says nothing about the backend server."""
     if isinstance(result, errors.CallError):
--- a/trefoilwind/proxy/target.py
+++ b/trefoilwind/proxy/target.py
@@ -96,6 +96,11 @@
         self._dropped_frames = 0
         self._guard = guard_lib.Guard(environment)
 
+    @property
+    def guard(self) -> guard_lib.Guard:
+        """Admission to the backend server."""
+        return self._guard
+
     @property
     def in_flight(self) -> int:
         """Count of the calls of peers under way."""
@@ -106,11 +111,6 @@
         """Count of the frames that belonged to no call under way."""
         return self._dropped_frames
 
-    @property
-    def guard(self) -> guard_lib.Guard:
-        """Admission to the backend server."""
-        return self._guard
-
     def set_backend(self, backend: backend_lib.BackendClient | None) -> None:
         """Set or remove the backend server; calls under way go on."""
         self._backend = backend
--- a/trefoilwind/routing/key_client.py
+++ b/trefoilwind/routing/key_client.py
@@ -80,7 +80,8 @@
                 return self._outcome(decision)
             retry_at = self._clock.monotonic() + self._random.random() * poll_s
             poll_s = min(2 * poll_s, LAST_POLL_S)
-            if retry_at >= request.deadline:
+            is_cancelled = request.cancellation.reason is not None
+            if is_cancelled or retry_at >= request.deadline:
                 return self._outcome(decision)
             self._waiter.wait(queue.SimpleQueue(), retry_at)
 
@@ -95,11 +96,21 @@
             status = _Status.RELEASED if result.not_run else _Status.UNKNOWN
             self.post(key_messages.EndClaim(grant.token, status))
             return result
+        if 0 <= result.length <= key_store.MAX_ANSWER_BYTES:
+            return self._record_short(grant, result)
         recorder = _Recorder(result, grant.token, self.post)
         return dataclasses.replace(
             result, body=recorder.chunks(), close=recorder.close
         )
 
+    def _record_short(self, grant: Grant, result: calls.Answer) -> calls.Answer:
+        body = b"".join(result.body)
+        recorded = key_messages.RecordedAnswer(
+            result.status, result.headers, body
+        )
+        self.post(key_messages.EndClaim(grant.token, _Status.DONE, recorded))
+        return dataclasses.replace(result, body=(body,))
+
     def _claim(
         self, request: calls.Request, digest: str
     ) -> tuple[str, key_messages.Decision]:
@@ -129,7 +140,11 @@
         answer = decision.answer
         if answer is not None:
             return calls.Answer(
-                answer.status, answer.headers, (answer.body,), lambda: None
+                answer.status,
+                answer.headers,
+                (answer.body,),
+                lambda: None,
+                len(answer.body),
             )
         reason = errors.Reason.DUPLICATE_KEY
         if decision.status is _Status.REFUSED:
