Compare versions by what their backend servers took

The way between the nodes counted against the version. Ruled out: load (seen at load averages from 5 to 40); cold starts (the latency of the first 30 calls does not count). Change: the target node measures its backend server; the head of an answer carries it; the evidence uses it. The class targets go on with the latency that the caller sees.

--- a/benchmarks/call_latency.py
+++ b/benchmarks/call_latency.py
@@ -407,7 +407,9 @@
         9999, "GET", "/x", headers, 5.0, "lookup", 2, "", b"", True
     )
     answer_headers = [["Content-Type", "application/json"]]
-    answer = frames.AnswerHead(9999, 200, answer_headers, b"x" * 64, True)
+    answer = frames.AnswerHead(
+        9999, 200, answer_headers, b"x" * 64, True, 0.001
+    )
     print(
         f"bytes of the frames of a call: {len(frames.encode(opened))} there, "
         f"{len(frames.encode(answer))} back, bodies of 0 and 64 bytes included"
--- a/tests/joint/test_promises.py
+++ b/tests/joint/test_promises.py
@@ -15,6 +15,7 @@
 from trefoilwind.proxy import calls
 
 CALLS_PER_STEP = 4
+_OLD = ("catalogue-0", "catalogue-1")
 _ANSWERS_BY_SERVICE = ("catalogue", "artwork")
 
 for _feature in (
@@ -93,6 +94,15 @@
             node.backend.fail_share = share / 100
 
 
+@pytest_bdd.given(
+    parsers.parse(
+        "a call to another node takes {milliseconds:d} milliseconds on its way"
+    )
+)
+def delay_calls(world, milliseconds):
+    world.hop_s = milliseconds / 2 / 1000
+
+
 @pytest_bdd.when("an operator publishes a change")
 def publish_change(world, observed):
     base = max(node.version for node in world.nodes.values())
@@ -159,10 +169,21 @@
     _call_for(world, observed, seconds, "POST", "/orders")
 
 
-def _call_for(world, observed, seconds, method, path):
+@pytest_bdd.when(
+    parsers.parse(
+        "callers beside old servers look up proofs for {seconds:d} seconds"
+    )
+)
+def look_up_beside_old_servers(world, observed, seconds):
+    for _ in range(seconds):
+        _call_for(world, observed, 0.5, "GET", "/proofs/1", _OLD)
+        _call_for(world, observed, 0.5, "POST", "/orders", _OLD)
+
+
+def _call_for(world, observed, seconds, method, path, entries=()):
     for _ in range(round(seconds / world_lib.TICK_S)):
         for _ in range(CALLS_PER_STEP):
-            entry = world.rng.choice(sorted(world.nodes))
+            entry = world.rng.choice(sorted(entries or world.nodes))
             request_id, result = world.call(entry, "catalogue", method, path)
             observed.results[request_id] = result
         world.step()
--- a/tests/joint/world.py
+++ b/tests/joint/world.py
@@ -119,7 +119,9 @@
             self._node_id, member.node_id
         ):
             return dataclasses.replace(lost, not_run=True)
+        self._world.clock.advance(self._world.hop_s)
         result = node.target.run(request)
+        self._world.clock.advance(self._world.hop_s)
         if self._world.rng.random() < self._world.answer_loss:
             # The target's node has sent it whole, so it is released there.
             _read(result)
@@ -228,6 +230,7 @@
         self.message_loss = 0.0
         self.message_repeats = 0.0
         self.answer_loss = 0.0
+        self.hop_s = 0.0
         self._queue: list[tuple[str, str, bytes]] = []
         self._ticks = 0
         self._next_port = 1
--- a/tests/test_proxy/test_proxy_path.py
+++ b/tests/test_proxy/test_proxy_path.py
@@ -135,6 +135,13 @@
     other.close()
 
 
+def test_an_answer_tells_what_the_backend_server_took(connect):
+    path = connect(fakes.answers(_OK))
+    started = time.monotonic()
+    answer = path.call(fakes.request())
+    assert 0 < answer.served_s <= time.monotonic() - started
+
+
 def test_a_cancelled_call_ends_at_the_backend_server(connect):
     received = threading.Event()
     closed = threading.Event()
--- a/tests/test_rollout/test_rollout_spread.py
+++ b/tests/test_rollout/test_rollout_spread.py
@@ -101,6 +101,15 @@
     return ledger.view("m").get(_key("a", ""), evidence.Counter())
 
 
+def test_the_way_to_a_target_is_not_the_latency_of_its_version():
+    far = _seen(latency_s=0.5, served_s=0.001)
+    near = _seen(latency_s=0.001)
+    times = [3.0 * number for number in range(observer_lib.COLD_CALLS + 10)]
+    counted = _counted([far] * len(times), times)
+    assert counted.timed > 0
+    assert counted == _counted([near] * len(times), times)
+
+
 def test_shed_calls_do_not_count():
     assert _counted([_seen(failed=True, shed=True)], [0.0]).calls == 0
 
--- a/trefoilwind/distribution/frames.py
+++ b/trefoilwind/distribution/frames.py
@@ -104,6 +104,8 @@
         headers: Pairs of names and values.
         body: First bytes of the body.
         is_last: True if the body ends here.
+        served_s: Time in seconds that the backend server took until the
+            answer's head; -1 if not known.
     """
 
     call_id: int
@@ -111,6 +113,7 @@
     headers: list
     body: bytes
     is_last: bool
+    served_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/trefoilwind/proxy/calls.py
+++ b/trefoilwind/proxy/calls.py
@@ -175,6 +175,8 @@
         close: Releases what the answer holds; safe to call twice.
         length: Bytes of the body if it is short and has been read, so that
             joining it costs little; else -1.
+        served_s: Time in seconds that the backend server took until the
+            answer's head, measured beside it; -1 if not known.
     """
 
     status: int
@@ -182,6 +184,7 @@
     body: Iterable[bytes]
     close: Callable[[], None]
     length: int = -1
+    served_s: float = -1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -201,6 +204,8 @@
         shed: True if the backend server or its node refused it as not run.
         is_new: True if it ran on the side that the move brings in.
         cut: True if it failed as the backend server died or was not reached.
+        served_s: Time in seconds that the backend server took until the
+            answer's head, measured beside it; -1 if not known.
     """
 
     move_id: str
@@ -215,3 +220,9 @@
     shed: bool = False
     is_new: bool = False
     cut: bool = False
+    served_s: float = -1.0
+
+    @property
+    def version_latency_s(self) -> float:
+        """Latency in seconds that does not depend on the way there."""
+        return self.latency_s if self.served_s < 0 else self.served_s
--- a/trefoilwind/proxy/dispatcher.py
+++ b/trefoilwind/proxy/dispatcher.py
@@ -352,6 +352,7 @@
         shed=shed,
         is_new=bool(attempt.split.move_id),
         cut=_is_cut(result) and not attempt.is_suspect,
+        served_s=result.served_s if isinstance(result, calls.Answer) else -1.0,
     )
 
 
--- a/trefoilwind/proxy/remote.py
+++ b/trefoilwind/proxy/remote.py
@@ -165,9 +165,14 @@
                 body,
                 self._close,
                 len(received.body),
+                received.served_s,
             )
         return calls.Answer(
-            received.status, headers, self._read_body(), self._close
+            received.status,
+            headers,
+            self._read_body(),
+            self._close,
+            served_s=received.served_s,
         )
 
     def _read_body(self) -> Iterator[bytes]:
--- a/trefoilwind/proxy/target.py
+++ b/trefoilwind/proxy/target.py
@@ -1,5 +1,6 @@
 """Target side of a call: takes it from a peer and runs it locally."""
 
+import dataclasses
 import functools
 import logging
 import threading
@@ -127,7 +128,19 @@
             return self._refusal(errors.Reason.NO_BACKEND)
         if self._is_withdrawn:
             return self._refusal(errors.Reason.DRAINING)
-        return self._guard.run(request, backend.call)
+        return self._guard.run(
+            request, functools.partial(self._run_timed, backend)
+        )
+
+    def _run_timed(
+        self, backend: backend_lib.BackendClient, request: calls.Request
+    ) -> calls.Answer | errors.CallError:
+        clock = self._environment.clock
+        started = clock.monotonic()
+        result = backend.call(request)
+        if isinstance(result, errors.CallError):
+            return result
+        return dataclasses.replace(result, served_s=clock.monotonic() - started)
 
     def go_away(self, streams: tuple[stream_lib.PeerStream, ...]) -> None:
         """Refuse further calls of peers and tell them so.
@@ -217,7 +230,9 @@
             _stream_answer(incoming, answer, headers)
             return
         body = b"".join(answer.body)
-        head = frames.AnswerHead(call_id, answer.status, headers, body, True)
+        head = frames.AnswerHead(
+            call_id, answer.status, headers, body, True, answer.served_s
+        )
         incoming.stream.send(head, incoming.deadline)
     except calls.BodyCut as error:
         failed = errors.CallError(error.reason, _ANSWER_STEP, detail=str(error))
@@ -238,7 +253,9 @@
     call_id = incoming.opened.call_id
     deadline = incoming.deadline
     credit = incoming.start_answer()
-    head = frames.AnswerHead(call_id, answer.status, headers, b"", False)
+    head = frames.AnswerHead(
+        call_id, answer.status, headers, b"", False, answer.served_s
+    )
     stream.send(head, deadline)
     error = bodies.send(
         iter(answer.body),
--- a/trefoilwind/rollout/observer.py
+++ b/trefoilwind/rollout/observer.py
@@ -87,7 +87,9 @@
             return None
         if seen.failed:
             return evidence.failure()
-        return evidence.success(seen.latency_s, self._is_cold(seen, now))
+        return evidence.success(
+            seen.version_latency_s, self._is_cold(seen, now)
+        )
 
     def _is_cold(self, seen: calls.Observation, now: float) -> bool:
         if not seen.is_new:
