Look at the whole membership only when it changed

A profile showed ranking of all members in every tick (lease candidates, relays), a new placement of keys every 0.6 s and a scan of all leases ten times a second.

--- a/tests/test_cmd/test_cmd_admin.py
+++ b/tests/test_cmd/test_cmd_admin.py
@@ -108,7 +108,7 @@
     )
     user = caller.Caller(system.caller_urls, plan)
     user.start()
-    arguments = ("catalogue", "v2", *node, "--deadline-s", 60)
+    arguments = ("catalogue", "v2", *node, "--deadline-s", 25)
     code, out, _ = run("move", *arguments, "--record-id", "m/1")
     assert (code, out) == (0, "m/1 is accepted\n")
     code, out, err = run("move", *arguments)
--- a/trefoilwind/distribution/topology.py
+++ b/trefoilwind/distribution/topology.py
@@ -43,16 +43,23 @@
     members: directory.Snapshot, data_centre: str, count: int
 ) -> tuple[str, ...]:
     """Return the nodes that act for a data centre, the first one first."""
-    nodes = _staying(members, lambda m: m.data_centre == data_centre)
-    return rendezvous(f"relay/{data_centre}", nodes, count)
+    key = f"relay/{data_centre}"
+    return _ranked(members, key, lambda m: m.data_centre == data_centre)[:count]
 
 
 def gateways(
     members: directory.Snapshot, region: str, count: int
 ) -> tuple[str, ...]:
     """Return the nodes that act for a region, the first one first."""
-    nodes = _staying(members, lambda m: m.region == region)
-    return rendezvous(f"gateway/{region}", nodes, count)
+    key = f"gateway/{region}"
+    return _ranked(members, key, lambda m: m.region == region)[:count]
+
+
+def candidates(
+    members: directory.Snapshot, key: str, count: int
+) -> tuple[str, ...]:
+    """Return the nodes of the whole mesh that rank highest for a key."""
+    return _ranked(members, key, lambda m: True)[:count]
 
 
 def neighbours(members: directory.Snapshot, own_id: str) -> frozenset[str]:
@@ -96,6 +103,18 @@
     return own_id in acting + gateways(members, own.region, GATEWAYS_PER_REGION)
 
 
+def _ranked(
+    members: directory.Snapshot, key: str, condition
+) -> tuple[str, ...]:
+    """Return the nodes in the order of a key, once per snapshot."""
+    ranked = members.rankings.get(key)
+    if ranked is None:
+        nodes = _staying(members, condition)
+        ranked = rendezvous(key, nodes, len(nodes))
+        members.rankings[key] = ranked
+    return ranked
+
+
 def _staying(members: directory.Snapshot, condition) -> list[str]:
     """Return the nodes that stay; all if each one is leaving."""
     nodes = [m for m in members.members if condition(m)]
--- a/trefoilwind/log/coordinator.py
+++ b/trefoilwind/log/coordinator.py
@@ -87,8 +87,7 @@
             own = self._environment.settings.data_centre
             chosen = topology.relays(members, own, CANDIDATES)
         else:
-            staying = (m.node_id for m in members.members if not m.leaving)
-            chosen = topology.rendezvous(keeper.name, staying, CANDIDATES)
+            chosen = topology.candidates(members, keeper.name, CANDIDATES)
         node_id = self._environment.node_id
         return chosen.index(node_id) if node_id in chosen else None
 
--- a/trefoilwind/membership/directory.py
+++ b/trefoilwind/membership/directory.py
@@ -14,6 +14,11 @@
 
     members: tuple[members_lib.Member, ...] = ()
 
+    @functools.cached_property
+    def rankings(self) -> dict[str, tuple[str, ...]]:
+        """Node ids in the order of a key, kept by who ranks them."""
+        return {}
+
     @functools.cached_property
     def by_node(self) -> dict[str, members_lib.Member]:
         """Members by node id."""
--- a/trefoilwind/membership/leases.py
+++ b/trefoilwind/membership/leases.py
@@ -1,6 +1,7 @@
 """Leased entries of all members, and the hashes that compare them."""
 
 import dataclasses
+import math
 
 import xxhash
 
@@ -37,6 +38,8 @@
         self._tombstones: dict[str, _Tombstone] = {}
         self._hashes = [0] * BUCKETS
         self._entry_hashes: dict[str, int] = {}
+        # No lease ends before this time, so that most ticks look at none.
+        self._earliest_end = math.inf
 
     @property
     def leases(self) -> dict[str, Lease]:
@@ -61,12 +64,14 @@
         self._hashes[bucket_of(member.node_id)] ^= old_hash ^ new_hash
         self._entry_hashes[member.node_id] = new_hash
         self._leases[member.node_id] = Lease(member, renewal, deadline)
+        self._earliest_end = min(self._earliest_end, deadline)
 
     def renew(self, lease: Lease, renewal: int, deadline: float) -> None:
         """Replace the lease of an entry that stays as it is."""
         self._leases[lease.member.node_id] = Lease(
             lease.member, renewal, deadline
         )
+        self._earliest_end = min(self._earliest_end, deadline)
 
     def is_news(self, member: members.Member, renewal: int) -> bool:
         """Return True if an entry or its renewal is later than the known."""
@@ -97,13 +102,16 @@
         for node_id, tombstone in list(self._tombstones.items()):
             if tombstone.deadline <= now:
                 del self._tombstones[node_id]
-        expired = [
-            node_id
-            for node_id, lease in self._leases.items()
-            if lease.deadline <= now and node_id != own_id
-        ]
+        if now < self._earliest_end:
+            return []
+        others = [x for x in self._leases if x != own_id]
+        expired = [x for x in others if self._leases[x].deadline <= now]
         for node_id in expired:
             self._remove(node_id, now)
+        self._earliest_end = min(
+            (self._leases[x].deadline for x in others if x in self._leases),
+            default=math.inf,
+        )
         return expired
 
     def in_buckets(self, buckets: set[int]) -> list[Lease]:
--- a/trefoilwind/routing/key_placement.py
+++ b/trefoilwind/routing/key_placement.py
@@ -98,6 +98,7 @@
     def __init__(self, lifetime_s: float):
         self._lifetime_s = lifetime_s
         self._view = View(())
+        self._seen: directory.Snapshot | None = None
         self._past: tuple[_Past, ...] = ()
         self._live: frozenset[Keeper] = frozenset()
         self._lost: dict[Keeper, float] = {}
@@ -110,6 +111,9 @@
     def update(self, snapshot: directory.Snapshot, now: float) -> View | None:
         """Take a snapshot; return the earlier view if the view changed."""
         self._past = tuple(p for p in self._past if p.until > now)
+        if snapshot is self._seen and not self._lost:
+            return None
+        self._seen = snapshot
         live = frozenset(
             Keeper(m.node_id, m.incarnation, m.data_centre)
             for m in snapshot.members
