--- a/tests/joint/test_joint_fuzz.py
+++ b/tests/joint/test_joint_fuzz.py
@@ -55,6 +55,7 @@
         self.results: dict[str, calls.Answer | errors.CallError] = {}
         self.orders: set[str] = set()
         self.oldest_kept = 0
+        self.withdrawn: dict[str, tuple[world_lib.FakeBackend, int]] = {}
         self._read_log()
 
     @stateful.rule(seconds=_seconds)
@@ -121,10 +122,13 @@
             self.oldest_kept = offsets[-1]
             self.world.log.expire_before(offsets[-1])
 
-    @stateful.rule(loss=_shares, repeats=_shares)
-    def disturb_messages(self, loss, repeats):
+    @stateful.rule(
+        loss=_shares, repeats=_shares, delay=st.sampled_from((0.0, 0.5, 0.95))
+    )
+    def disturb_messages(self, loss, repeats, delay):
         self.world.message_loss = loss
         self.world.message_repeats = repeats
+        self.world.message_delay = delay
 
     @stateful.rule(loss=_shares)
     def lose_answers(self, loss):
@@ -154,6 +158,7 @@
         node = self.world.nodes[node_id]
         node.announcement = None
         node.control.receive(messages.Withdrawal())
+        self.withdrawn[node_id] = (node.backend, len(node.backend.executed))
 
     @stateful.rule(
         count=st.integers(1, MAX_ORDERS_PER_RULE), is_order=st.booleans()
@@ -208,6 +213,11 @@
                 assert self.world.executions(request_id) == 0
         self.results.clear()
 
+    @stateful.invariant()
+    def leaving_servers_get_no_new_work(self):
+        for backend, executed in self.withdrawn.values():
+            assert len(backend.executed) == executed
+
     @stateful.invariant()
     def outcomes_agree(self):
         expected = {s.move.move_id: s.outcome for s in self.oracle.state.moves}
@@ -223,7 +233,7 @@
         world.log.faults.is_down = False
         world.log.faults.lose_append_answers = False
         world.cut_regions = False
-        world.message_loss = world.message_repeats = 0.0
+        world.message_loss = world.message_repeats = world.message_delay = 0.0
         self._read_log()
         wanted = self.oracle.state.version
         assert world.run_until(
@@ -237,6 +247,7 @@
         data_centre = old.environment.settings.data_centre
         service = node_id.partition("-")[0]
         version = old.backend.version
+        self.withdrawn.pop(node_id, None)
         self.world.kill(node_id)
         self.world.step()
         self.world.start_node(node_id, data_centre, service, version)
--- a/tests/joint/test_promises.py
+++ b/tests/joint/test_promises.py
@@ -74,6 +74,7 @@
 def disturb_messages(world):
     world.message_loss = 0.2
     world.message_repeats = 0.2
+    world.message_delay = 0.5
 
 
 @pytest_bdd.given(
--- a/tests/joint/world.py
+++ b/tests/joint/world.py
@@ -229,6 +229,8 @@
         self.cut_regions = False
         self.message_loss = 0.0
         self.message_repeats = 0.0
+        # Share of the messages that are held back in each tick.
+        self.message_delay = 0.0
         self.answer_loss = 0.0
         self.hop_s = 0.0
         self._queue: list[tuple[str, str, bytes]] = []
@@ -385,6 +387,9 @@
         for sender, receiver, data in queued:
             if not self.reaches(sender, receiver):
                 continue
+            if self.rng.random() < self.message_delay:
+                self._queue.append((sender, receiver, data))
+                continue
             if self.rng.random() < self.message_loss:
                 continue
             message = codec.decode(data, "fake.stream", sender)
