Build routes only when a part changes that they are made of

At 5,500 members each record folded, so each lease claim of 15 leases too, and each changed entry built all 640 routes anew (24 ms a time, a profile gave 0.45 of 0.52 s to it); a data centre of 393 nodes lost would have cost each node 9 s. Change: routes are built when configuration, stable versions, moves, shares or the set of offered (service, version, data centre, labels) change. The joint fuzz now holds the routes of every node against ones built anew; it fails if the offers are left out of the comparison.

--- a/tests/joint/test_joint_fuzz.py
+++ b/tests/joint/test_joint_fuzz.py
@@ -16,6 +16,7 @@
 from trefoilwind.model import state as state_lib
 from trefoilwind.node import messages
 from trefoilwind.proxy import calls
+from trefoilwind.routing import table
 
 IN_FORCE_S = 9.0
 MAX_ORDERS_PER_RULE = 8
@@ -198,6 +199,14 @@
                         entry.service, split.version
                     )
 
+    @stateful.invariant()
+    def routes_are_those_built_anew(self):
+        for node in self.world.nodes.values():
+            board = node.environment.blackboard
+            assert board.routes.value == table.build(
+                board.state.value, board.members.value, board.shares.value
+            )
+
     @stateful.invariant()
     def orders_run_at_most_once(self):
         for request_id in self.orders:
--- a/trefoilwind/membership/directory.py
+++ b/trefoilwind/membership/directory.py
@@ -4,16 +4,44 @@
 from collections.abc import Iterable
 import dataclasses
 import functools
+from typing import NamedTuple
 
 from trefoilwind.model import members as members_lib
 
 
+class Offer(NamedTuple):
+    """Everything about a member that decides whether a route may name it.
+
+    A named tuple, as thousands are hashed after each change of a member.
+
+    Attributes:
+        service: Service of the backend server.
+        version: Version of the backend server.
+        data_centre: Data centre of the backend server.
+        labels: Labels for ownership rules.
+    """
+
+    service: str
+    version: str
+    data_centre: str
+    labels: tuple[members_lib.Label, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class Snapshot:
     """All live members, sorted by node id."""
 
     members: tuple[members_lib.Member, ...] = ()
 
+    @functools.cached_property
+    def offers(self) -> frozenset[Offer]:
+        """What the members that take new work offer, without their number."""
+        return frozenset(
+            Offer(m.service, m.version, m.data_centre, m.labels)
+            for m in self.members
+            if m.service and not m.leaving
+        )
+
     @functools.cached_property
     def rankings(self) -> dict[str, tuple[str, ...]]:
         """Node ids in the order of a key, kept by who ranks them."""
--- a/trefoilwind/node/control.py
+++ b/trefoilwind/node/control.py
@@ -13,6 +13,7 @@
 from trefoilwind.distribution import transport as transport_lib
 from trefoilwind.log import coordinator as coordinator_lib
 from trefoilwind.membership import controller as membership_lib
+from trefoilwind.membership import directory
 from trefoilwind.model import lifecycle
 from trefoilwind.model import records
 from trefoilwind.node import messages
@@ -66,7 +67,8 @@
         }
         self._publish_routes = self._board.routes.claim("control")
         self._publish_lifecycle = self._board.lifecycle.claim("control")
-        self._route_inputs: tuple[Any, ...] = (None, None, None)
+        self._route_inputs: tuple[Any, ...] = (None,) * 4
+        self._route_offers: frozenset[directory.Offer] = frozenset()
         self._announcement_deadline = 0.0
         self._announcement: messages.Announcement | None = None
 
@@ -189,15 +191,17 @@
         return self._membership.leave()
 
     def _rebuild_routes(self) -> None:
-        inputs = (
-            self._board.state.value,
-            self._board.members.value,
-            self._board.shares.value,
-        )
-        # Snapshots are immutable, so identity tells whether one changed.
-        if all(map(operator.is_, inputs, self._route_inputs)):
+        state = self._board.state.value
+        members = self._board.members.value
+        shares = self._board.shares.value
+        # Parts are immutable, so identity tells whether one changed. Leases
+        # of the log and members that offer nothing new change no route.
+        inputs = (state.configuration, state.stable, state.moves, shares)
+        is_same = all(map(operator.is_, inputs, self._route_inputs))
+        if is_same and members.offers == self._route_offers:
             return
         self._route_inputs = inputs
-        routes = table.build(*inputs)
+        self._route_offers = members.offers
+        routes = table.build(state, members, shares)
         if routes != self._board.routes.value:
             self._publish_routes(routes)
