Refuse a call at once when no far slot is believed free

The caller could have returned sooner.

Change: after a refusal for load another region is asked only if a slot there is believed free; nodes of the own region are asked as before.

--- a/tests/test_gateway/test_gateway_picker.py
+++ b/tests/test_gateway/test_gateway_picker.py
@@ -1,5 +1,7 @@
 """What an entry node believes of backend servers."""
 
+import dataclasses
+
 from tests.test_gateway import test_gateway_entry
 from trefoilwind import errors
 from trefoilwind.gateway import board as board_lib
@@ -13,9 +15,14 @@
 _CALL = calls.Call("GET", "/", (), b"", "s", "", "r", 1, False, 1e9, 1e9, 0.0)
 
 
-def _picker() -> picker_lib.Picker:
+def _picker(far: tuple[int, ...] = ()) -> picker_lib.Picker:
     board = board_lib.MeshBoard()
     nodes = [test_gateway_entry.make_member(n) for n in (1, 2, 3)]
+    for number in far:
+        node = nodes[number - 1]
+        nodes[number - 1] = dataclasses.replace(
+            node, data_centre="e", region="q"
+        )
     board.members.claim("test")(directory.snapshot(nodes))
     # The own node has no slot free.
     return picker_lib.Picker(
@@ -49,3 +56,12 @@
     assert picker.pick(_CALL, ("n3", "n1"), 1.1) == ""
     later = 1.0 + 2 * picker_lib.REFUSAL_PAUSE_S
     assert picker.pick(_CALL, ("n3", "n1"), later) == "n2"
+
+
+def test_call_that_was_refused_for_load_does_not_cross_to_full_regions():
+    picker = _picker(far=(3,))
+    _attempt(picker, "n3", calls.Outcome(_OK, 0.05, 4), 1.0)
+    assert picker.pick(_CALL, ("n1", "n2"), 1.1, was_refused=True) == ""
+    assert picker.pick(_CALL, ("n1", "n2"), 1.1) == "n3"
+    _attempt(picker, "n3", calls.Outcome(_OK, 0.05, 2), 1.2)
+    assert picker.pick(_CALL, ("n1", "n2"), 1.3, was_refused=True) == "n3"
--- a/tests/test_routing/test_routing_placement.py
+++ b/tests/test_routing/test_routing_placement.py
@@ -42,3 +42,18 @@
     assert placement.choose((slow, _NEAR)) is _NEAR
     busy = dataclasses.replace(_NEAR, occupied=60.0)
     assert placement.choose((slow, busy)) is slow
+
+
+def test_refused_call_crosses_regions_only_for_a_free_slot():
+    full = dataclasses.replace(_FAR, occupied=18.0)
+    assert placement.choose_after_refusal((full,)) is None
+    free = dataclasses.replace(full, occupied=17.0)
+    assert placement.choose_after_refusal((full, free)) is free
+
+
+def test_refused_call_asks_full_ones_nearby():
+    full = dataclasses.replace(_NEAR, occupied=30.0)
+    further = dataclasses.replace(_REGION, occupied=30.0)
+    far = dataclasses.replace(_FAR, occupied=30.0)
+    assert placement.choose_after_refusal((far, further, full)) is full
+    assert placement.choose_after_refusal((far, further)) is further
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -147,7 +147,9 @@
                 return last or self._error(
                     errors.Reason.DEADLINE_EXCEEDED, not_run=True
                 )
-            node_id = self._picker.pick(call, progress.asked, self._loop.time())
+            node_id = self._picker.pick(
+                call, progress.asked, self._loop.time(), _is_full(last)
+            )
             if not node_id:
                 return last or self._error(
                     errors.Reason.NO_BACKEND,
@@ -253,6 +255,12 @@
         )
 
 
+def _is_full(result: calls.Result | None) -> bool:
+    """Return True if a node refused the call for load."""
+    is_error = isinstance(result, errors.CallError)
+    return is_error and result.reason is errors.Reason.OVERLOADED
+
+
 def _note(result: calls.Result, node_id: str, progress: _Progress) -> None:
     progress.asked[node_id] = None
     is_error = isinstance(result, errors.CallError)
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -83,6 +83,7 @@
         call: calls.Call,
         tried: Container[str],
         now: float,
+        was_refused: bool = False,
     ) -> str:
         """Return the node whose backend server is to run a call, or "".
 
@@ -90,6 +91,7 @@
             call: The call.
             tried: Nodes that were asked before.
             now: Event loop time in seconds.
+            was_refused: True if the last of them was too full.
         """
         candidates = [
             self._candidate(member, now)
@@ -97,7 +99,10 @@
             if member.node_id not in tried
             and self._is_open(member.node_id, now)
         ]
-        chosen = placement.choose(candidates, len(call.body))
+        choose = placement.choose
+        if was_refused:
+            choose = placement.choose_after_refusal
+        chosen = choose(candidates, len(call.body))
         return chosen.node_id if chosen else ""
 
     def started(self, node_id: str) -> None:
--- a/trefoilwind/routing/placement.py
+++ b/trefoilwind/routing/placement.py
@@ -2,7 +2,8 @@
 
 Load pattern answered: callers crowd into some data centres while others have
 free slots. A call stays near until the wait there costs more than the way to
-another data centre or region.
+another data centre or region. When all are full, a call that was refused once
+is refused at once: it does not cross regions to be refused again.
 """
 
 from collections.abc import Sequence
@@ -84,3 +85,27 @@
     return min(
         candidates, key=lambda each: cost_s(each, body_bytes), default=None
     )
+
+
+def choose_after_refusal(
+    candidates: Sequence[Candidate], body_bytes: int = 0
+) -> Candidate | None:
+    """Return the candidate for a call that another one was too full for.
+
+    The way to another region is worth its time only for a free slot.
+
+    Args:
+        candidates: Backend servers that were not asked yet.
+        body_bytes: Bytes of the call's body.
+    """
+    worth_asking = [
+        each
+        for each in candidates
+        if each.distance is not Distance.FAR or has_free_slot(each)
+    ]
+    return choose(worth_asking, body_bytes)
+
+
+def has_free_slot(candidate: Candidate) -> bool:
+    """Return True if a call is believed to start there at once."""
+    return candidate.occupied + 1 <= candidate.slots
