Let one node of a large data centre read the operator's topic

At the start all 87 nodes also proposed each service's version at once, about 8 refused writes a node.

A page hands on only the newest record of each key. A node records versions 2 s after its start and in rank among those of the service. Reads of the mesh topic are further apart the more nodes there are; a refused conditional write makes the node read at once.

Ruled out: a slow store (the reading region's nodes had versions in time).

--- /dev/null
+++ b/tests/test_gateway/test_gateway_follower.py
@@ -0,0 +1,143 @@
+"""Reading a keyed topic from the store in memory."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import uvloop
+
+from trefoilwind.gateway import follower as follower_lib
+from trefoilwind.log import keyed
+from trefoilwind.standins import keyed_store
+
+_TOPIC = "t"
+# Nothing waits for this long in a test.
+_NEVER_S = 3600.0
+
+
+class _Reader:
+    """A follower and what it took."""
+
+    def __init__(self, plan: Callable[[], follower_lib.ReadPlan]):
+        self.store = keyed_store.MemoryStore()
+        self.taken: list[keyed.KeyedRecord] = []
+        self.read_to: list[int] = []
+        self.follower = follower_lib.Follower(
+            self.store,
+            _TOPIC,
+            self.taken.append,
+            plan,
+            random.Random(1),
+            self.read_to.append,
+        )
+
+    async def run_until(self, condition: Callable[[], bool]) -> None:
+        """Run the follower until a condition holds."""
+        task = asyncio.ensure_future(self.follower.run())
+        async with asyncio.timeout(10.0):
+            while not condition():
+                await asyncio.sleep(0.005)
+        task.cancel()
+
+
+def _plan(**changes) -> Callable[[], follower_lib.ReadPlan]:
+    values = {"gather_s": 0.01, "wait_s": 0.01} | changes
+    return lambda: follower_lib.ReadPlan(**values)
+
+
+def test_only_the_newest_record_of_a_key_is_taken_from_a_page():
+    old = keyed.KeyedRecord("a", b"1", 3)
+    other = keyed.KeyedRecord("b", b"2", 4)
+    new = keyed.KeyedRecord("a", b"3", 5)
+    assert follower_lib.newest_by_key((old, other, new)) == [other, new]
+
+
+def test_records_are_taken_and_reads_are_told():
+    async def scenario():
+        reader = _Reader(_plan())
+        await reader.store.put(_TOPIC, "a", b"1")
+        await reader.run_until(lambda: len(reader.read_to) > 1)
+        return reader
+
+    reader = uvloop.run(scenario())
+    assert [record.value for record in reader.taken] == [b"1"]
+    assert set(reader.read_to) == {1}
+    assert reader.follower.has_read
+
+
+def test_nothing_is_read_while_another_node_reads():
+    async def scenario():
+        plans = [follower_lib.ReadPlan(0.0, 0.0, True)]
+        idle = follower_lib.ReadPlan(0.0, 0.0, False)
+        looks = []
+
+        def plan():
+            looks.append(1)
+            return plans.pop() if plans else idle
+
+        reader = _Reader(plan)
+        await reader.run_until(lambda: len(looks) == 3)
+        return reader
+
+    assert uvloop.run(scenario()).store.calls == 1
+
+
+def test_a_hurried_read_does_not_gather():
+    async def scenario():
+        reader = _Reader(_plan(gather_s=_NEVER_S))
+        await reader.run_until(lambda: len(reader.read_to) == 1)
+        await reader.store.put(_TOPIC, "a", b"1")
+        reader.follower.hurry()
+        task = asyncio.ensure_future(reader.follower.run())
+        async with asyncio.timeout(10.0):
+            while not reader.taken:
+                await asyncio.sleep(0.005)
+        task.cancel()
+        return reader
+
+    assert uvloop.run(scenario()).taken[0].value == b"1"
+
+
+def test_records_that_a_peer_gave_are_not_read_again():
+    async def scenario():
+        reader = _Reader(_plan())
+        reader.follower.skip_to(5)
+        before = reader.follower.offset
+        await reader.run_until(lambda: len(reader.read_to) > 0)
+        for value in (b"1", b"2", b"3"):
+            await reader.store.put(_TOPIC, "a", value)
+        reader.follower.skip_to(3)
+        await reader.run_until(lambda: len(reader.read_to) > 1)
+        reader.follower.skip_to(1)
+        return before, reader
+
+    before, reader = uvloop.run(scenario())
+    assert before is None
+    assert not reader.taken
+    assert reader.follower.offset == 3
+
+
+def test_forgotten_history_is_replaced_by_the_newest_records():
+    async def scenario():
+        reader = _Reader(_plan())
+        await reader.run_until(lambda: bool(reader.read_to))
+        await reader.store.put(_TOPIC, "a", b"1")
+        await reader.store.put(_TOPIC, "a", b"2")
+        reader.store.forget(_TOPIC)
+        await reader.run_until(lambda: bool(reader.taken))
+        return reader
+
+    assert [r.value for r in uvloop.run(scenario()).taken] == [b"2"]
+
+
+def test_a_store_that_fails_is_lost_until_it_answers():
+    async def scenario():
+        reader = _Reader(_plan())
+        reader.store.faults.is_down = True
+        await reader.run_until(lambda: reader.follower.is_lost)
+        was_read = reader.follower.has_read
+        reader.store.faults.is_down = False
+        await reader.run_until(lambda: not reader.follower.is_lost)
+        return was_read, reader.follower.has_read
+
+    assert uvloop.run(scenario()) == (False, True)
--- a/trefoilwind/gateway/control_messages.py
+++ b/trefoilwind/gateway/control_messages.py
@@ -52,14 +52,33 @@
     offset: int
 
 
+@codec.message("mesh.record_bundle")
+@dataclasses.dataclass(frozen=True)
+class RecordBundle:
+    """Newest records of the operator's topic, in the order of offsets."""
+
+    records: tuple[SharedRecord, ...]
+
+
+@codec.message("mesh.records_read")
+@dataclasses.dataclass(frozen=True)
+class RecordsRead:
+    """The sender has read the operator's topic just now.
+
+    Attributes:
+        next_offset: Offset up to which it has.
+    """
+
+    next_offset: int
+
+
 @codec.message("mesh.records_wanted")
 @dataclasses.dataclass(frozen=True)
 class RecordsWanted:
-    """The sender does not reach the store.
+    """The sender does not read the operator's topic itself.
 
     Attributes:
-        offset: Largest offset of the operator's topic that it has seen; -1
-            for none.
+        offset: Largest offset of the topic that it has seen; -1 for none.
     """
 
     offset: int
@@ -68,6 +87,12 @@
 @codec.message("mesh.records")
 @dataclasses.dataclass(frozen=True)
 class SharedRecords:
-    """Newest records of the operator's topic, in the order of offsets."""
+    """The records that the receiver asked for.
 
-    records: tuple[SharedRecord, ...]
+    Attributes:
+        packed: Their bundle, encoded and compressed.
+        next_offset: Offset up to which the sender has read; 0 if not known.
+    """
+
+    packed: bytes
+    next_offset: int
--- a/trefoilwind/gateway/decider.py
+++ b/trefoilwind/gateway/decider.py
@@ -30,11 +30,23 @@
         store: keyed.KeyedStore,
         topic: str,
         end_offset: Callable[[], int | None],
+        read_on: Callable[[], None],
         rng: random.Random,
     ):
+        """Decide records of a topic.
+
+        Args:
+            store: The store.
+            topic: Name of the topic.
+            end_offset: Returns the end of the topic as this node read it;
+                None if it has not read it.
+            read_on: Makes this node read the topic's newest records.
+            rng: Source of random numbers.
+        """
         self._store = store
         self._topic = topic
         self._end_offset = end_offset
+        self._read_on = read_on
         self._random = rng
         self._proposals: dict[str, Any] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -102,6 +114,8 @@
         )
         if isinstance(result, errors.LogError):
             logger.info("store: %s not decided yet; %s", key, result)
+            if result.reason is errors.Reason.STALE_BASE:
+                self._read_on()
             return False
         stored(message)
         return True
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import logging
 import random
 
@@ -16,6 +17,24 @@
 # Bounds of the full-jitter backoff after a failed call of the store.
 RETRY_BASE_S = 0.1
 RETRY_CAP_S = 1.0
+# Seconds until a node that leaves the reads to others looks again.
+IDLE_CHECK_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadPlan:
+    """How the next read is made.
+
+    Attributes:
+        gather_s: Seconds between two reads, so that one of them takes the
+            records that come in quick succession.
+        wait_s: Seconds for which the read waits for a record.
+        is_due: False while another node reads for this one.
+    """
+
+    gather_s: float
+    wait_s: float = READ_WAIT_S
+    is_due: bool = True
 
 
 class Follower:
@@ -26,24 +45,27 @@
         store: keyed.KeyedStore,
         topic: str,
         take: Callable[[keyed.KeyedRecord], None],
-        gather_s: float,
+        plan: Callable[[], ReadPlan],
         rng: random.Random,
+        has_read_to: Callable[[int], None] = lambda offset: None,
     ):
         """Follow a topic.
 
         Args:
             store: The store.
             topic: Name of the topic.
-            take: Called with each record.
-            gather_s: Seconds between two reads, so that one of them takes
-                the records that come in quick succession.
+            take: Called with the newest record of each key.
+            plan: Returns how the next read is made.
             rng: Source of random numbers.
+            has_read_to: Called after each read with the offset to read next.
         """
         self._store = store
         self._topic = topic
         self._take = take
-        self._gather_s = gather_s
+        self._plan = plan
         self._random = rng
+        self._has_read_to = has_read_to
+        self._hurried = asyncio.Event()
         self._offset: int | None = None
         self._failures = 0
         self._lost_at = 0.0
@@ -64,31 +86,53 @@
         """True once all newest records were read."""
         return self._offset is not None or self._read_at > 0
 
+    def hurry(self) -> None:
+        """Make the next read without gathering."""
+        self._hurried.set()
+
+    def skip_to(self, offset: int) -> None:
+        """Leave out records that another node read for this one."""
+        if self._offset is not None:
+            self._offset = max(self._offset, offset)
+
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
-            problem = await self._read_once()
+            plan = self._plan()
+            if not plan.is_due:
+                await asyncio.sleep(IDLE_CHECK_S)
+                continue
+            problem = await self._read_once(plan.wait_s)
             if problem is None:
-                await asyncio.sleep(self._gather_s)
+                await self._gather(plan.gather_s)
                 continue
             delay_s = backoff.full_jitter_s(
                 self._failures, RETRY_BASE_S, RETRY_CAP_S, self._random
             )
             await asyncio.sleep(delay_s)
 
-    async def _read_once(self) -> errors.LogError | None:
-        if self._offset is None:
+    async def _gather(self, gather_s: float) -> None:
+        try:
+            async with asyncio.timeout(gather_s):
+                await self._hurried.wait()
+        except TimeoutError:
+            # The usual case: nobody needs the next read sooner.
+            pass
+        self._hurried.clear()
+
+    async def _read_once(self, wait_s: float) -> errors.LogError | None:
+        offset = self._offset
+        if offset is None:
             page = await self._store.newest(self._topic)
         else:
-            page = await self._store.read(
-                self._topic, self._offset, READ_WAIT_S
-            )
+            page = await self._store.read(self._topic, offset, wait_s)
         if isinstance(page, errors.LogError):
             return self._failed(page)
         self._succeeded()
-        for record in page.records:
+        for record in newest_by_key(page.records):
             self._take(record)
-        self._offset = page.next_offset
+        self._offset = max(page.next_offset, self._offset or 0)
+        self._has_read_to(self._offset)
         return None
 
     def _failed(self, problem: errors.LogError) -> errors.LogError | None:
@@ -109,3 +153,11 @@
             gone_s = now - self._lost_at
             logger.info("store: %s back after %.1f s", self._topic, gone_s)
         self._failures = 0
+
+
+def newest_by_key(
+    records: tuple[keyed.KeyedRecord, ...],
+) -> list[keyed.KeyedRecord]:
+    """Return the last record of each key, in the order of offsets."""
+    newest = {record.key: record for record in records}
+    return sorted(newest.values(), key=lambda record: record.offset)
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -24,6 +24,7 @@
 from trefoilwind.gateway import peers as peers_lib
 from trefoilwind.gateway import picker as picker_lib
 from trefoilwind.gateway import publisher as publisher_lib
+from trefoilwind.gateway import record_relay
 from trefoilwind.gateway import record_sharing
 from trefoilwind.gateway import rollout_desk
 from trefoilwind.gateway import rollouts as rollouts_lib
@@ -47,6 +48,9 @@
 # on peer streams as well.
 OPERATOR_GATHER_S = 0.8
 MESH_GATHER_S = 1.0
+# Seconds that each node adds to the latter: the more nodes, the more records
+# they write, and each record would be read by all.
+MESH_GATHER_PER_NODE_S = 0.05
 CALLER_BACKLOG = 1024
 # Seconds after a stop was asked for until no caller is sent here any more.
 STOP_NOTICE_S = 2.6
@@ -160,14 +164,18 @@
             store,
             settings.operator_topic,
             self._sharing.add,
-            OPERATOR_GATHER_S,
+            self._plan_operator_read,
             self._random,
+            self._tell_records_read,
+        )
+        self._relay = record_relay.RecordRelay(
+            settings.node_id, settings.data_centre, OPERATOR_GATHER_S
         )
         self._mesh_follower = follower_lib.Follower(
             store,
             node_settings.MESH_TOPIC,
             self._take_mesh_record,
-            MESH_GATHER_S,
+            self._plan_mesh_read,
             self._random,
         )
         self._rollouts = rollout_desk.RolloutDesk(
@@ -383,8 +391,11 @@
             self._suspects.merge(message)
         elif isinstance(message, control_messages.RecordsWanted):
             self._share_records(stream, message)
+        elif isinstance(message, control_messages.RecordsRead):
+            self._take_records_read(stream, message)
         elif isinstance(message, control_messages.SharedRecords):
             self._sharing.take_shared(message)
+            self._operator_follower.skip_to(message.next_offset)
 
     def _ask_for_records(self) -> None:
         wanted = self._sharing.wanted(
@@ -398,10 +409,49 @@
     def _share_records(
         self, stream: streams.Stream, wanted: control_messages.RecordsWanted
     ) -> None:
-        shared = self._sharing.answer(wanted)
+        shared = self._sharing.answer(wanted, self._operator_follower.offset)
         if shared is not None:
             stream.send(peers_lib.control_frame(shared))
 
+    def _plan_operator_read(self) -> follower_lib.ReadPlan:
+        return self._relay.plan(
+            self._nearby(),
+            self._operator_follower.has_read,
+            self._loop.time(),
+        )
+
+    def _plan_mesh_read(self) -> follower_lib.ReadPlan:
+        nodes = len(self._board.members.value.members)
+        return follower_lib.ReadPlan(
+            MESH_GATHER_S + MESH_GATHER_PER_NODE_S * nodes
+        )
+
+    def _nearby(self) -> tuple[str, ...]:
+        """Return the other nodes of the data centre that can be reached."""
+        nodes = self._board.members.value.in_data_centre(
+            self._settings.data_centre
+        )
+        return tuple(node for node in nodes if self.is_connected(node))
+
+    def _tell_records_read(self, next_offset: int) -> None:
+        nearby = self._nearby()
+        if not self._relay.is_reader(nearby):
+            return
+        frame = peers_lib.control_frame(
+            control_messages.RecordsRead(next_offset)
+        )
+        for node_id in nearby:
+            self._peers.dialed(node_id).send(frame)
+
+    def _take_records_read(
+        self, stream: streams.Stream, message: control_messages.RecordsRead
+    ) -> None:
+        offset = self._operator_follower.offset
+        is_behind = offset is not None and offset < message.next_offset
+        if self._relay.heard(is_behind, self._loop.time()):
+            wanted = control_messages.RecordsWanted(self._sharing.last_offset)
+            stream.send(peers_lib.control_frame(wanted))
+
     def _spread_suspects(self, update: suspect_messages.SuspectUpdate) -> None:
         self._peers.send_all(peers_lib.control_frame(update))
 
--- a/trefoilwind/gateway/rollout_desk.py
+++ b/trefoilwind/gateway/rollout_desk.py
@@ -22,6 +22,9 @@
 
 STABLE_KEY = "stable/"
 DECISION_KEY = "decision/"
+# Seconds from a node's start until it records a version: by then it knows the
+# others that would record the same.
+SETTLE_S = 2.0
 # Seconds that a node leaves to each one that ranks before it.
 RANK_DELAY_S = 0.4
 # Seconds after a decision until a second node reports it as well.
@@ -61,11 +64,16 @@
         self._follower = follower
         self._encode_status = encode_status
         self._loop = asyncio.get_running_loop()
+        self._settled_at = self._loop.time() + SETTLE_S
         self._reporter = publisher_lib.Publisher(
             store, settings.status_topic, rng
         )
         self._decider = decider_lib.Decider(
-            store, node_settings.MESH_TOPIC, lambda: follower.offset, rng
+            store,
+            node_settings.MESH_TOPIC,
+            lambda: follower.offset,
+            follower.hurry,
+            rng,
         )
         self._control = rollouts_lib.RolloutControl(
             entry,
@@ -135,13 +143,15 @@
     def _propose_stable(self, server: mesh.BackendServer) -> None:
         """Record the version of a service that has no record of it."""
         service = server.service
-        if service in self._control.stable or not self._follower.has_read:
+        is_settled = self._loop.time() >= self._settled_at
+        has_read = self._follower.has_read
+        if service in self._control.stable or not has_read or not is_settled:
             return
         key = STABLE_KEY + service
         self._decider.propose(
             key,
             control_messages.StableVersion(service, server.version),
-            self._rank(key) * RANK_DELAY_S,
+            self._rank(key, service) * RANK_DELAY_S,
             lambda: service in self._control.stable,
             lambda message: None,
         )
@@ -158,10 +168,21 @@
             self._report_decision,
         )
 
-    def _rank(self, key: str) -> int:
-        nodes = tuple(self._board.members.value.by_node)
-        ranked = topology.rendezvous(key, nodes, len(nodes))
-        return ranked.index(self._settings.node_id)
+    def _rank(self, key: str, service: str = "") -> int:
+        """Return this node's rank for a key.
+
+        Args:
+            key: What is to be written.
+            service: Service that the ranked nodes run; empty for all nodes.
+        """
+        own = self._settings.node_id
+        nodes = {
+            member.node_id
+            for member in self._board.members.value.members
+            if not service or member.service == service
+        }
+        nodes.add(own)
+        return topology.rendezvous(key, nodes, len(nodes)).index(own)
 
     def take_decision(self, decision: control_messages.RolloutDecision) -> None:
         """Take a decision of the store; a few nodes report it."""
