Tell a backend server's mean time; compare two of those equally far

Change: the target node tells its own average with each answer, which fades to the usual time in 10 s; two open ones of each distance, drawn by chance, are compared, so that entry nodes do not meet at the fastest.

--- a/tests/test_emulator/test_emulator_world.py
+++ b/tests/test_emulator/test_emulator_world.py
@@ -122,6 +122,19 @@
     assert blind.served_share() < found.served_share() - 0.2
 
 
+def test_many_entry_nodes_do_not_meet_at_the_same_fast_servers(monkeypatch):
+    speeds = (0.5, 1.0, 1.0, 1.5) * 4
+    group = scenario_lib.ServerGroup("s", "near", 4, speeds)
+    centre = dataclasses.replace(_NEAR, per_s=240.0)
+    scenario = dataclasses.replace(
+        _SCENARIO, data_centres=(centre,), servers=(group,)
+    )
+    found = _run(scenario)
+    monkeypatch.setattr(placement, "SAMPLE_SIZE", len(speeds))
+    crowded = _run(scenario)
+    assert found.wait_s("read", 0.99) < crowded.wait_s("read", 0.99) / 2
+
+
 def test_a_failed_inner_call_fails_its_run():
     inner = dataclasses.replace(
         _READ, name="inner", service="t", weight=0.0, deadline_s=0.2
--- a/tests/test_gateway/test_gateway_picker.py
+++ b/tests/test_gateway/test_gateway_picker.py
@@ -48,10 +48,10 @@
 def test_slow_and_full_backend_servers_get_less():
     picker = _picker()
     for _ in range(20):
-        _attempt(picker, "n2", calls.Outcome(_OK, 0.3, 0), 1.0)
-        _attempt(picker, "n3", calls.Outcome(_OK, 0.09, 0), 1.0)
+        _attempt(picker, "n2", calls.Outcome(_OK, 0.3, 0, 0.0, 0.3), 1.0)
+        _attempt(picker, "n3", calls.Outcome(_OK, 0.09, 0, 0.0, 0.09), 1.0)
     assert picker.pick(_CALL, (), 1.1) == "n3"
-    _attempt(picker, "n3", calls.Outcome(_OK, 0.09, 60), 1.1)
+    _attempt(picker, "n3", calls.Outcome(_OK, 0.09, 60, 0.0, 0.09), 1.1)
     assert picker.pick(_CALL, (), 1.2) == "n2"
 
 
@@ -77,6 +77,7 @@
     for _ in range(20):
         _attempt(picker, "n2", calls.Outcome(_FAILED, 0.01, 0), 1.0)
         _attempt(picker, "n3", calls.Outcome(_OK, 0.09, 0), 1.0)
+    picker.started("n3")
     assert picker.pick(_CALL, (), 1.1) == "n3"
     assert picker.pick(_CALL, (), 30.0) == "n2"
 
--- a/tests/test_routing/test_routing_placement.py
+++ b/tests/test_routing/test_routing_placement.py
@@ -1,6 +1,8 @@
 """Choice of the backend server, by load and distance."""
 
+import collections
 import dataclasses
+import random
 
 from trefoilwind.routing import placement
 
@@ -70,3 +72,22 @@
 def test_single_failures_tell_nothing():
     failed_once = dataclasses.replace(_NEAR, node_id="once", failing=0.1)
     assert placement.cost_s(failed_once, 0) == placement.cost_s(_NEAR, 0)
+
+
+def test_sample_takes_open_members_each_once():
+    rng = random.Random(1)
+    chosen = list(placement.sample(range(9), lambda n: n % 3 == 0, rng.random))
+    assert len(chosen) == placement.SAMPLE_SIZE
+    assert set(chosen) < {0, 3, 6}
+    assert list(placement.sample((4,), lambda n: True, rng.random)) == [4]
+    assert not list(placement.sample(range(9), lambda n: False, rng.random))
+
+
+def test_samples_are_even():
+    rng = random.Random(2)
+    counts = collections.Counter(
+        member
+        for _ in range(9000)
+        for member in placement.sample("abcdef", lambda n: True, rng.random)
+    )
+    assert all(2700 < counts[member] < 3300 for member in "abcdef")
--- a/trefoilwind/distribution/frames.py
+++ b/trefoilwind/distribution/frames.py
@@ -119,6 +119,7 @@
         occupied: Calls that the backend server runs or that wait for it; -1
             if not told.
         failing: Share of its recent calls that failed.
+        mean_s: Average time in seconds of its calls; -1 if not known.
     """
 
     call_id: int
@@ -129,6 +130,7 @@
     served_s: float
     occupied: int = -1
     failing: float = 0.0
+    mean_s: float = -1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,6 +159,7 @@
             if not told.
         has_arrived: True if a backend server got the call and refused it.
         failing: Share of its recent calls that failed.
+        mean_s: Average time in seconds of its calls; -1 if not known.
     """
 
     call_id: int
@@ -169,6 +172,7 @@
     occupied: int = -1
     has_arrived: bool = False
     failing: float = 0.0
+    mean_s: float = -1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/trefoilwind/emulator/world.py
+++ b/trefoilwind/emulator/world.py
@@ -20,6 +20,7 @@
 from trefoilwind.model import addresses
 from trefoilwind.model import members
 from trefoilwind.routing import failures
+from trefoilwind.routing import service_time
 from trefoilwind.routing import waiting
 
 # Part of the time left that a caller waits at most before it comes back; the
@@ -43,6 +44,7 @@
         occupied: Calls at the backend server; negative if not told.
         served_s: Seconds that the backend server took; negative if none.
         failing: Share of the backend server's recent calls that failed.
+        mean_s: Average time in seconds of its calls; negative if not known.
     """
 
     end: results_lib.End
@@ -50,6 +52,7 @@
     occupied: int = -1
     served_s: float = -1.0
     failing: float = 0.0
+    mean_s: float = -1.0
 
 
 @dataclasses.dataclass
@@ -86,6 +89,7 @@
         self.refusals: dict[int, Callable[[], None]] = {}
         self.is_watched = False
         self.failures = failures.FailureShare()
+        self.mean = service_time.MeanTime()
         self._speed = speed
         self._troubles = troubles
 
@@ -384,7 +388,10 @@
             self._take(server, server.line.release(ticket, held_s, now))
             occupied = server.line.occupied
             failing = server.failures.now(now)
-            done(_Answer(end, 0.0, occupied, held_s, failing))
+            if not is_failure:
+                server.mean = server.mean.after(held_s)
+            mean_s = server.mean.seconds
+            done(_Answer(end, 0.0, occupied, held_s, failing, mean_s))
 
         def worked() -> None:
             if self._queue.now > call.deadline:
@@ -445,7 +452,7 @@
 
 def _outcome(answer: _Answer) -> calls.Outcome:
     """Return what an entry node learns of an attempt."""
-    told = (answer.served_s, answer.occupied, answer.failing)
+    told = (answer.served_s, answer.occupied, answer.failing, answer.mean_s)
     if answer.end is results_lib.End.IN_TIME:
         return calls.Outcome(_ANSWER, *told)
     if answer.end is results_lib.End.FAILED:
--- a/trefoilwind/gateway/calls.py
+++ b/trefoilwind/gateway/calls.py
@@ -101,12 +101,15 @@
         occupied: Calls at the backend server after it; negative if not known.
         failing: Share of the backend server's recent calls that failed, as
             the node beside it saw them.
+        mean_s: Average time in seconds of its calls, as that node measured
+            it; negative if not known.
     """
 
     result: Result
     served_s: float = -1.0
     occupied: int = -1
     failing: float = 0.0
+    mean_s: float = -1.0
 
 
 # Status from which on an answer of a backend server is a failure.
--- a/trefoilwind/gateway/exchange.py
+++ b/trefoilwind/gateway/exchange.py
@@ -76,7 +76,11 @@
         elif isinstance(frame, frames.CallFailed):
             waiter.set_result(
                 calls.Outcome(
-                    _call_error(frame), -1.0, frame.occupied, frame.failing
+                    _call_error(frame),
+                    -1.0,
+                    frame.occupied,
+                    frame.failing,
+                    frame.mean_s,
                 )
             )
 
@@ -268,6 +272,7 @@
                 outcome.occupied,
                 result.has_arrived,
                 outcome.failing,
+                outcome.mean_s,
             )
         )
         return
@@ -282,6 +287,7 @@
             outcome.served_s,
             outcome.occupied,
             outcome.failing,
+            outcome.mean_s,
         )
     )
     for start in range(size, len(result.body), size):
@@ -293,7 +299,9 @@
 def _outcome(head: frames.AnswerHead, body: bytes) -> calls.Outcome:
     headers = tuple((name, value) for name, value in head.headers)
     answer = http_types.HttpAnswer(head.status, headers, body)
-    return calls.Outcome(answer, head.served_s, head.occupied, head.failing)
+    return calls.Outcome(
+        answer, head.served_s, head.occupied, head.failing, head.mean_s
+    )
 
 
 def _call_error(frame: frames.CallFailed) -> errors.CallError:
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -10,10 +10,11 @@
 from trefoilwind.model import members as members_lib
 from trefoilwind.routing import failures
 from trefoilwind.routing import placement
+from trefoilwind.routing import service_time
 
 # Seconds assumed for a call before any was measured.
 INITIAL_SERVICE_S = 0.08
-# Share of a new sample in the average time of a call.
+# Share of what was told last in the usual time of calls.
 SAMPLE_WEIGHT = 0.1
 # Seconds for which a node that refused without load is not asked again.
 REFUSAL_PAUSE_S = 0.25
@@ -30,7 +31,7 @@
         told: Calls there by its last answer; -1 if not told.
         told_in_flight: Own calls there at that time.
         told_at: Monotonic time in seconds of that answer.
-        service_s: Average time in seconds of a call.
+        time: Average time of its calls, as it was told.
         paused_until: Monotonic time in seconds until which it is not asked.
         own_failures: Own calls that failed there.
         told_failures: Failures there, as the node beside it told.
@@ -40,7 +41,7 @@
     told: int = -1
     told_in_flight: int = 0
     told_at: float = 0.0
-    service_s: float = INITIAL_SERVICE_S
+    time: service_time.ToldTime = service_time.ToldTime()
     paused_until: float = 0.0
     own_failures: failures.FailureShare = failures.FailureShare()
     told_failures: failures.FailureShare = failures.FailureShare()
@@ -74,6 +75,7 @@
         self._own_occupied = own_occupied
         self._draw = draw
         self._beliefs: dict[str, _Belief] = {}
+        self._usual_s = INITIAL_SERVICE_S
 
     def choose_version(self, service: str) -> str:
         """Return the version for a call; empty if any may run it."""
@@ -102,11 +104,18 @@
             now: Event loop time in seconds.
             was_refused: True if the last of them was too full.
         """
+
+        def is_open(member: members_lib.Member) -> bool:
+            node_id = member.node_id
+            return node_id not in tried and self._is_open(node_id, now)
+
+        groups: dict[placement.Distance, list[members_lib.Member]] = {}
+        for member in self._serving(call.service, call.version):
+            groups.setdefault(self._distance(member), []).append(member)
         candidates = [
             self._candidate(member, now)
-            for member in self._serving(call.service, call.version)
-            if member.node_id not in tried
-            and self._is_open(member.node_id, now)
+            for group in groups.values()
+            for member in placement.sample(group, is_open, self._draw)
         ]
         choose = placement.choose
         if was_refused:
@@ -130,9 +139,10 @@
             belief.told = outcome.occupied
             belief.told_in_flight = belief.in_flight
             belief.told_at = now
-        if outcome.served_s >= 0:
-            difference = outcome.served_s - belief.service_s
-            belief.service_s += SAMPLE_WEIGHT * difference
+        if outcome.mean_s >= 0:
+            belief.time = service_time.ToldTime(outcome.mean_s, now)
+            difference = outcome.mean_s - self._usual_s
+            self._usual_s += SAMPLE_WEIGHT * difference
         result = outcome.result
         has_failed = calls.was_shed(result) or calls.has_failed(result)
         if has_failed is not None:
@@ -195,7 +205,7 @@
             self._distance(member),
             member.slots,
             self._own_occupied() if is_own else belief.occupied(now),
-            belief.service_s,
+            belief.time.now(self._usual_s, now),
             belief.failing(now),
         )
 
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -13,6 +13,7 @@
 from trefoilwind.logs import decisions
 from trefoilwind.model import mesh
 from trefoilwind.routing import failures
+from trefoilwind.routing import service_time
 from trefoilwind.routing import waiting
 from trefoilwind.telemetry import counts as counts_lib
 
@@ -53,6 +54,7 @@
         self._unreachable_until = 0.0
         self._line = waiting.WaitingLine(1)
         self._failures = failures.FailureShare()
+        self._mean = service_time.MeanTime()
         self._numbers = itertools.count(1)
         self._waiters: dict[int, asyncio.Future[bool]] = {}
         self._overdue_timer: asyncio.TimerHandle | None = None
@@ -113,6 +115,7 @@
         if is_new:
             self._unreachable_until = 0.0
             self._failures = failures.FailureShare()
+            self._mean = service_time.MeanTime()
             max_idle = server.slots + SPARE_IDLE
             self._client = http_client.HttpClient(server.address, max_idle)
         self._line.set_slots(server.slots)
@@ -230,14 +233,17 @@
             held_s = self._now() - started if is_answer else -1.0
         finally:
             self._take(self._line.release(ticket, held_s, self._now()))
-        self._note_result(result)
+        self._note_result(result, held_s)
         share = self._failures.now(self._now())
-        return calls.Outcome(result, held_s, self.occupied, share)
+        mean_s = self._mean.seconds
+        return calls.Outcome(result, held_s, self.occupied, share, mean_s)
 
-    def _note_result(self, result: calls.Result) -> None:
+    def _note_result(self, result: calls.Result, held_s: float) -> None:
         has_failed = calls.was_shed(result) or calls.has_failed(result)
         if has_failed is not None:
             self._failures = self._failures.after(has_failed, self._now())
+        if has_failed is False and held_s >= 0:
+            self._mean = self._mean.after(held_s)
 
     async def _exchange(self, call: calls.Call) -> calls.Result:
         server = self._server
--- a/trefoilwind/routing/placement.py
+++ b/trefoilwind/routing/placement.py
@@ -8,9 +8,14 @@
 regions to be refused again.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
 import enum
+from typing import TypeVar
+
+_T = TypeVar("_T")
 
 
 @enum.unique
@@ -44,6 +49,8 @@
 FAILURE_S = 1.0
 # Share of failures that tells nothing: single ones, spoiled or lost answers.
 USUAL_FAILURES = 0.1
+# Equally far backend servers that a call is compared on.
+SAMPLE_SIZE = 2
 # Part of a call's time by which a full backend server looks slower: calls
 # spread before the slots are full.
 CROWDING = 0.5
@@ -70,6 +77,33 @@
     failing: float = 0.0
 
 
+def sample(
+    group: Sequence[_T],
+    is_open: Callable[[_T], bool],
+    draw: Callable[[], float],
+) -> Iterator[_T]:
+    """Yield a few open members of a group that are equally far, by chance.
+
+    Entry nodes that all took the best of many would meet there, as each of
+    them knows the load of the others' calls late or not at all.
+
+    Args:
+        group: The members.
+        is_open: Tells whether a member may be asked.
+        draw: Returns a random number from 0 to 1.
+    """
+    left = list(group)
+    found = 0
+    while left and found < SAMPLE_SIZE:
+        index = int(draw() * len(left))
+        member = left[index]
+        left[index] = left[-1]
+        left.pop()
+        if is_open(member):
+            found += 1
+            yield member
+
+
 def cost_s(candidate: Candidate, body_bytes: int) -> float:
     """Return the seconds until an answer is expected, and what its way costs.
 
