Tell the own data centre of news in the operator's topic

Change: a node that read news tells its data centre; one that is behind asks for the records, so a hanging read no longer decides. Test with a store whose reads never end: fails without the change.

--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -96,6 +96,14 @@
         return result
 
 
+class _HangingStore(_CutStore):
+    """The store for a node whose reads never end once they wait."""
+
+    async def read(self, topic: str, offset: int, wait_s: float):
+        """Wait for good."""
+        await asyncio.Event().wait()
+
+
 class _World:
     """Nodes with a backend server each, and the store that they share."""
 
@@ -438,3 +446,18 @@
         assert (await page.serve(other)).status == 404
 
     _run(scenario)
+
+
+def test_node_whose_read_hangs_gets_records_from_its_data_centre():
+    async def scenario(world: _World) -> None:
+        await world.write("config", "config 3")
+        first = await world.add("n1")
+        shared = world.store
+        world.store = _HangingStore(shared)
+        second = await world.add("n2")
+        world.store = shared
+        await _until(lambda: second.is_ready and first.is_connected("n2"))
+        await world.write("config", "config 4")
+        await _until(lambda: second.board.configuration.value.version == 4)
+
+    _run(scenario)
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -172,6 +172,7 @@
             self._random,
             self._tell_records_read,
         )
+        self._told_offset = 0
         self._relay = record_relay.RecordRelay(
             settings.node_id, settings.data_centre, OPERATOR_GATHER_S
         )
@@ -459,9 +460,15 @@
         return tuple(node for node in nodes if self.is_connected(node))
 
     def _tell_records_read(self, next_offset: int) -> None:
+        """Tell the data centre; a node whose read hangs asks for its records.
+
+        Who reads for the others tells of each read, the others of news.
+        """
         nearby = self._nearby()
-        if not self._relay.is_reader(nearby):
+        has_news = next_offset > self._told_offset
+        if not has_news and not self._relay.is_reader(nearby):
             return
+        self._told_offset = next_offset
         frame = peers_lib.control_frame(
             control_messages.RecordsRead(next_offset)
         )
