--- a/tests/test_logs/test_logs_explain.py
+++ b/tests/test_logs/test_logs_explain.py
@@ -64,6 +64,34 @@
     assert "occupied=30" in explain.text(found["a1"])
 
 
+def test_failure_without_a_peer_is_that_of_the_node_asked_last():
+    end = _line(
+        1.0,
+        "n1",
+        "call_failed",
+        id="c3",
+        reason="backend-server-answer",
+        step="run",
+        asked=["n2", "n4"],
+    )
+    story = explain.stories(reader.parse([end]))["c3"]
+    assert explain.cause(story) == "backend-server-answer at run of n4"
+
+
+def test_changes_are_told_over_all_nodes_by_time():
+    in_force = _line(3.0, "n2", "", part="configuration")
+    lost = _line(2.0, "n1", "", part="store")
+    left_out = _line(2.5, "n1", "left_out")
+    lines = sorted(
+        reader.parse([in_force, *_TEXTS, left_out, lost]),
+        key=lambda line: line.at,
+    )
+    assert [line.node for line in explain.changes(lines)] == ["n1", "n2"]
+    assert list(explain.changes(lines, "rollout")) == []
+    text = explain.change_text(next(explain.changes(lines, "store")))
+    assert text == "07:00:02.000 n1 store: "
+
+
 def test_failed_and_slowest():
     found = explain.stories(reader.parse(_TEXTS)).values()
     assert [s.request_id for s in explain.failed(found)] == ["a1"]
--- a/trefoilwind/cmd/explain.py
+++ b/trefoilwind/cmd/explain.py
@@ -19,19 +19,29 @@
     slowest: Annotated[int, cyclopts.Parameter()] = 0,
     failed: bool = False,
     reason: str = "",
+    changes: bool = False,
+    part: str = "",
     as_json: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
 ) -> None:
     """Print the way of a request through the nodes.
 
     Args:
-        request_id: Id of the request; "all" with --slowest or --failed.
+        request_id: Id of the request; "all" with --slowest, --failed or
+            --changes.
         logs: Files of log lines, plain or compressed; "-" for standard input.
         slowest: Print so many of the slowest requests.
         failed: Print the failed requests, and how many failed by reason.
         reason: With --failed, only requests that failed for this reason.
+        changes: Print what nodes came to believe, over all of them by time.
+        part: With --changes, only lines of this part.
         as_json: Print one JSON object for each request.
     """
-    found = explain.stories(_read(logs))
+    lines = _read(logs)
+    if changes:
+        for line in explain.changes(lines, part):
+            print(explain.change_text(line))
+        return
+    found = explain.stories(lines)
     if failed:
         chosen = explain.failed(found.values(), reason)
     elif slowest:
--- a/trefoilwind/logs/explain.py
+++ b/trefoilwind/logs/explain.py
@@ -1,14 +1,17 @@
 """Way of one request through the nodes, from their logs."""
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
+import datetime
 
 from trefoilwind.logs import reader
 
 # Kinds in the order in which they happen to one attempt.
 _ORDER = {"target_refused": 0, "target_run": 0, "call": 1, "call_failed": 1}
 _END_KINDS = frozenset({"call", "call_failed"})
+_LEFT_OUT = "left_out"
 _SHOWN_FIRST = ("status", "reason", "step", "peer")
 _HIDDEN = frozenset(
     {"time", "node", "level", "part", "message", "kind", "id", *_SHOWN_FIRST}
@@ -94,9 +97,17 @@
         return "no log holds its end"
     if not story.is_failed:
         return f"served with status {end.fields.get('status')}"
-    peer = end.fields.get("peer") or end.node
     step = end.fields.get("step", "")
-    return f"{story.reason} at {step} of {peer}"
+    return f"{story.reason} at {step} of {_failed_at(end)}"
+
+
+def _failed_at(end: reader.Line) -> str:
+    """Return the peer at which a request failed, else the last one asked."""
+    peer = end.fields.get("peer")
+    asked = end.fields.get("asked")
+    if not peer and isinstance(asked, list) and asked:
+        peer = asked[-1]
+    return str(peer or end.node)
 
 
 def _row(line: reader.Line, start: float) -> str:
@@ -116,6 +127,28 @@
     )
 
 
+def changes(
+    lines: Iterable[reader.Line], part: str = ""
+) -> Iterator[reader.Line]:
+    """Yield the lines on what nodes believe, over all processes by time.
+
+    Args:
+        lines: Lines of all logs, by time.
+        part: Only lines of this part; empty for all.
+    """
+    for line in lines:
+        is_wanted = part in ("", line.part)
+        if is_wanted and not line.request_id and line.kind != _LEFT_OUT:
+            yield line
+
+
+def change_text(line: reader.Line) -> str:
+    """Return a line on a belief for a person."""
+    at = datetime.datetime.fromtimestamp(line.at, datetime.UTC)
+    clock = at.strftime("%H:%M:%S.%f")[:-3]
+    return f"{clock} {line.node} {line.part}: {line.message}"
+
+
 def failed(found: Iterable[Story], reason: str = "") -> list[Story]:
     """Return the failed requests, of one reason or of all."""
     return [
