Split the operators' records from the node; judge a rollout once a round

gateway/operator_records.py holds follower, sharing and relay of the operators' topic, which node.py wired itself; nothing is decided otherwise. A rollout's share takes the verdict of the round in place of judging again. Tests of the gateway pass.

--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -22,11 +22,10 @@
 from trefoilwind.gateway import member_table
 from trefoilwind.gateway import metrics_page
 from trefoilwind.gateway import node_settings
+from trefoilwind.gateway import operator_records
 from trefoilwind.gateway import peers as peers_lib
 from trefoilwind.gateway import picker as picker_lib
 from trefoilwind.gateway import publisher as publisher_lib
-from trefoilwind.gateway import record_relay
-from trefoilwind.gateway import record_sharing
 from trefoilwind.gateway import rollout_desk
 from trefoilwind.gateway import rollouts as rollouts_lib
 from trefoilwind.gateway import streams
@@ -45,10 +44,8 @@
 logger = logging.getLogger(__name__)
 
 MEMBER_KEY = "member/"
-# Seconds between two reads of the operator's topic: a third of the time until
-# a configuration must be in force; and of the mesh's topic, whose news come
-# on peer streams as well.
-OPERATOR_GATHER_S = 0.8
+# Seconds between two reads of the mesh's topic, whose news come on peer
+# streams as well.
 MESH_GATHER_S = 1.0
 # Seconds that each node adds to the latter: the more nodes, the more records
 # they write, and each record would be read by all.
@@ -163,18 +160,14 @@
         self._publisher = publisher_lib.Publisher(
             store, node_settings.MESH_TOPIC, self._random
         )
-        self._sharing = record_sharing.RecordSharing(self._take_operator_record)
-        self._operator_follower = follower_lib.Follower(
+        self._operator_records = operator_records.OperatorRecords(
+            settings,
             store,
-            settings.operator_topic,
-            self._sharing.add,
-            self._plan_operator_read,
+            self._take_operator_record,
+            self._board,
+            self._peers,
+            self.is_connected,
             self._random,
-            self._tell_records_read,
-        )
-        self._told_offset = 0
-        self._relay = record_relay.RecordRelay(
-            settings.node_id, settings.data_centre, OPERATOR_GATHER_S
         )
         self._mesh_follower = follower_lib.Follower(
             store,
@@ -223,7 +216,7 @@
             slots=self._target.slots,
             occupied=self._target.occupied,
             is_store_lost=(
-                self._operator_follower.is_lost or self._mesh_follower.is_lost
+                self._operator_records.is_lost or self._mesh_follower.is_lost
             ),
         )
 
@@ -263,7 +256,7 @@
                 error.strerror or str(error),
             )
         parts = (
-            self._operator_follower,
+            self._operator_records,
             self._mesh_follower,
             self._publisher,
             self._rollouts.reporter,
@@ -415,36 +408,8 @@
             self._rollouts.control.take_evidence(message)
         elif isinstance(message, suspect_messages.SuspectUpdate):
             self._suspects.merge(message)
-        elif isinstance(message, control_messages.RecordsWanted):
-            self._share_records(stream, message)
-        elif isinstance(message, control_messages.RecordsRead):
-            self._take_records_read(stream, message)
-        elif isinstance(message, control_messages.SharedRecords):
-            self._sharing.take_shared(message)
-            self._operator_follower.skip_to(message.next_offset)
-
-    def _ask_for_records(self) -> None:
-        wanted = self._sharing.wanted(
-            self._operator_follower.is_lost, self._loop.time()
-        )
-        connected = self._peers.connected
-        if wanted is not None and connected:
-            stream = self._random.choice(connected)
-            stream.send(peers_lib.control_frame(wanted))
-
-    def _share_records(
-        self, stream: streams.Stream, wanted: control_messages.RecordsWanted
-    ) -> None:
-        shared = self._sharing.answer(wanted, self._operator_follower.offset)
-        if shared is not None:
-            stream.send(peers_lib.control_frame(shared))
-
-    def _plan_operator_read(self) -> follower_lib.ReadPlan:
-        return self._relay.plan(
-            self._nearby(),
-            self._operator_follower.has_read,
-            self._loop.time(),
-        )
+        elif isinstance(message, operator_records.RecordMessage):
+            self._operator_records.take_message(stream, message)
 
     def _plan_mesh_read(self) -> follower_lib.ReadPlan:
         nodes = len(self._board.members.value.members)
@@ -452,38 +417,6 @@
             MESH_GATHER_S + MESH_GATHER_PER_NODE_S * nodes
         )
 
-    def _nearby(self) -> tuple[str, ...]:
-        """Return the other nodes of the data centre that can be reached."""
-        nodes = self._board.members.value.in_data_centre(
-            self._settings.data_centre
-        )
-        return tuple(node for node in nodes if self.is_connected(node))
-
-    def _tell_records_read(self, next_offset: int) -> None:
-        """Tell the data centre; a node whose read hangs asks for its records.
-
-        Who reads for the others tells of each read, the others of news.
-        """
-        nearby = self._nearby()
-        has_news = next_offset > self._told_offset
-        if not has_news and not self._relay.is_reader(nearby):
-            return
-        self._told_offset = next_offset
-        frame = peers_lib.control_frame(
-            control_messages.RecordsRead(next_offset)
-        )
-        for node_id in nearby:
-            self._peers.dialed(node_id).send(frame)
-
-    def _take_records_read(
-        self, stream: streams.Stream, message: control_messages.RecordsRead
-    ) -> None:
-        offset = self._operator_follower.offset
-        is_behind = offset is not None and offset < message.next_offset
-        if self._relay.heard(is_behind, self._loop.time()):
-            wanted = control_messages.RecordsWanted(self._sharing.last_offset)
-            stream.send(peers_lib.control_frame(wanted))
-
     def _spread_suspects(self, update: suspect_messages.SuspectUpdate) -> None:
         self._peers.send_all(peers_lib.control_frame(update))
 
@@ -498,7 +431,7 @@
                 decisions.log_left_out()
             is_open = self._target.is_open
             self._rollouts.tick(self._target.server if is_open else None)
-            self._ask_for_records()
+            self._operator_records.tick()
 
     # Members.
 
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -21,6 +21,16 @@
 # Seconds for which a load that a node told is believed to stand still.
 LOAD_LIFETIME_S = 0.5
 
+# Reasons that tell nothing lasting of the node that gave them.
+_PASSING_REASONS = frozenset(
+    {
+        errors.Reason.OVERLOADED,
+        errors.Reason.DEADLINE_EXCEEDED,
+        errors.Reason.CANCELLED,
+        errors.Reason.BACKEND_FAILED,
+    }
+)
+
 
 @dataclasses.dataclass(slots=True)
 class _Belief:
@@ -217,14 +227,3 @@
         if member.region == self._own.region:
             return placement.Distance.REGION
         return placement.Distance.FAR
-
-
-# Reasons that tell nothing lasting of the node that gave them.
-_PASSING_REASONS = frozenset(
-    {
-        errors.Reason.OVERLOADED,
-        errors.Reason.DEADLINE_EXCEEDED,
-        errors.Reason.CANCELLED,
-        errors.Reason.BACKEND_FAILED,
-    }
-)
--- a/trefoilwind/gateway/rollouts.py
+++ b/trefoilwind/gateway/rollouts.py
@@ -34,6 +34,7 @@
         started: Event loop time in seconds at which it was seen.
         history: Evidence by time.
         judge: Judge of that evidence.
+        verdict: What it said in the last round; None before the first.
         brake: Why the version was shown to be faulty, or None.
         sent_revision: Revision of the ledger that peers were sent.
     """
@@ -42,6 +43,7 @@
     started: float
     history: history_lib.History
     judge: verdicts.Judge
+    verdict: verdicts.Verdict | None = None
     brake: evidence.Brake | None = None
     sent_revision: int = 0
 
@@ -220,6 +222,7 @@
         )
         rollout.history.update(now, cells)
         verdict = rollout.judge.judge(rollout.history, servers)
+        rollout.verdict = verdict
         if verdict.is_faulty and rollout.brake is None:
             brake = evidence.Brake(
                 rollout.move_id, verdict.reason, verdict.step, self._entry
@@ -344,11 +347,14 @@
         servers = len(
             self._board.members.value.serving(order.service, order.version)
         )
+        verdict = rollout.verdict
+        if verdict is None:
+            verdict = rollout.judge.judge(rollout.history, servers)
         return ramp.Progress(
             (self._clock() - rollout.started) / max(order.duration_s, 0.1),
             0,
             servers,
-            rollout.judge.judge(rollout.history, servers),
+            verdict,
             rollout.brake is not None,
         )
 
