Count only failures beyond a half against a backend server

In overload runs fail for their own calls that come late, so every backend server's share passed a tenth, and calls left their region.

Change: a share up to a half costs nothing.

--- a/trefoilwind/routing/placement.py
+++ b/trefoilwind/routing/placement.py
@@ -47,8 +47,9 @@
 # Seconds that a failed call costs its caller: about its target latency, and
 # another try.
 FAILURE_S = 1.0
-# Share of failures that tells nothing: single ones, spoiled or lost answers.
-USUAL_FAILURES = 0.1
+# Share of failures that tells nothing of a backend server: in overload up to
+# half of its runs fail, for calls of theirs that come late.
+USUAL_FAILURES = 0.5
 # Equally far backend servers that a call is compared on.
 SAMPLE_SIZE = 2
 # Part of a call's time by which a full backend server looks slower: calls
