Share one class of durations; use what the project had

telemetry/durations.py holds the HDR histogram of times that counts.py and the emulator's results each had; a quantile accessor that only a test called went. platform_node takes the largest port from model/addresses; the emulator's product policy is the picker's own method; the picker takes what an answer told of load and failures in one place.

--- a/tests/test_telemetry/test_telemetry_counts.py
+++ b/tests/test_telemetry/test_telemetry_counts.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 
 from trefoilwind.telemetry import counts as counts_lib
+from trefoilwind.telemetry import durations
 from trefoilwind.telemetry import prometheus
 
 
@@ -62,13 +63,13 @@
     strategies.lists(strategies.floats(0.0, 60.0), min_size=1, max_size=50)
 )
 def test_quantiles_agree_with_sorted_times(times: list[float]):
-    counts = counts_lib.MeshCounts()
+    counted = durations.Durations()
     for seconds in times:
-        counts.request_ended("s", "answered", 1, seconds)
+        counted.add(seconds)
     times.sort()
     share = random.Random(len(times)).choice((0.5, 0.9, 1.0))
     rank = max(0, round(share * len(times) + 0.5) - 1)
     expected = times[min(rank, len(times) - 1)]
-    found = counts.request_quantile_s("s", share)
+    found = counted.quantile_s(share)
     lower = times[max(0, min(rank, len(times) - 1) - 1)]
     assert lower * 0.98 - 2e-6 <= found <= expected * 1.02 + 2e-6
--- a/trefoilwind/admin/metrics.py
+++ b/trefoilwind/admin/metrics.py
@@ -165,11 +165,11 @@
         return int(self._clock.monotonic() // WINDOW_SLOT_S)
 
     def _count_latency(self, class_name: str, latency_s: float) -> None:
+        bounds = prometheus.LATENCY_BOUNDS_S
         counts = self._latencies.get(class_name)
         if counts is None:
-            counts = [0] * (len(prometheus.LATENCY_BOUNDS_S) + 1)
+            counts = [0] * (len(bounds) + 1)
             self._latencies[class_name] = counts
-        bounds = prometheus.LATENCY_BOUNDS_S
         counts[bisect.bisect_left(bounds, latency_s)] += 1
         self._latency_sums[class_name] += latency_s
 
--- a/trefoilwind/cmd/platform_node.py
+++ b/trefoilwind/cmd/platform_node.py
@@ -7,12 +7,12 @@
 
 from trefoilwind import errors
 from trefoilwind.logs import decisions
+from trefoilwind.model import addresses
 from trefoilwind.platform import program
 from trefoilwind.platform import settings as settings_lib
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
-_PORTS = 65536
 
 
 def main() -> None:
@@ -46,7 +46,7 @@
 
 def _port(text: str) -> int:
     port = int(text)
-    if not 0 <= port < _PORTS:
+    if not 0 <= port <= addresses.MAX_PORT:
         raise argparse.ArgumentTypeError(f"{text} is no port")
     return port
 
--- a/trefoilwind/emulator/policies.py
+++ b/trefoilwind/emulator/policies.py
@@ -112,17 +112,7 @@
 
 def product() -> Policy:
     """Return what the node does."""
-
-    def pick(
-        picker: picker_lib.Picker,
-        call: calls.Call,
-        tried: tuple[str, ...],
-        now: float,
-        was_refused: bool,
-    ) -> str:
-        return picker.pick(call, tried, now, was_refused)
-
-    return Policy("product", waiting.WaitingLine, pick)
+    return Policy("product", waiting.WaitingLine, picker_lib.Picker.pick)
 
 
 def asks_on() -> Policy:
--- a/trefoilwind/emulator/results.py
+++ b/trefoilwind/emulator/results.py
@@ -4,11 +4,7 @@
 import dataclasses
 import enum
 
-from hdrh import histogram as hdr
-
-_MOST_US = 60_000_000
-_DIGITS = 2
-_US_PER_S = 1e6
+from trefoilwind.telemetry import durations
 
 
 @enum.unique
@@ -58,8 +54,8 @@
         self._arrived: collections.Counter[tuple[int, str]] = (
             collections.Counter()
         )
-        self._waits: dict[str, hdr.HdrHistogram] = {}
-        self._refusals = hdr.HdrHistogram(1, _MOST_US, _DIGITS)
+        self._waits: dict[str, durations.Durations] = {}
+        self._refusals = durations.Durations()
         self._attempts = 0
 
     @property
@@ -80,7 +76,7 @@
         self._earned[window] += request.credit
         self._arrived[window, request.class_name] += 1
         if request.refused_s >= 0:
-            self._refusals.record_value(_micros(request.refused_s))
+            self._refusals.add(request.refused_s)
 
     def asked(self) -> None:
         """Count an attempt."""
@@ -90,9 +86,9 @@
         """Count the wait of a call for its slot."""
         found = self._waits.get(class_name)
         if found is None:
-            found = hdr.HdrHistogram(1, _MOST_US, _DIGITS)
+            found = durations.Durations()
             self._waits[class_name] = found
-        found.record_value(_micros(seconds))
+        found.add(seconds)
 
     def count(self, end: End, class_name: str = "") -> int:
         """Return how many requests ended so, of one class or of all."""
@@ -133,16 +129,8 @@
     def wait_s(self, class_name: str, share: float) -> float:
         """Return a quantile of the waits of a class, in seconds."""
         found = self._waits.get(class_name)
-        if found is None:
-            return 0.0
-        return found.get_value_at_percentile(100 * share) / _US_PER_S
+        return found.quantile_s(share) if found else 0.0
 
     def refusal_s(self, share: float) -> float:
         """Return a quantile of the time until a last refusal, in seconds."""
-        if not self._refusals.get_total_count():
-            return 0.0
-        return self._refusals.get_value_at_percentile(100 * share) / _US_PER_S
-
-
-def _micros(seconds: float) -> int:
-    return max(1, min(_MOST_US, int(seconds * _US_PER_S)))
+        return self._refusals.quantile_s(share)
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -149,6 +149,8 @@
             belief.told = outcome.occupied
             belief.told_in_flight = belief.in_flight
             belief.told_at = now
+            told = failures.FailureShare(outcome.failing, now)
+            belief.told_failures = told
         if outcome.mean_s >= 0:
             belief.time = service_time.ToldTime(outcome.mean_s, now)
             difference = outcome.mean_s - self._usual_s
@@ -157,9 +159,6 @@
         has_failed = calls.was_shed(result) or calls.has_failed(result)
         if has_failed is not None:
             belief.own_failures = belief.own_failures.after(has_failed, now)
-        if outcome.occupied >= 0:
-            told = failures.FailureShare(outcome.failing, now)
-            belief.told_failures = told
         if isinstance(result, errors.CallError) and (
             result.reason not in _PASSING_REASONS
         ):
--- a/trefoilwind/gateway/record_relay.py
+++ b/trefoilwind/gateway/record_relay.py
@@ -1,11 +1,10 @@
 """Who reads the operator's topic for a data centre.
 
 In a small data centre each node reads for itself and tells the others of news,
-as a read may hang. In a large one, reads of
-all nodes would fill the way to the store with copies of one configuration, so
-one node reads, tells the others how far it is, and they ask it for what they
-lack. Nobody is elected: each node ranks those that it reaches, and reads for
-itself while it hears of no reading.
+as a read may hang. In a large one, reads of all nodes would fill the way to
+the store with copies of one configuration, so one node reads, tells the others
+how far it is, and they ask it for what they lack. Nobody is elected: each node
+ranks those that it reaches, and reads for itself while it hears of no reading.
 """
 
 from collections.abc import Sequence
--- a/trefoilwind/telemetry/counts.py
+++ b/trefoilwind/telemetry/counts.py
@@ -1,49 +1,14 @@
 """Counts of a node on the event loop: a few additions on the path of calls."""
 
-import bisect
 import collections
 
-from hdrh import histogram as hdr
-
+from trefoilwind.telemetry import durations
 from trefoilwind.telemetry import prometheus
 
 # Services that are counted apart; the operator names them, so their number
 # has a bound here. Those beyond share one label.
 MAX_SERVICES = 32
 OTHER_SERVICES = "other"
-# Range in microseconds and significant digits of the histograms.
-_LEAST_US = 1
-_MOST_US = 60_000_000
-_DIGITS = 2
-_US_PER_S = 1e6
-
-
-class _Durations:
-    """Distribution of times, exact to the digits of the histogram."""
-
-    def __init__(self) -> None:
-        self._histogram = hdr.HdrHistogram(_LEAST_US, _MOST_US, _DIGITS)
-        self._total_s = 0.0
-
-    def add(self, seconds: float) -> None:
-        """Count a time; one beyond the range counts as its end."""
-        micros = max(_LEAST_US, min(_MOST_US, int(seconds * _US_PER_S)))
-        self._histogram.record_value(micros)
-        self._total_s += seconds
-
-    def quantile_s(self, share: float) -> float:
-        """Return the time in seconds that a share of all does not exceed."""
-        return self._histogram.get_value_at_percentile(100 * share) / _US_PER_S
-
-    def latencies(self) -> prometheus.Latencies:
-        """Return the counts by the classes of the metrics."""
-        bounds = prometheus.LATENCY_BOUNDS_S
-        counts = [0] * (len(bounds) + 1)
-        for item in self._histogram.get_recorded_iterator():
-            seconds = item.value_iterated_to / _US_PER_S
-            found = item.count_added_in_this_iter_step
-            counts[bisect.bisect_left(bounds, seconds)] += found
-        return prometheus.Latencies(tuple(counts), self._total_s)
 
 
 class MeshCounts:
@@ -56,8 +21,8 @@
         )
         self._runs: collections.Counter[tuple[str, str]] = collections.Counter()
         self._attempts: collections.Counter[tuple[str]] = collections.Counter()
-        self._request_times: dict[str, _Durations] = {}
-        self._wait_times: dict[str, _Durations] = {}
+        self._request_times: dict[str, durations.Durations] = {}
+        self._wait_times: dict[str, durations.Durations] = {}
 
     def request_ended(
         self, service: str, result: str, attempts: int, seconds: float
@@ -83,10 +48,6 @@
         """Count the time that a call waited for a slot."""
         _durations(self._wait_times, self._bounded(service)).add(seconds)
 
-    def request_quantile_s(self, service: str, share: float) -> float:
-        """Return a quantile of the times of requests, in seconds."""
-        return self._request_times[self._bounded(service)].quantile_s(share)
-
     def families(self) -> tuple[prometheus.Family, ...]:
         """Return what was counted so far."""
         counter = prometheus.Kind.COUNTER
@@ -138,14 +99,16 @@
         return service
 
 
-def _durations(times: dict[str, _Durations], name: str) -> _Durations:
+def _durations(
+    times: dict[str, durations.Durations], name: str
+) -> durations.Durations:
     found = times.get(name)
     if found is None:
-        found = times[name] = _Durations()
+        found = times[name] = durations.Durations()
     return found
 
 
 def _all_latencies(
-    times: dict[str, _Durations],
+    times: dict[str, durations.Durations],
 ) -> dict[tuple[str, ...], prometheus.Latencies]:
     return {(name,): found.latencies() for name, found in times.items()}
--- /dev/null
+++ b/trefoilwind/telemetry/durations.py
@@ -0,0 +1,46 @@
+"""Distribution of times in an HDR histogram."""
+
+import bisect
+
+from hdrh import histogram as hdr
+
+from trefoilwind.telemetry import prometheus
+
+# Range in microseconds and significant digits of the histogram.
+_LEAST_US = 1
+_MOST_US = 60_000_000
+_DIGITS = 2
+_US_PER_S = 1e6
+
+
+class Durations:
+    """Distribution of times, exact to the digits of the histogram."""
+
+    def __init__(self) -> None:
+        self._histogram = hdr.HdrHistogram(_LEAST_US, _MOST_US, _DIGITS)
+        self._total_s = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Count a time; one beyond the range counts as its end."""
+        micros = max(_LEAST_US, min(_MOST_US, int(seconds * _US_PER_S)))
+        self._histogram.record_value(micros)
+        self._total_s += seconds
+
+    def quantile_s(self, share: float) -> float:
+        """Return the time in seconds that a share of all does not exceed.
+
+        It is 0 if nothing was counted.
+        """
+        if not self._histogram.get_total_count():
+            return 0.0
+        return self._histogram.get_value_at_percentile(100 * share) / _US_PER_S
+
+    def latencies(self) -> prometheus.Latencies:
+        """Return the counts by the classes of the metrics."""
+        bounds = prometheus.LATENCY_BOUNDS_S
+        counts = [0] * (len(bounds) + 1)
+        for item in self._histogram.get_recorded_iterator():
+            seconds = item.value_iterated_to / _US_PER_S
+            found = item.count_added_in_this_iter_step
+            counts[bisect.bisect_left(bounds, seconds)] += found
+        return prometheus.Latencies(tuple(counts), self._total_s)
