Log and count reads of the store and shared records

Each read of the store that returned records or failed now has a line with its offsets, the records that later ones of the same read superseded, bytes and time; so have requests for records, records sent to and received from peers, and changes of the node that reads. Counters: store_reads_total, store_read_bytes_total, store_read_duration_seconds, shared_record_bytes_total.

No change of logic.

--- a/tests/test_gateway/test_gateway_follower.py
+++ b/tests/test_gateway/test_gateway_follower.py
@@ -2,13 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
+import logging
 import random
 
 import uvloop
 
 from trefoilwind.gateway import follower as follower_lib
 from trefoilwind.log import keyed
+from trefoilwind.logs import json_lines
 from trefoilwind.standins import keyed_store
+from trefoilwind.telemetry import counts as counts_lib
+from trefoilwind.telemetry import prometheus
 
 _TOPIC = "t"
 # Longer than any test runs.
@@ -22,12 +26,14 @@
         self.store = keyed_store.MemoryStore()
         self.records: list[keyed.KeyedRecord] = []
         self.read_to: list[int] = []
+        self.counts = counts_lib.MeshCounts()
         self.follower = follower_lib.Follower(
             self.store,
             _TOPIC,
             self.records.append,
             plan,
             random.Random(1),
+            self.counts,
             self.read_to.append,
         )
 
@@ -141,3 +147,30 @@
         return had_read, reader.follower.has_read
 
     assert uvloop.run(scenario()) == (False, True)
+
+
+def test_reads_are_logged_and_counted_with_their_superseded_records(caplog):
+    async def scenario():
+        reader = _Reader(_plan())
+        await reader.run_until(lambda: bool(reader.read_to))
+        for value in (b"1", b"22", b"333"):
+            await reader.store.put(_TOPIC, "a", value)
+        await reader.run_until(lambda: bool(reader.records))
+        reader.store.faults.is_down = True
+        await reader.run_until(lambda: reader.follower.is_unavailable)
+        return reader
+
+    with caplog.at_level(logging.INFO):
+        reader = uvloop.run(scenario())
+    lines = [getattr(r, json_lines.FIELDS, {}) for r in caplog.records]
+    reads = [line for line in lines if line.get("kind") == "store_read"]
+    assert [(r["records"], r["superseded"], r["bytes"]) for r in reads] == [
+        (3, 2, 6)
+    ]
+    assert (reads[0]["offset"], reads[0]["next_offset"]) == (0, 3)
+    failed = [x for x in lines if x.get("kind") == "store_read_failed"]
+    assert failed[0]["offset"] == 3
+    text = prometheus.render(reader.counts.families()).decode()
+    assert 'trefoilwind_store_read_bytes_total{topic="t"} 6' in text
+    result = 'result="log-unavailable",topic="t"'
+    assert f"trefoilwind_store_reads_total{{{result}}}" in text
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -9,6 +9,8 @@
 from trefoilwind import errors
 from trefoilwind.distribution import backoff
 from trefoilwind.log import keyed
+from trefoilwind.logs import decisions
+from trefoilwind.telemetry import counts as counts_lib
 
 logger = logging.getLogger(__name__)
 
@@ -21,6 +23,7 @@
 # Seconds between checks of whether this node must read again, while another
 # node reads for it.
 IDLE_CHECK_INTERVAL_S = 0.2
+_MS_PER_S = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +52,7 @@
         on_record: Callable[[keyed.KeyedRecord], None],
         plan: Callable[[], ReadPlan],
         rng: random.Random,
+        counts: counts_lib.MeshCounts,
         on_read: Callable[[int], None] = lambda offset: None,
     ):
         """Initialize the follower of a topic.
@@ -59,6 +63,7 @@
             on_record: Called with the newest record of each key.
             plan: Returns the parameters of the next read.
             rng: Source of random numbers.
+            counts: Counters of the node.
             on_read: Called after each read with the offset to read next.
         """
         self._store = store
@@ -66,6 +71,7 @@
         self._on_record = on_record
         self._plan = plan
         self._random = rng
+        self._counts = counts
         self._on_read = on_read
         self._read_soon_requested = asyncio.Event()
         self._offset: int | None = None
@@ -124,19 +130,63 @@
 
     async def _read_once(self, wait_s: float) -> errors.LogError | None:
         offset = self._offset
+        started = asyncio.get_running_loop().time()
         if offset is None:
             page = await self._store.newest(self._topic)
         else:
             page = await self._store.read(self._topic, offset, wait_s)
+        elapsed_s = asyncio.get_running_loop().time() - started
         if isinstance(page, errors.LogError):
+            self._report_failure(page, offset, elapsed_s)
             return self._failed(page)
         self._succeeded()
-        for record in newest_by_key(page.records):
+        newest = newest_by_key(page.records)
+        self._report_read(page, len(newest), offset, elapsed_s)
+        for record in newest:
             self._on_record(record)
         self._offset = max(page.next_offset, self._offset or 0)
         self._on_read(self._offset)
         return None
 
+    def _report_read(
+        self,
+        page: keyed.KeyedPage,
+        kept: int,
+        offset: int | None,
+        elapsed_s: float,
+    ) -> None:
+        size = sum(len(record.value) for record in page.records)
+        self._counts.store_read(self._topic, "answered", size, elapsed_s)
+        if page.records:
+            decisions.failure(
+                logger,
+                "store_read",
+                "store: records read",
+                topic=self._topic,
+                offset=offset,
+                next_offset=page.next_offset,
+                records=len(page.records),
+                superseded=len(page.records) - kept,
+                bytes=size,
+                elapsed_ms=round(elapsed_s * _MS_PER_S),
+            )
+
+    def _report_failure(
+        self, problem: errors.LogError, offset: int | None, elapsed_s: float
+    ) -> None:
+        reason = problem.reason.value
+        self._counts.store_read(self._topic, reason, 0, elapsed_s)
+        decisions.failure(
+            logger,
+            "store_read_failed",
+            "store: read failed",
+            topic=self._topic,
+            offset=offset,
+            reason=reason,
+            detail=problem.detail,
+            elapsed_ms=round(elapsed_s * _MS_PER_S),
+        )
+
     def _failed(self, problem: errors.LogError) -> errors.LogError | None:
         if problem.reason is errors.Reason.OFFSET_EXPIRED:
             logger.info(
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -169,6 +169,7 @@
             self._peers,
             self.is_connected,
             self._random,
+            self._counts,
         )
         self._mesh_follower = follower_lib.Follower(
             store,
@@ -176,6 +177,7 @@
             self._handle_mesh_record,
             self._plan_mesh_read,
             self._random,
+            self._counts,
         )
         self._rollouts = rollout_manager.RolloutManager(
             settings,
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import logging
 import random
 
 from trefoilwind.gateway import board as board_lib
@@ -13,6 +14,10 @@
 from trefoilwind.gateway import record_sharing
 from trefoilwind.gateway import streams
 from trefoilwind.log import keyed
+from trefoilwind.logs import decisions
+from trefoilwind.telemetry import counts as counts_lib
+
+logger = logging.getLogger(__name__)
 
 # Seconds between two reads of the operator's topic: a third of the time within
 # which a configuration must be in force.
@@ -37,6 +42,7 @@
         peers: peers_lib.Peers,
         is_connected: Callable[[str], bool],
         rng: random.Random,
+        counts: counts_lib.MeshCounts,
     ):
         """Initialize the reception of operator records.
 
@@ -49,12 +55,15 @@
             peers: Streams to other nodes.
             is_connected: Returns True if messages can be sent to a node.
             rng: Source of random numbers.
+            counts: Counters of the node.
         """
         self._data_centre = settings.data_centre
         self._board = board
         self._peers = peers
         self._is_connected = is_connected
         self._random = rng
+        self._counts = counts
+        self._role = ("", False)
         self._loop = asyncio.get_running_loop()
         self._sharing = record_sharing.RecordSharing(on_record)
         self._follower = follower_lib.Follower(
@@ -63,6 +72,7 @@
             self._sharing.add,
             self._plan,
             rng,
+            counts,
             self._announce_read,
         )
         self._selection = reader_selection.ReaderSelection(
@@ -96,13 +106,30 @@
         elif isinstance(message, control_messages.RecordsRead):
             self._handle_read(stream, message)
         else:
-            self._sharing.apply_shared(message)
+            self._counts.records_shared("received", len(message.packed))
+            self._sharing.apply_shared(message, stream.peer)
             self._follower.skip_to(message.next_offset)
 
     def _plan(self) -> follower_lib.ReadPlan:
-        return self._selection.plan(
-            self._local_peers(), self._follower.has_read, self._loop.time()
+        local_peers = self._local_peers()
+        plan = self._selection.plan(
+            local_peers, self._follower.has_read, self._loop.time()
         )
+        self._report_role(self._selection.reader(local_peers), plan.is_due)
+        return plan
+
+    def _report_role(self, reader: str, reads: bool) -> None:
+        role = (reader, reads)
+        if role != self._role:
+            self._role = role
+            decisions.failure(
+                logger,
+                "records_role",
+                "records: source changed",
+                reader=reader,
+                reads=reads,
+                offset=self._follower.offset,
+            )
 
     def _local_peers(self) -> tuple[str, ...]:
         """Return the connected nodes of the data centre, without this one."""
@@ -134,10 +161,30 @@
         if self._selection.handle_announcement(is_behind, self._loop.time()):
             request = control_messages.RecordsRequest(self._sharing.last_offset)
             stream.send(peers_lib.control_frame(request))
+            decisions.failure(
+                logger,
+                "records_requested",
+                "records: announced records requested",
+                peer=stream.peer,
+                offset=offset,
+                announced=message.next_offset,
+            )
 
     def _send_records(
         self, stream: streams.Stream, request: control_messages.RecordsRequest
     ) -> None:
         shared = self._sharing.answer(request, self._follower.offset)
-        if shared is not None:
-            stream.send(peers_lib.control_frame(shared))
+        if shared is None:
+            return
+        stream.send(peers_lib.control_frame(shared))
+        self._counts.records_shared("sent", len(shared.packed))
+        decisions.failure(
+            logger,
+            "records_sent",
+            "records: sent to a peer",
+            peer=stream.peer,
+            after=request.offset,
+            last_offset=self._sharing.last_offset,
+            bytes=len(shared.packed),
+            unsent=stream.unsent_bytes,
+        )
--- a/trefoilwind/gateway/record_sharing.py
+++ b/trefoilwind/gateway/record_sharing.py
@@ -8,6 +8,7 @@
 from trefoilwind import errors
 from trefoilwind.gateway import control_messages
 from trefoilwind.log import keyed
+from trefoilwind.logs import decisions
 
 logger = logging.getLogger(__name__)
 
@@ -82,13 +83,23 @@
             self._packed_offsets = offsets
         return control_messages.SharedRecords(self._packed, next_offset or 0)
 
-    def apply_shared(self, shared: control_messages.SharedRecords) -> None:
+    def apply_shared(
+        self, shared: control_messages.SharedRecords, peer: str = ""
+    ) -> None:
         """Add the records received from a peer."""
         records = _unpack(shared.packed)
         if isinstance(records, errors.Error):
             logger.warning("store: invalid records from a peer; %s", records)
             return
-        logger.info("store: received %d records from a peer", len(records))
+        decisions.failure(
+            logger,
+            "records_received",
+            "records: received from a peer",
+            peer=peer,
+            records=len(records),
+            last_offset=max((r.offset for r in records), default=-1),
+            bytes=len(shared.packed),
+        )
         for record in records:
             self.add(keyed.KeyedRecord(record.key, record.value, record.offset))
 
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -113,11 +113,15 @@
         """True once the stream is closed."""
         return self._is_closed
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait to be sent, without those in the kernel."""
+        return self._transport.get_write_buffer_size()
+
     @property
     def is_congested(self) -> bool:
         """True if new calls would wait too long behind unsent bytes."""
-        unsent = self._transport.get_write_buffer_size()
-        return unsent > MAX_UNSENT_BYTES
+        return self.unsent_bytes > MAX_UNSENT_BYTES
 
     @property
     def is_unresponsive(self) -> bool:
--- a/trefoilwind/telemetry/counts.py
+++ b/trefoilwind/telemetry/counts.py
@@ -23,6 +23,16 @@
         self._attempts: collections.Counter[tuple[str]] = collections.Counter()
         self._request_times: dict[str, durations.Durations] = {}
         self._wait_times: dict[str, durations.Durations] = {}
+        self._store_reads: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._store_bytes: collections.Counter[tuple[str]] = (
+            collections.Counter()
+        )
+        self._store_times: dict[str, durations.Durations] = {}
+        self._shared_bytes: collections.Counter[tuple[str]] = (
+            collections.Counter()
+        )
 
     def request_ended(
         self, service: str, result: str, attempts: int, seconds: float
@@ -48,6 +58,30 @@
         """Record the time in seconds that a call waited for a slot."""
         _durations(self._wait_times, self._service_label(service)).add(seconds)
 
+    def store_read(
+        self, topic: str, result: str, size: int, seconds: float
+    ) -> None:
+        """Count a read of a topic of the store.
+
+        Args:
+            topic: Name of the topic.
+            result: "answered", or the public name of the reason.
+            size: Bytes of the values that were read.
+            seconds: Time from the read to its result.
+        """
+        self._store_reads[topic, result] += 1
+        self._store_bytes[(topic,)] += size
+        _durations(self._store_times, topic).add(seconds)
+
+    def records_shared(self, direction: str, size: int) -> None:
+        """Count bytes of operator records exchanged with a peer.
+
+        Args:
+            direction: "sent" or "received".
+            size: Bytes of the packed records.
+        """
+        self._shared_bytes[(direction,)] += size
+
     def families(self) -> tuple[prometheus.Family, ...]:
         """Return the metric families of all counters."""
         counter = prometheus.Kind.COUNTER
@@ -88,6 +122,40 @@
                 ("service",),
                 _all_latencies(self._wait_times),
             ),
+            *self._store_families(),
+        )
+
+    def _store_families(self) -> tuple[prometheus.Family, ...]:
+        counter = prometheus.Kind.COUNTER
+        return (
+            prometheus.Family(
+                counter,
+                "store_reads_total",
+                "Reads of the store by topic and result.",
+                ("topic", "result"),
+                self._store_reads,
+            ),
+            prometheus.Family(
+                counter,
+                "store_read_bytes_total",
+                "Bytes of values read from the store, by topic.",
+                ("topic",),
+                self._store_bytes,
+            ),
+            prometheus.Family(
+                prometheus.Kind.HISTOGRAM,
+                "store_read_duration_seconds",
+                "Time from a read of the store to its result, by topic.",
+                ("topic",),
+                _all_latencies(self._store_times),
+            ),
+            prometheus.Family(
+                counter,
+                "shared_record_bytes_total",
+                "Bytes of operator records exchanged with peers.",
+                ("direction",),
+                self._shared_bytes,
+            ),
         )
 
     def _service_label(self, service: str) -> str:
