Read only the newest configuration when many may have been written

Cause: a read by offset returns every version since the last read, also those that a later one superseded. In a storm of configurations, or after large ones, the reader of a data centre reads 170 to 670 KB at a time, its cycle exceeds the 1.6 s after which the other nodes take it for lost, and all of them read the same backlog, time out after 2.5 s, and ask for more.

The follower of the operator's topic now reads the newest record of each key after a read that returned superseded records, after a failure, and when its last records are older than one and a half intervals. So the bytes of a read do not depend on how many versions were written. The mesh topic has many keys, whose newest records are more than a tail, and is read by offset as before.

--- a/tests/test_gateway/test_gateway_follower.py
+++ b/tests/test_gateway/test_gateway_follower.py
@@ -22,8 +22,13 @@
 class _Reader:
     """A follower that records what it reads."""
 
-    def __init__(self, plan: Callable[[], follower_lib.ReadPlan]):
-        self.store = keyed_store.MemoryStore()
+    def __init__(
+        self,
+        plan: Callable[[], follower_lib.ReadPlan],
+        store: keyed_store.MemoryStore | None = None,
+        skips_superseded: bool = False,
+    ):
+        self.store = store or keyed_store.MemoryStore()
         self.records: list[keyed.KeyedRecord] = []
         self.read_to: list[int] = []
         self.counts = counts_lib.MeshCounts()
@@ -35,6 +40,7 @@
             random.Random(1),
             self.counts,
             self.read_to.append,
+            skips_superseded=skips_superseded,
         )
 
     async def run_until(self, condition: Callable[[], bool]) -> None:
@@ -174,3 +180,79 @@
     assert 'trefoilwind_store_read_bytes_total{topic="t"} 6' in text
     result = 'result="log-unavailable",topic="t"'
     assert f"trefoilwind_store_reads_total{{{result}}}" in text
+
+
+class _CountingStore(keyed_store.MemoryStore):
+    """Store that counts the records that it returns."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.returned: list[int] = []
+
+    async def newest(self, topic: str):
+        """Count and return the newest records."""
+        return self._count(await super().newest(topic))
+
+    async def read(self, topic: str, offset: int, wait_s: float):
+        """Count and return the records from an offset on."""
+        return self._count(await super().read(topic, offset, wait_s))
+
+    def _count(self, page):
+        if isinstance(page, keyed.KeyedPage):
+            self.returned.append(len(page.records))
+        return page
+
+
+async def _read_versions(reader: _Reader, count: int) -> None:
+    """Write versions of one key, and run until the last one is read."""
+    for version in range(count):
+        await reader.store.put(_TOPIC, "a", b"%d" % version)
+    last = b"%d" % (count - 1)
+    await reader.run_until(
+        lambda: bool(reader.records) and reader.records[-1].value == last
+    )
+
+
+def test_after_failed_reads_only_the_newest_versions_are_read():
+    async def scenario():
+        reader = _Reader(_plan(), _CountingStore(), skips_superseded=True)
+        await reader.run_until(lambda: bool(reader.read_to))
+        reader.store.faults.is_down = True
+        await reader.run_until(lambda: reader.follower.is_unavailable)
+        reader.store.faults.is_down = False
+        reader.store.returned.clear()
+        await _read_versions(reader, 40)
+        return reader
+
+    assert uvloop.run(scenario()).store.returned[0] == 1
+
+
+def test_after_a_long_silence_only_the_newest_versions_are_read():
+    async def scenario():
+        reader = _Reader(_plan(), _CountingStore(), skips_superseded=True)
+        await reader.run_until(lambda: bool(reader.read_to))
+        await asyncio.sleep(0.05)
+        reader.store.returned.clear()
+        await _read_versions(reader, 40)
+        return reader
+
+    assert uvloop.run(scenario()).store.returned[0] == 1
+
+
+def test_a_reader_that_falls_behind_skips_superseded_versions():
+    async def scenario():
+        reader = _Reader(
+            _plan(interval_s=0.03), _CountingStore(), skips_superseded=True
+        )
+        task = asyncio.ensure_future(reader.follower.run())
+        for version in range(60):
+            await reader.store.put(_TOPIC, "a", b"%d" % version)
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.1)
+        task.cancel()
+        return reader
+
+    reader = uvloop.run(scenario())
+    assert reader.records[-1].value == b"59"
+    # A read by offset returns about six versions, a read of the newest one.
+    assert sum(reader.store.returned) < 30
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -23,6 +23,9 @@
 # Seconds between checks of whether this node must read again, while another
 # node reads for it.
 IDLE_CHECK_INTERVAL_S = 0.2
+# Read intervals without a read or a record of a peer after which many records
+# may have been written.
+_OLD_INTERVALS = 1.5
 _MS_PER_S = 1000
 
 
@@ -54,6 +57,7 @@
         rng: random.Random,
         counts: counts_lib.MeshCounts,
         on_read: Callable[[int], None] = lambda offset: None,
+        skips_superseded: bool = False,
     ):
         """Initialize the follower of a topic.
 
@@ -65,6 +69,8 @@
             rng: Source of random numbers.
             counts: Counters of the node.
             on_read: Called after each read with the offset to read next.
+            skips_superseded: True to read only the newest record of each key
+                while records are written faster than they are read.
         """
         self._store = store
         self._topic = topic
@@ -73,6 +79,10 @@
         self._random = rng
         self._counts = counts
         self._on_read = on_read
+        self._skips_superseded = skips_superseded
+        self._has_backlog = False
+        # Time at which the records up to the offset were the newest ones.
+        self._current_at = -float("inf")
         self._read_soon_requested = asyncio.Event()
         self._offset: int | None = None
         self._failures = 0
@@ -101,7 +111,11 @@
     def skip_to(self, offset: int) -> None:
         """Skip records that were received from another node."""
         if self._offset is not None:
-            self._offset = max(self._offset, offset)
+            self._advance(offset)
+
+    def _advance(self, offset: int) -> None:
+        self._offset = max(self._offset or 0, offset)
+        self._current_at = asyncio.get_running_loop().time()
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -110,7 +124,7 @@
             if not plan.is_due:
                 await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
                 continue
-            problem = await self._read_once(plan.wait_s)
+            problem = await self._read_once(plan)
             if problem is None:
                 await self._wait_interval(plan.interval_s)
                 continue
@@ -128,13 +142,13 @@
             pass
         self._read_soon_requested.clear()
 
-    async def _read_once(self, wait_s: float) -> errors.LogError | None:
+    async def _read_once(self, plan: ReadPlan) -> errors.LogError | None:
         offset = self._offset
         started = asyncio.get_running_loop().time()
-        if offset is None:
+        if offset is None or self._reads_newest(plan, started):
             page = await self._store.newest(self._topic)
         else:
-            page = await self._store.read(self._topic, offset, wait_s)
+            page = await self._store.read(self._topic, offset, plan.wait_s)
         elapsed_s = asyncio.get_running_loop().time() - started
         if isinstance(page, errors.LogError):
             self._report_failure(page, offset, elapsed_s)
@@ -144,10 +158,23 @@
         self._report_read(page, len(newest), offset, elapsed_s)
         for record in newest:
             self._on_record(record)
-        self._offset = max(page.next_offset, self._offset or 0)
+        written = page.next_offset - (offset or 0)
+        self._has_backlog = written > max(len(newest), 1)
+        self._advance(page.next_offset)
         self._on_read(self._offset)
         return None
 
+    def _reads_newest(self, plan: ReadPlan, now: float) -> bool:
+        """Return True if the records since the last read may be many.
+
+        A read by offset returns all versions of a record, and may take longer
+        than its timeout allows.
+        """
+        if not self._skips_superseded:
+            return False
+        is_old = now - self._current_at > plan.interval_s * _OLD_INTERVALS
+        return self._has_backlog or self._failures > 0 or is_old
+
     def _report_read(
         self,
         page: keyed.KeyedPage,
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -74,6 +74,7 @@
             rng,
             counts,
             self._announce_read,
+            skips_superseded=True,
         )
         self._selection = reader_selection.ReaderSelection(
             settings.node_id, settings.data_centre, READ_INTERVAL_S
