Let one node replace a reader that fails or is silent

Cause: a node that the store turns away stayed the reader of its data centre, as it was connected, and whenever a reader was silent for 1.6 s all other nodes began to read the store at once. Over a link of 30 Mbit/s their copies took longer than the timeout of a call, all failed together, and began again.

A node whose reads begin to fail now says so and is passed over until it announces a read; it goes on trying. Every read of the group is announced, so one node that takes over stops the others. A node waits for the answer to a request for records, at most 0.8 s, before it sends another.

--- a/trefoilwind/gateway/control_messages.py
+++ b/trefoilwind/gateway/control_messages.py
@@ -73,6 +73,12 @@
     next_offset: int
 
 
+@codec.message("mesh.records_unreadable")
+@dataclasses.dataclass(frozen=True)
+class RecordsUnreadable:
+    """Announcement that the sender's reads of the operator's topic fail."""
+
+
 @codec.message("mesh.records_wanted")
 @dataclasses.dataclass(frozen=True)
 class RecordsRequest:
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -57,6 +57,7 @@
         rng: random.Random,
         counts: counts_lib.MeshCounts,
         on_read: Callable[[int], None] = lambda offset: None,
+        on_failure: Callable[[], None] = lambda: None,
         skips_superseded: bool = False,
     ):
         """Initialize the follower of a topic.
@@ -69,6 +70,7 @@
             rng: Source of random numbers.
             counts: Counters of the node.
             on_read: Called after each read with the offset to read next.
+            on_failure: Called when the first of several reads fails.
             skips_superseded: True to read only the newest record of each key
                 while records are written faster than they are read.
         """
@@ -79,6 +81,7 @@
         self._random = rng
         self._counts = counts
         self._on_read = on_read
+        self._on_failure = on_failure
         self._skips_superseded = skips_superseded
         self._has_backlog = False
         # Time at which the records up to the offset were the newest ones.
@@ -226,6 +229,7 @@
         if not self._failures:
             self._unavailable_since = asyncio.get_running_loop().time()
             logger.warning("store: reading %s failed; %s", self._topic, problem)
+            self._on_failure()
         self._failures += 1
         return problem
 
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
 import logging
 import random
 
@@ -22,10 +24,13 @@
 # Seconds between two reads of the operator's topic: a third of the time within
 # which a configuration must be in force.
 READ_INTERVAL_S = 0.8
+# Seconds after which a request for records is repeated.
+REQUEST_TIMEOUT_S = 0.8
 
 RecordMessage = (
     control_messages.RecordsRequest
     | control_messages.RecordsRead
+    | control_messages.RecordsUnreadable
     | control_messages.SharedRecords
 )
 
@@ -57,13 +62,13 @@
             rng: Source of random numbers.
             counts: Counters of the node.
         """
+        self._node_id = settings.node_id
         self._data_centre = settings.data_centre
         self._board = board
         self._peers = peers
         self._is_connected = is_connected
         self._random = rng
         self._counts = counts
-        self._role = ("", False)
         self._loop = asyncio.get_running_loop()
         self._sharing = record_sharing.RecordSharing(on_record)
         self._follower = follower_lib.Follower(
@@ -74,12 +79,19 @@
             rng,
             counts,
             self._announce_read,
+            self._announce_failure,
             skips_superseded=True,
         )
         self._selection = reader_selection.ReaderSelection(
-            settings.node_id, settings.data_centre, READ_INTERVAL_S
+            settings.node_id,
+            settings.data_centre,
+            READ_INTERVAL_S,
+            self._loop.time(),
         )
+        self._role = ("", False)
         self._announced_offset = 0
+        # Time until which an answer to a request is awaited; 0 for none.
+        self._request_deadline = 0.0
 
     @property
     def is_unavailable(self) -> bool:
@@ -91,8 +103,15 @@
         await self._follower.run()
 
     def tick(self) -> None:
-        """Request records from a peer while the store is unavailable."""
-        request = self._sharing.request(self.is_unavailable, self._loop.time())
+        """Request records from any peer while no reader announces any."""
+        now = self._loop.time()
+        local_peers = self._local_peers()
+        needs_peer = self.is_unavailable or (
+            bool(self._selection.order(local_peers))
+            and not self._selection.is_reader(local_peers)
+            and self._selection.is_silent(now)
+        )
+        request = self._sharing.request(needs_peer, now)
         connected = self._peers.connected
         if request is not None and connected:
             stream = self._random.choice(connected)
@@ -106,16 +125,17 @@
             self._send_records(stream, message)
         elif isinstance(message, control_messages.RecordsRead):
             self._handle_read(stream, message)
+        elif isinstance(message, control_messages.RecordsUnreadable):
+            self._selection.handle_failure(stream.peer)
         else:
-            self._counts.records_shared("received", len(message.packed))
-            self._sharing.apply_shared(message, stream.peer)
-            self._follower.skip_to(message.next_offset)
+            self._handle_records(stream, message)
 
     def _plan(self) -> follower_lib.ReadPlan:
+        now = self._loop.time()
         local_peers = self._local_peers()
-        plan = self._selection.plan(
-            local_peers, self._follower.has_read, self._loop.time()
-        )
+        plan = self._selection.plan(local_peers, now)
+        if not self._follower.has_read:
+            plan = dataclasses.replace(plan, is_due=True)
         self._report_role(self._selection.reader(local_peers), plan.is_due)
         return plan
 
@@ -132,44 +152,85 @@
                 offset=self._follower.offset,
             )
 
+    def _known_peers(self) -> tuple[str, ...]:
+        """Return the nodes of the data centre, without this one."""
+        nodes = self._board.members.value.in_data_centre(self._data_centre)
+        return tuple(node for node in nodes if node != self._node_id)
+
     def _local_peers(self) -> tuple[str, ...]:
         """Return the connected nodes of the data centre, without this one."""
-        nodes = self._board.members.value.in_data_centre(self._data_centre)
-        return tuple(node for node in nodes if self._is_connected(node))
+        return tuple(
+            node for node in self._known_peers() if self._is_connected(node)
+        )
+
+    def _send_to(self, nodes: Iterable[str], message: RecordMessage) -> None:
+        frame = peers_lib.control_frame(message)
+        for node_id in nodes:
+            stream = self._peers.dialed(node_id)
+            if stream is not None:
+                stream.send(frame)
 
     def _announce_read(self, next_offset: int) -> None:
-        """Announce a read, so that nodes whose read hangs request the records.
+        """Announce a read, so that other nodes request new records.
 
-        The node that reads for its data centre announces every read; other
-        nodes announce only reads that returned new records.
+        In a small data centre only reads with new records are announced, for
+        nodes whose read hangs.
         """
         local_peers = self._local_peers()
         has_new_records = next_offset > self._announced_offset
-        if not has_new_records and not self._selection.is_reader(local_peers):
+        if not has_new_records and not self._selection.order(local_peers):
             return
-        self._announced_offset = next_offset
-        frame = peers_lib.control_frame(
-            control_messages.RecordsRead(next_offset)
-        )
-        for node_id in local_peers:
-            self._peers.dialed(node_id).send(frame)
+        self._announced_offset = max(next_offset, self._announced_offset)
+        self._selection.handle_success(self._node_id)
+        self._send_to(local_peers, control_messages.RecordsRead(next_offset))
+
+    def _announce_failure(self) -> None:
+        self._selection.handle_failure(self._node_id)
+        self._send_to(self._local_peers(), control_messages.RecordsUnreadable())
 
     def _handle_read(
         self, stream: streams.Stream, message: control_messages.RecordsRead
     ) -> None:
+        self._selection.handle_announcement(stream.peer, self._loop.time())
+        self._request_missing(stream, message.next_offset)
+
+    def _is_behind(self, next_offset: int) -> bool:
         offset = self._follower.offset
-        is_behind = offset is not None and offset < message.next_offset
-        if self._selection.handle_announcement(is_behind, self._loop.time()):
-            request = control_messages.RecordsRequest(self._sharing.last_offset)
-            stream.send(peers_lib.control_frame(request))
-            decisions.failure(
-                logger,
-                "records_requested",
-                "records: announced records requested",
-                peer=stream.peer,
-                offset=offset,
-                announced=message.next_offset,
+        return offset is not None and offset < next_offset
+
+    def _request_missing(
+        self, stream: streams.Stream, next_offset: int
+    ) -> None:
+        """Request the records before an offset once no answer is awaited."""
+        if not self._is_behind(next_offset):
+            return
+        if self._loop.time() < self._request_deadline:
+            self._loop.call_at(
+                self._request_deadline,
+                self._request_missing,
+                stream,
+                next_offset,
             )
+            return
+        self._request_deadline = self._loop.time() + REQUEST_TIMEOUT_S
+        request = control_messages.RecordsRequest(self._sharing.last_offset)
+        stream.send(peers_lib.control_frame(request))
+        decisions.failure(
+            logger,
+            "records_requested",
+            "records: announced records requested",
+            peer=stream.peer,
+            offset=self._follower.offset,
+            announced=next_offset,
+        )
+
+    def _handle_records(
+        self, stream: streams.Stream, message: control_messages.SharedRecords
+    ) -> None:
+        self._counts.records_shared("received", len(message.packed))
+        self._request_deadline = 0.0
+        self._sharing.apply_shared(message, stream.peer)
+        self._follower.skip_to(message.next_offset)
 
     def _send_records(
         self, stream: streams.Stream, request: control_messages.RecordsRequest
--- a/trefoilwind/gateway/reader_selection.py
+++ b/trefoilwind/gateway/reader_selection.py
@@ -4,10 +4,14 @@
 the others, as a read may hang. In a large one, reads by all nodes would fill
 the link to the store with copies of one configuration, so one node reads and
 announces its offset, and the others request the records that they lack. There
-is no election: each node ranks the nodes that it is connected to, and reads for
-itself while it receives no announcements.
+is no election: each node ranks the nodes that it is connected to.
+
+A reader whose reads fail says so and is passed over. While nobody announces
+reads, nodes read one after the other, in the order of their ranks: if all of
+them read at once, the reads could fill the link, time out and be repeated.
 """
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 
 from trefoilwind.distribution import topology
@@ -18,65 +22,103 @@
 # Seconds for which a read made for others waits for a record. Its completion,
 # with or without a record, is announced and shows that the reader is alive.
 READ_WAIT_S = 0.5
-# Seconds without an announcement after which a node reads for itself. Longer
-# than a read and the interval before it; together with a read of its own it
-# stays within the 2.5 s in which a configuration must be in force.
+# Seconds without an announcement after which the next node reads. Longer than a
+# read and the interval before it.
 READER_TIMEOUT_S = 1.6
-# Seconds between two requests for records to the reader.
-REQUEST_INTERVAL_S = 0.3
+# Seconds between the nodes that read after the reader's timeout.
+TAKEOVER_STEP_S = 0.4
 
 
 class ReaderSelection:
-    """Decides whether this node reads or requests records from a peer."""
+    """Decides whether this node reads, and from which peer it gets records."""
+
+    def __init__(
+        self, node_id: str, data_centre: str, interval_s: float, now: float
+    ):
+        """Initialize the selection.
 
-    def __init__(self, node_id: str, data_centre: str, interval_s: float):
+        Args:
+            node_id: Id of this node.
+            data_centre: Data centre of this node.
+            interval_s: Seconds between two reads of a node.
+            now: Monotonic time in seconds.
+        """
         self._node_id = node_id
         self._key = f"reader/{data_centre}"
         self._interval_s = interval_s
+        self._started_at = now
         self._last_announcement_at = -float("inf")
-        self._next_request_at = -float("inf")
+        self._failing: set[str] = set()
 
-    def reader(self, local_peers: Sequence[str]) -> str:
-        """Return the node that reads for all; empty if each node reads.
+    def order(self, local_peers: Iterable[str]) -> tuple[str, ...]:
+        """Return the nodes in the order in which they are to read.
 
         Args:
-            local_peers: Connected nodes of the data centre.
+            local_peers: Other nodes of the data centre.
+
+        Returns:
+            All nodes, those whose reads fail last; empty if each node reads
+            for itself.
         """
         nodes = {*local_peers, self._node_id}
         if len(nodes) < MIN_NODES:
-            return ""
-        return topology.rendezvous(self._key, nodes, 1)[0]
+            return ()
+        ranked = topology.rendezvous(self._key, nodes, len(nodes))
+        return tuple(sorted(ranked, key=self._failing.__contains__))
 
-    def plan(
-        self, local_peers: Sequence[str], has_read: bool, now: float
-    ) -> follower.ReadPlan:
+    def reader(self, local_peers: Iterable[str]) -> str:
+        """Return the node that reads for all; empty if each node reads."""
+        order = self.order(local_peers)
+        return order[0] if order else ""
+
+    def plan(self, local_peers: Sequence[str], now: float) -> follower.ReadPlan:
         """Return the parameters of the next read.
 
         Args:
             local_peers: Connected nodes of the data centre.
-            has_read: True once this node has read the newest records.
             now: Monotonic time in seconds.
         """
-        reader = self.reader(local_peers)
-        if not reader:
+        order = self.order(local_peers)
+        if not order:
             return follower.ReadPlan(self._interval_s)
-        has_timed_out = now - self._last_announcement_at > READER_TIMEOUT_S
-        is_due = reader == self._node_id or has_timed_out or not has_read
+        rank = order.index(self._node_id)
+        is_due = (
+            rank == 0
+            or self._node_id in self._failing
+            or self._silence_s(now) > _takeover_s(rank)
+        )
         return follower.ReadPlan(self._interval_s, READ_WAIT_S, is_due)
 
     def is_reader(self, local_peers: Sequence[str]) -> bool:
         """Return True if this node reads for the others."""
         return self.reader(local_peers) == self._node_id
 
-    def handle_announcement(self, is_behind: bool, now: float) -> bool:
-        """Handle an announced read; return True if records must be requested.
+    def is_silent(self, now: float) -> bool:
+        """Return True if announcements of reads are missing."""
+        return self._silence_s(now) > READER_TIMEOUT_S
+
+    def handle_announcement(self, node_id: str, now: float) -> None:
+        """Handle the announcement that a node has read.
 
         Args:
-            is_behind: True if this node lacks records that were read.
+            node_id: Node that has read.
             now: Monotonic time in seconds.
         """
+        self.handle_success(node_id)
         self._last_announcement_at = now
-        if not is_behind or now < self._next_request_at:
-            return False
-        self._next_request_at = now + REQUEST_INTERVAL_S
-        return True
+
+    def handle_success(self, node_id: str) -> None:
+        """Consider a node as a reader again."""
+        self._failing.discard(node_id)
+
+    def handle_failure(self, node_id: str) -> None:
+        """Pass over a node until it announces a read again."""
+        self._failing.add(node_id)
+
+    def _silence_s(self, now: float) -> float:
+        return now - max(self._last_announcement_at, self._started_at)
+
+
+def _takeover_s(rank: int) -> float:
+    """Return the silence in seconds after which a node reads."""
+    return READER_TIMEOUT_S + (rank - 1) * TAKEOVER_STEP_S
