Start the first reads of a data centre one after the other

After a loss of all machines each node read the whole configuration from the store at once.

A node now first reads who is in the mesh, for at most 1 s; nodes of a large data centre then begin to read 0.1 s apart, and those that receive the records of another node meanwhile do not read at all.

--- a/tests/test_gateway/test_gateway_follower.py
+++ b/tests/test_gateway/test_gateway_follower.py
@@ -256,3 +256,18 @@
     assert reader.records[-1].value == b"59"
     # A read by offset returns about six versions, a read of the newest one.
     assert sum(reader.store.returned) < 30
+
+
+def test_records_of_a_peer_replace_the_first_read():
+    async def scenario():
+        reader = _Reader(_plan(), skips_superseded=True)
+        for value in (b"1", b"2"):
+            await reader.store.put(_TOPIC, "a", value)
+        reader.follower.start_at(2)
+        has_read = reader.follower.has_read
+        await reader.run_until(lambda: bool(reader.read_to))
+        return has_read, reader
+
+    has_read, reader = uvloop.run(scenario())
+    assert has_read
+    assert not reader.records
--- a/tests/test_gateway/test_gateway_operator_records.py
+++ b/tests/test_gateway/test_gateway_operator_records.py
@@ -115,6 +115,7 @@
                 board,
                 peers[name],
                 lambda node, own=name: node != own,
+                lambda: True,
                 random.Random(name),
                 counts_lib.MeshCounts(),
             )
--- a/tests/test_gateway/test_gateway_reader_selection.py
+++ b/tests/test_gateway/test_gateway_reader_selection.py
@@ -77,6 +77,25 @@
         assert selection.plan(_others(node), 0.1).is_due
 
 
+def test_first_reads_of_a_data_centre_do_not_start_at_once():
+    order = _selection(_OTHER).order(_others(_OTHER))
+    for rank, node in enumerate(order):
+        selection = _selection(node)
+        start = rank * reader_selection.START_STEP_S
+        assert selection.first_plan(_others(node), True, start).is_due
+        if rank:
+            early = start - 0.01
+            assert not selection.first_plan(_others(node), True, early).is_due
+
+
+def test_first_read_waits_for_the_members_but_not_for_long():
+    selection = _selection(_OTHER)
+    assert not selection.first_plan((), False, 0.5).is_due
+    late = reader_selection.DISCOVERY_S + 0.01
+    assert selection.first_plan((), False, late).is_due
+    assert selection.first_plan((), True, 0.0).is_due
+
+
 def test_idle_reader_announces_within_the_timeout():
     read_s = reader_selection.READ_WAIT_S + _READ_INTERVAL_S
     assert read_s < reader_selection.READER_TIMEOUT_S
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -116,6 +116,10 @@
         if self._offset is not None:
             self._advance(offset)
 
+    def start_at(self, offset: int) -> None:
+        """Start after records received from a node that has read them all."""
+        self._advance(offset)
+
     def _advance(self, offset: int) -> None:
         self._offset = max(self._offset or 0, offset)
         self._current_at = asyncio.get_running_loop().time()
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -168,6 +168,7 @@
             self._board,
             self._peers,
             self.is_connected,
+            lambda: self._mesh_follower.has_read,
             self._random,
             self._counts,
         )
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import logging
 import random
 
@@ -46,6 +45,7 @@
         board: board_lib.MeshBoard,
         peers: peers_lib.Peers,
         is_connected: Callable[[str], bool],
+        has_discovered: Callable[[], bool],
         rng: random.Random,
         counts: counts_lib.MeshCounts,
     ):
@@ -59,6 +59,7 @@
             board: Snapshots of the node's components.
             peers: Streams to other nodes.
             is_connected: Returns True if messages can be sent to a node.
+            has_discovered: Returns True once the members have been read.
             rng: Source of random numbers.
             counts: Counters of the node.
         """
@@ -67,6 +68,7 @@
         self._board = board
         self._peers = peers
         self._is_connected = is_connected
+        self._has_discovered = has_discovered
         self._random = rng
         self._counts = counts
         self._loop = asyncio.get_running_loop()
@@ -133,9 +135,12 @@
     def _plan(self) -> follower_lib.ReadPlan:
         now = self._loop.time()
         local_peers = self._local_peers()
-        plan = self._selection.plan(local_peers, now)
-        if not self._follower.has_read:
-            plan = dataclasses.replace(plan, is_due=True)
+        if self._follower.has_read:
+            plan = self._selection.plan(local_peers, now)
+        else:
+            plan = self._selection.first_plan(
+                self._known_peers(), self._has_discovered(), now
+            )
         self._report_role(self._selection.reader(local_peers), plan.is_due)
         return plan
 
@@ -196,7 +201,7 @@
 
     def _is_behind(self, next_offset: int) -> bool:
         offset = self._follower.offset
-        return offset is not None and offset < next_offset
+        return offset is None or offset < next_offset
 
     def _request_missing(
         self, stream: streams.Stream, next_offset: int
@@ -229,8 +234,12 @@
     ) -> None:
         self._counts.records_shared("received", len(message.packed))
         self._request_deadline = 0.0
+        last_offset = self._sharing.last_offset
         self._sharing.apply_shared(message, stream.peer)
-        self._follower.skip_to(message.next_offset)
+        if last_offset < 0 < message.next_offset:
+            self._follower.start_at(message.next_offset)
+        else:
+            self._follower.skip_to(message.next_offset)
 
     def _send_records(
         self, stream: streams.Stream, request: control_messages.RecordsRequest
--- a/trefoilwind/gateway/reader_selection.py
+++ b/trefoilwind/gateway/reader_selection.py
@@ -27,6 +27,10 @@
 READER_TIMEOUT_S = 1.6
 # Seconds between the nodes that read after the reader's timeout.
 TAKEOVER_STEP_S = 0.4
+# Seconds between the nodes that read at the start of a data centre.
+START_STEP_S = 0.1
+# Seconds from the start for which the other nodes are awaited before a read.
+DISCOVERY_S = 1.0
 
 
 class ReaderSelection:
@@ -89,6 +93,25 @@
         )
         return follower.ReadPlan(self._interval_s, READ_WAIT_S, is_due)
 
+    def first_plan(
+        self, known_peers: Sequence[str], has_discovered: bool, now: float
+    ) -> follower.ReadPlan:
+        """Return the parameters of the first read of this process.
+
+        Args:
+            known_peers: Nodes of the data centre, connected or not.
+            has_discovered: True once this node has read who is in the mesh.
+            now: Monotonic time in seconds.
+        """
+        elapsed_s = now - self._started_at
+        if not has_discovered:
+            is_due = elapsed_s > DISCOVERY_S
+            return follower.ReadPlan(self._interval_s, READ_WAIT_S, is_due)
+        order = self.order(known_peers)
+        rank = order.index(self._node_id) if order else 0
+        is_due = elapsed_s >= rank * START_STEP_S
+        return follower.ReadPlan(self._interval_s, READ_WAIT_S, is_due)
+
     def is_reader(self, local_peers: Sequence[str]) -> bool:
         """Return True if this node reads for the others."""
         return self.reader(local_peers) == self._node_id
