Send operator records to peers as deltas

Each node got a whole compressed configuration from its reader: 12 KB of 830 routes, 34 KB of 2,400.

A peer with another base asks for the whole record. A peer of an earlier build does not answer a request for deltas, and the next request is one that it knows.

--- a/tests/test_gateway/test_gateway_record_sharing.py
+++ b/tests/test_gateway/test_gateway_record_sharing.py
@@ -66,6 +66,13 @@
         b"no zlib",
         zlib.compress(b"no message"),
         zlib.compress(codec.encode(_request(1))),
+        zlib.compress(
+            codec.encode(
+                control_messages.DeltaBundle(
+                    (control_messages.RecordDelta("config", b"\xc1", 9, 7),)
+                )
+            )
+        ),
     ],
 )
 def test_malformed_records_change_nothing(packed, caplog):
@@ -78,8 +85,65 @@
 
 def test_records_are_requested_from_peers_only_without_the_store():
     sharing = _filled_node().sharing
+    request = control_messages.DeltasRequest(7)
     assert sharing.request(False, 1.0) is None
-    assert sharing.request(True, 1.0) == _request(7)
+    assert sharing.request(True, 1.0) == request
     assert sharing.request(True, 1.1) is None
     later = 1.0 + record_sharing.REQUEST_INTERVAL_S
-    assert sharing.request(True, later) == _request(7)
+    assert sharing.request(True, later) == request
+
+
+def _document(version: int) -> bytes:
+    rows = [f'["route-{row}","host-{row}.example"]' for row in range(800)]
+    return f'{{"version":{version},"rows":[{",".join(rows)}]}}'.encode()
+
+
+def test_a_changed_configuration_is_sent_as_a_delta():
+    sender, receiver = _Node(), _Node()
+    first = keyed.KeyedRecord("config", _document(1), 3)
+    second = keyed.KeyedRecord("config", _document(2), 8)
+    for node in (sender, receiver):
+        node.sharing.add(first)
+    sender.sharing.add(second)
+    shared = sender.sharing.answer(control_messages.DeltasRequest(3), 9)
+    whole = sender.sharing.answer(_request(3), 9)
+    assert len(shared.packed) < len(whole.packed) / 10
+    assert receiver.sharing.apply_shared(shared)
+    assert receiver.received == [first, second]
+
+
+def test_a_peer_without_records_receives_whole_ones_as_deltas():
+    sender, receiver = _filled_node(), _Node()
+    shared = sender.sharing.answer(control_messages.DeltasRequest(-1), 9)
+    assert receiver.sharing.apply_shared(shared)
+    assert receiver.received == [_ORDER, _NEW]
+
+
+def test_a_delta_of_an_unknown_base_is_rejected_and_changes_nothing():
+    sender, receiver = _filled_node(), _Node()
+    receiver.sharing.add(keyed.KeyedRecord("config", b"skipped", 6))
+    before = list(receiver.received)
+    shared = sender.sharing.answer(control_messages.DeltasRequest(6), 9)
+    assert not receiver.sharing.apply_shared(shared)
+    assert receiver.received == before
+    whole = sender.sharing.answer(_request(6), 9)
+    assert receiver.sharing.apply_shared(whole)
+    assert receiver.received[-1] == _NEW
+
+
+def test_bases_of_deltas_are_limited():
+    sender = _Node()
+    kept = record_sharing.HISTORY_RECORDS
+    records = [
+        keyed.KeyedRecord("config", _document(number), number)
+        for number in range(kept + 1)
+    ]
+    for record in records:
+        sender.sharing.add(record)
+    outdated, current = _Node(), _Node()
+    outdated.sharing.add(records[0])
+    current.sharing.add(records[1])
+    for node, offset in ((outdated, 0), (current, 1)):
+        request = control_messages.DeltasRequest(offset)
+        assert node.sharing.apply_shared(sender.sharing.answer(request, 9))
+        assert node.received[-1] == records[-1]
--- a/trefoilwind/gateway/control_messages.py
+++ b/trefoilwind/gateway/control_messages.py
@@ -61,6 +61,33 @@
     records: tuple[SharedRecord, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class RecordDelta:
+    """A record of the operator's topic, as a change of an earlier one.
+
+    Attributes:
+        key: Key of the record.
+        delta: Difference to the value at `base_offset`, as made by
+            `distribution.deltas`; the value itself without a base.
+        offset: Position in the topic.
+        base_offset: Position of the base, a record of the same key; -1 for
+            none.
+    """
+
+    key: str
+    delta: bytes
+    offset: int
+    base_offset: int = -1
+
+
+@codec.message("mesh.record_deltas")
+@dataclasses.dataclass(frozen=True)
+class DeltaBundle:
+    """Newest records of the operator's topic as deltas, ordered by offset."""
+
+    records: tuple[RecordDelta, ...]
+
+
 @codec.message("mesh.records_read")
 @dataclasses.dataclass(frozen=True)
 class RecordsRead:
@@ -92,13 +119,26 @@
     offset: int
 
 
+@codec.message("mesh.record_deltas_wanted")
+@dataclasses.dataclass(frozen=True)
+class DeltasRequest:
+    """Request for records of the operator's topic, as deltas if possible.
+
+    Attributes:
+        offset: Largest offset of the topic that the sender has seen; -1 for
+            none.
+    """
+
+    offset: int
+
+
 @codec.message("mesh.records")
 @dataclasses.dataclass(frozen=True)
 class SharedRecords:
     """Answer to a request for records of the operator's topic.
 
     Attributes:
-        packed: Bundle of the records, encoded and compressed.
+        packed: `RecordBundle` or `DeltaBundle`, encoded and compressed.
         next_offset: Offset up to which the sender has read; 0 if unknown.
     """
 
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -28,6 +28,7 @@
 
 RecordMessage = (
     control_messages.RecordsRequest
+    | control_messages.DeltasRequest
     | control_messages.RecordsRead
     | control_messages.RecordsUnreadable
     | control_messages.SharedRecords
@@ -94,6 +95,7 @@
         self._announced_offset = 0
         # Time until which an answer to a request is awaited; 0 for none.
         self._request_deadline = 0.0
+        self._requested_whole = False
 
     @property
     def is_unavailable(self) -> bool:
@@ -116,6 +118,9 @@
         request = self._sharing.request(needs_peer, now)
         connected = self._peers.connected
         if request is not None and connected:
+            # Peers that have no newer records do not answer, so no answer is
+            # awaited.
+            self._requested_whole = False
             stream = self._random.choice(connected)
             stream.send(peers_lib.control_frame(request))
 
@@ -123,7 +128,7 @@
         self, stream: streams.Stream, message: RecordMessage
     ) -> None:
         """Handle a message of another node about operator records."""
-        if isinstance(message, control_messages.RecordsRequest):
+        if isinstance(message, record_sharing.RecordsRequest):
             self._send_records(stream, message)
         elif isinstance(message, control_messages.RecordsRead):
             self._handle_read(stream, message)
@@ -217,9 +222,13 @@
                 next_offset,
             )
             return
-        self._request_deadline = self._loop.time() + REQUEST_TIMEOUT_S
-        request = control_messages.RecordsRequest(self._sharing.last_offset)
-        stream.send(peers_lib.control_frame(request))
+        last_offset = self._sharing.last_offset
+        # A peer that does not know requests for deltas leaves them unanswered.
+        if self._request_deadline > 0:
+            request = control_messages.RecordsRequest(last_offset)
+        else:
+            request = control_messages.DeltasRequest(last_offset)
+        self._send_request(stream, request)
         decisions.failure(
             logger,
             "records_requested",
@@ -229,20 +238,33 @@
             announced=next_offset,
         )
 
+    def _send_request(
+        self, stream: streams.Stream, request: record_sharing.RecordsRequest
+    ) -> None:
+        self._request_deadline = self._loop.time() + REQUEST_TIMEOUT_S
+        self._requested_whole = isinstance(
+            request, control_messages.RecordsRequest
+        )
+        stream.send(peers_lib.control_frame(request))
+
     def _handle_records(
         self, stream: streams.Stream, message: control_messages.SharedRecords
     ) -> None:
         self._counts.records_shared("received", len(message.packed))
         self._request_deadline = 0.0
         last_offset = self._sharing.last_offset
-        self._sharing.apply_shared(message, stream.peer)
+        if not self._sharing.apply_shared(message, stream.peer):
+            if not self._requested_whole:
+                request = control_messages.RecordsRequest(last_offset)
+                self._send_request(stream, request)
+            return
         if last_offset < 0 < message.next_offset:
             self._follower.start_at(message.next_offset)
         else:
             self._follower.skip_to(message.next_offset)
 
     def _send_records(
-        self, stream: streams.Stream, request: control_messages.RecordsRequest
+        self, stream: streams.Stream, request: record_sharing.RecordsRequest
     ) -> None:
         shared = self._sharing.answer(request, self._follower.offset)
         if shared is None:
--- a/trefoilwind/gateway/record_sharing.py
+++ b/trefoilwind/gateway/record_sharing.py
@@ -6,6 +6,7 @@
 
 from trefoilwind import codec
 from trefoilwind import errors
+from trefoilwind.distribution import deltas
 from trefoilwind.gateway import control_messages
 from trefoilwind.log import keyed
 from trefoilwind.logs import decisions
@@ -14,11 +15,17 @@
 
 # Seconds between two requests of a node whose store is unavailable.
 REQUEST_INTERVAL_S = 0.5
+# Records of each key that are kept as bases of deltas.
+HISTORY_RECORDS = 4
 # Configurations are repetitive text, for which the fastest level is
 # sufficient.
 _COMPRESSION_LEVEL = 1
 _STEP = "records.unpack"
 
+RecordsRequest = (
+    control_messages.RecordsRequest | control_messages.DeltasRequest
+)
+
 
 class RecordSharing:
     """Keeps the newest record of each key, from the store or from peers."""
@@ -31,28 +38,31 @@
                 one of its key.
         """
         self._on_record = on_record
-        self._newest: dict[str, keyed.KeyedRecord] = {}
+        # Last records of each key, the newest one last.
+        self._history: dict[str, list[keyed.KeyedRecord]] = {}
         self._next_request_at = 0.0
-        # Last packed bundle, cached with the offsets that it covers.
-        self._packed = b""
-        self._packed_offsets = (-1, -1)
+        # Packed answers to requests, for the newest records only.
+        self._packed: dict[RecordsRequest, bytes] = {}
 
     @property
     def last_offset(self) -> int:
         """Largest offset of a stored record; -1 for none."""
-        return max((r.offset for r in self._newest.values()), default=-1)
+        newest = (records[-1] for records in self._history.values())
+        return max((record.offset for record in newest), default=-1)
 
     def add(self, record: keyed.KeyedRecord) -> None:
         """Add a record from the store or a peer unless it is outdated."""
-        known = self._newest.get(record.key)
-        if known is not None and known.offset >= record.offset:
+        known = self._history.setdefault(record.key, [])
+        if known and known[-1].offset >= record.offset:
             return
-        self._newest[record.key] = record
+        known.append(record)
+        del known[:-HISTORY_RECORDS]
+        self._packed.clear()
         self._on_record(record)
 
     def request(
         self, is_unavailable: bool, now: float
-    ) -> control_messages.RecordsRequest | None:
+    ) -> control_messages.DeltasRequest | None:
         """Return the request to send to a peer, or None.
 
         Args:
@@ -62,10 +72,10 @@
         if not is_unavailable or now < self._next_request_at:
             return None
         self._next_request_at = now + REQUEST_INTERVAL_S
-        return control_messages.RecordsRequest(self.last_offset)
+        return control_messages.DeltasRequest(self.last_offset)
 
     def answer(
-        self, request: control_messages.RecordsRequest, next_offset: int | None
+        self, request: RecordsRequest, next_offset: int | None
     ) -> control_messages.SharedRecords | None:
         """Return the records that a peer lacks, or None.
 
@@ -74,23 +84,30 @@
             next_offset: Offset up to which this node has read; None if
                 unknown.
         """
-        last = self.last_offset
-        if last <= request.offset:
+        if self.last_offset <= request.offset:
             return None
-        offsets = (request.offset, last)
-        if self._packed_offsets != offsets:
-            self._packed = self._pack(request.offset)
-            self._packed_offsets = offsets
-        return control_messages.SharedRecords(self._packed, next_offset or 0)
+        packed = self._packed.get(request)
+        if packed is None:
+            packed = self._packed[request] = self._pack(request)
+        return control_messages.SharedRecords(packed, next_offset or 0)
 
     def apply_shared(
         self, shared: control_messages.SharedRecords, peer: str = ""
-    ) -> None:
-        """Add the records received from a peer."""
-        records = _unpack(shared.packed)
+    ) -> bool:
+        """Add the records received from a peer.
+
+        Args:
+            shared: Records received.
+            peer: Node that sent them.
+
+        Returns:
+            True unless the records are malformed, or deltas of records that
+            this node does not have.
+        """
+        records = self._unpack(shared.packed)
         if isinstance(records, errors.Error):
-            logger.warning("store: invalid records from a peer; %s", records)
-            return
+            logger.warning("records: records of a peer not added; %s", records)
+            return False
         decisions.failure(
             logger,
             "records_received",
@@ -101,26 +118,83 @@
             bytes=len(shared.packed),
         )
         for record in records:
-            self.add(keyed.KeyedRecord(record.key, record.value, record.offset))
+            self.add(record)
+        return True
 
-    def _pack(self, after: int) -> bytes:
+    def _pack(self, request: RecordsRequest) -> bytes:
+        newest = (records[-1] for records in self._history.values())
         newer = sorted(
-            (r for r in self._newest.values() if r.offset > after),
+            (record for record in newest if record.offset > request.offset),
             key=lambda record: record.offset,
         )
-        bundle = control_messages.RecordBundle(
-            tuple(
-                control_messages.SharedRecord(r.key, r.value, r.offset)
-                for r in newer
+        if isinstance(request, control_messages.DeltasRequest):
+            bundle = control_messages.DeltaBundle(
+                tuple(self._delta(record, request.offset) for record in newer)
+            )
+        else:
+            bundle = control_messages.RecordBundle(
+                tuple(
+                    control_messages.SharedRecord(r.key, r.value, r.offset)
+                    for r in newer
+                )
             )
-        )
         return zlib.compress(codec.encode(bundle), _COMPRESSION_LEVEL)
 
+    def _delta(
+        self, record: keyed.KeyedRecord, offset: int
+    ) -> control_messages.RecordDelta:
+        """Return a record as a change of the one that a peer has.
 
-def _unpack(
+        Args:
+            record: Record to send.
+            offset: Largest offset that the peer has seen.
+        """
+        known = [r for r in self._history[record.key] if r.offset <= offset]
+        if not known:
+            return control_messages.RecordDelta(
+                record.key, record.value, record.offset
+            )
+        delta = deltas.encode(known[-1].value, record.value)
+        return control_messages.RecordDelta(
+            record.key, delta, record.offset, known[-1].offset
+        )
+
+    def _unpack(
+        self, packed: bytes
+    ) -> tuple[keyed.KeyedRecord, ...] | errors.Error:
+        """Return the records, or an error if they cannot be restored."""
+        bundle = _unpack_bundle(packed)
+        if isinstance(bundle, errors.Error):
+            return bundle
+        if isinstance(bundle, control_messages.RecordBundle):
+            return tuple(
+                keyed.KeyedRecord(r.key, r.value, r.offset)
+                for r in bundle.records
+            )
+        restored = []
+        for each in bundle.records:
+            value = self._restore(each)
+            if isinstance(value, errors.Error):
+                return value
+            restored.append(keyed.KeyedRecord(each.key, value, each.offset))
+        return tuple(restored)
+
+    def _restore(
+        self, record: control_messages.RecordDelta
+    ) -> bytes | errors.Error:
+        if record.base_offset < 0:
+            return record.delta
+        for base in self._history.get(record.key, ()):
+            if base.offset == record.base_offset:
+                return deltas.apply(base.value, record.delta)
+        return _malformed(f"unknown base {record.base_offset}")
+
+
+def _unpack_bundle(
     packed: bytes,
-) -> tuple[control_messages.SharedRecord, ...] | errors.Error:
-    """Return the records, or an error if they are malformed."""
+) -> (
+    control_messages.RecordBundle | control_messages.DeltaBundle | errors.Error
+):
     decompressor = zlib.decompressobj()
     try:
         plain = decompressor.decompress(packed, codec.MAX_MESSAGE_BYTES)
@@ -129,9 +203,11 @@
     bundle = codec.decode(plain, _STEP)
     if isinstance(bundle, errors.Error):
         return bundle
-    if not isinstance(bundle, control_messages.RecordBundle):
+    if not isinstance(
+        bundle, control_messages.RecordBundle | control_messages.DeltaBundle
+    ):
         return _malformed(type(bundle).__name__)
-    return bundle.records
+    return bundle
 
 
 def _malformed(detail: str) -> errors.Error:
