Spread operator records over a tree within the data centre

A delta does not help where most rows are new.

Each node now announces the records that it received to at most five nodes, by the order in which the nodes would read, and these request them from it. A node still behind 0.6 s after the reader's announcement asks the reader.

--- a/tests/test_gateway/test_gateway_reader_selection.py
+++ b/tests/test_gateway/test_gateway_reader_selection.py
@@ -24,6 +24,8 @@
     assert plan.wait_s > reader_selection.READER_TIMEOUT_S
     assert not selection.is_reader(_NODES[1:4])
     assert selection.order(_NODES[1:4]) == ()
+    assert selection.parent(_NODES[1:4]) == ""
+    assert selection.children(_NODES[1:4]) == ()
 
 
 def test_one_node_of_a_large_data_centre_reads():
@@ -101,6 +103,19 @@
     assert read_s < reader_selection.READER_TIMEOUT_S
 
 
+def test_records_reach_each_node_over_a_tree_of_limited_degree():
+    parents = {n: _selection(n).parent(_others(n)) for n in _NODES}
+    assert [n for n, parent in parents.items() if not parent] == [_READER]
+    for node in _NODES:
+        children = _selection(node).children(_others(node))
+        assert len(children) <= reader_selection.RELAY_DEGREE
+        assert set(children) == {n for n in _NODES if parents[n] == node}
+    reached = {_READER}
+    for _ in _NODES:
+        reached |= {n for n, parent in parents.items() if parent in reached}
+    assert reached == set(_NODES)
+
+
 def test_exactly_one_node_replaces_an_unreachable_reader():
     remaining = tuple(node for node in _NODES if node != _READER)
     successors = [
--- a/trefoilwind/gateway/control_messages.py
+++ b/trefoilwind/gateway/control_messages.py
@@ -100,6 +100,18 @@
     next_offset: int
 
 
+@codec.message("mesh.records_held")
+@dataclasses.dataclass(frozen=True)
+class RecordsHeld:
+    """Announcement that the sender has received operator records.
+
+    Attributes:
+        next_offset: Offset up to which the sender has the topic.
+    """
+
+    next_offset: int
+
+
 @codec.message("mesh.records_unreadable")
 @dataclasses.dataclass(frozen=True)
 class RecordsUnreadable:
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -25,11 +25,15 @@
 READ_INTERVAL_S = 0.8
 # Seconds after which a request for records is repeated.
 REQUEST_TIMEOUT_S = 0.8
+# Seconds from the reader's announcement for which a node waits for the node
+# that passes records on to it.
+RELAY_TIMEOUT_S = 0.6
 
 RecordMessage = (
     control_messages.RecordsRequest
     | control_messages.DeltasRequest
     | control_messages.RecordsRead
+    | control_messages.RecordsHeld
     | control_messages.RecordsUnreadable
     | control_messages.SharedRecords
 )
@@ -111,8 +115,7 @@
         now = self._loop.time()
         local_peers = self._local_peers()
         needs_peer = self.is_unavailable or (
-            bool(self._selection.order(local_peers))
-            and not self._selection.is_reader(local_peers)
+            bool(self._selection.parent(local_peers))
             and self._selection.is_silent(now)
         )
         request = self._sharing.request(needs_peer, now)
@@ -132,6 +135,8 @@
             self._send_records(stream, message)
         elif isinstance(message, control_messages.RecordsRead):
             self._handle_read(stream, message)
+        elif isinstance(message, control_messages.RecordsHeld):
+            self._request_missing(stream, message.next_offset)
         elif isinstance(message, control_messages.RecordsUnreadable):
             self._selection.handle_failure(stream.peer)
         else:
@@ -202,7 +207,16 @@
         self, stream: streams.Stream, message: control_messages.RecordsRead
     ) -> None:
         self._selection.handle_announcement(stream.peer, self._loop.time())
-        self._request_missing(stream, message.next_offset)
+        parent = self._selection.parent(self._local_peers())
+        if parent in ("", stream.peer):
+            self._request_missing(stream, message.next_offset)
+        elif self._is_behind(message.next_offset):
+            self._loop.call_later(
+                RELAY_TIMEOUT_S,
+                self._request_missing,
+                stream,
+                message.next_offset,
+            )
 
     def _is_behind(self, next_offset: int) -> bool:
         offset = self._follower.offset
@@ -262,6 +276,16 @@
             self._follower.start_at(message.next_offset)
         else:
             self._follower.skip_to(message.next_offset)
+        if self._sharing.last_offset > last_offset:
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        offset = self._follower.offset
+        if offset is not None:
+            self._send_to(
+                self._selection.children(self._local_peers()),
+                control_messages.RecordsHeld(offset),
+            )
 
     def _send_records(
         self, stream: streams.Stream, request: record_sharing.RecordsRequest
--- a/trefoilwind/gateway/reader_selection.py
+++ b/trefoilwind/gateway/reader_selection.py
@@ -9,6 +9,9 @@
 A reader whose reads fail says so and is passed over. While nobody announces
 reads, nodes read one after the other, in the order of their ranks: if all of
 them read at once, the reads could fill the link, time out and be repeated.
+
+Records spread from the reader over a tree of fixed degree, so that no node
+sends copies to the whole data centre.
 """
 
 from collections.abc import Iterable
@@ -31,6 +34,8 @@
 START_STEP_S = 0.1
 # Seconds from the start for which the other nodes are awaited before a read.
 DISCOVERY_S = 1.0
+# Nodes to which a node passes records on.
+RELAY_DEGREE = 5
 
 
 class ReaderSelection:
@@ -75,6 +80,20 @@
         order = self.order(local_peers)
         return order[0] if order else ""
 
+    def parent(self, local_peers: Iterable[str]) -> str:
+        """Return the node from which this one gets records; empty for none."""
+        order = self.order(local_peers)
+        position = order.index(self._node_id) if order else 0
+        return order[(position - 1) // RELAY_DEGREE] if position else ""
+
+    def children(self, local_peers: Iterable[str]) -> tuple[str, ...]:
+        """Return the nodes to which this one passes records on."""
+        order = self.order(local_peers)
+        if not order:
+            return ()
+        first = order.index(self._node_id) * RELAY_DEGREE + 1
+        return order[first : first + RELAY_DEGREE]
+
     def plan(self, local_peers: Sequence[str], now: float) -> follower.ReadPlan:
         """Return the parameters of the next read.
 
