--- /dev/null
+++ b/tests/test_gateway/data_centre.py
@@ -0,0 +1,271 @@
+"""Nodes of one data centre that spread operator records, with faults.
+
+The nodes' follower, selection and sharing are real; the store and the streams
+between the nodes are the fakes of `thin_links`, on virtual time.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Sequence
+import dataclasses
+import random
+from typing import Any
+
+from tests import virtual_time
+from tests.test_gateway import thin_links
+from trefoilwind.gateway import board as board_lib
+from trefoilwind.gateway import node_settings
+from trefoilwind.gateway import operator_records
+from trefoilwind.gateway import streams
+from trefoilwind.log import keyed
+from trefoilwind.membership import directory
+from trefoilwind.model import addresses
+from trefoilwind.model import members
+from trefoilwind.routing import shared_budget
+from trefoilwind.telemetry import counts as counts_lib
+
+NODES = tuple(f"n{number:02d}" for number in range(22))
+# Seconds from the acknowledgement of a version until it must be in force.
+APPLY_LIMIT_S = 3.0
+MAX_ROUTES = 2300
+# Bytes per second of a node's link of 5 Mbit/s and of the link of 30 Mbit/s
+# between the regions, beside calls that take half of them.
+_NODE_RATE = 5e6 / 8 / 2
+_REGION_RATE = 30e6 / 8 / 2
+_CALL_TIMEOUT_S = 2.0
+# Seconds until a lost node is no longer connected: an idle heartbeat interval
+# and the timeout of a probe.
+_DETECTION_S = 1.5
+_TICK_S = 0.25
+_ADDRESS = addresses.Address("127.0.0.1", 1)
+_NAMES = random.Random(7)
+_ROWS = [
+    f'["r-{_NAMES.getrandbits(36):09x}","h{row % 40}.example",'
+    f'"/{_NAMES.getrandbits(36):09x}/","safe",1.5,0.942,2,null,2,"s{row % 3}"]'
+    for row in range(MAX_ROUTES)
+]
+
+
+def configuration(version: int, routes: int) -> bytes:
+    """Return a document of which each version changes one row."""
+    rows = _ROWS[:routes]
+    rows[version % routes] = f'["r-{version}","changed.example","/c/"]'
+    return f'{{"version":{version},"rows":[{",".join(rows)}]}}'.encode()
+
+
+@dataclasses.dataclass
+class _Process:
+    """One node.
+
+    Attributes:
+        records: Operator records of the running process.
+        store: The store as this node sees it.
+        peers: Streams to the other nodes.
+        version: Newest version in force; 0 for none.
+        calm_since: Time since which the node has not been disturbed.
+        lost_at: Time at which the process ended; None while it runs.
+        tasks: Tasks of the running process.
+    """
+
+    records: operator_records.OperatorRecords
+    store: thin_links.ThinStore
+    peers: "_Peers"
+    version: int = 0
+    calm_since: float = 0.0
+    lost_at: float | None = None
+    tasks: list[asyncio.Task] = dataclasses.field(default_factory=list)
+
+
+class _Peers:
+    """Streams of one node to the others of its data centre."""
+
+    def __init__(self, streams_by_node: dict[str, thin_links.Stream]):
+        self._streams = streams_by_node
+
+    @property
+    def connected(self) -> tuple[thin_links.Stream, ...]:
+        """Streams to all other nodes."""
+        return tuple(self._streams.values())
+
+    def dialed(self, node_id: str) -> thin_links.Stream | None:
+        """Return the stream to a node."""
+        return self._streams.get(node_id)
+
+
+class DataCentre:
+    """Nodes whose store is in another region."""
+
+    def __init__(self) -> None:
+        self.log = thin_links.Log()
+        self.region = thin_links.Link(_REGION_RATE)
+        # Versions that were late, by node.
+        self.late: dict[str, list[int]] = {}
+        self._loop = asyncio.get_running_loop()
+        self._store_calm_since = 0.0
+        self._members = directory.snapshot(
+            [
+                members.Member(name, 1, 1, "d", _ADDRESS, service="s")
+                for name in NODES
+            ]
+        )
+        self.processes: dict[str, _Process] = {}
+        for name in NODES:
+            self._start(name)
+
+    @property
+    def successful_reads(self) -> int:
+        """Reads that the store has not refused."""
+        return sum(each.store.reads for each in self.processes.values())
+
+    def refuse(self, nodes: Sequence[str], is_refusing: bool = True) -> None:
+        """Make the store turn nodes away, or serve them again."""
+        for name in nodes:
+            self.processes[name].store.is_refusing = is_refusing
+        self._store_calm_since = self._loop.time()
+
+    def kill(self, name: str) -> None:
+        """End a node's process without notice."""
+        process = self.processes[name]
+        for task in process.tasks:
+            task.cancel()
+        process.lost_at = self._loop.time()
+
+    def restart(self, name: str) -> None:
+        """Start a process of a node that was killed."""
+        self._start(name)
+
+    async def publish(self, gap_s: float, routes: Sequence[int]) -> None:
+        """Write versions, and check later at which nodes each is late.
+
+        Args:
+            gap_s: Seconds after each version.
+            routes: Number of routes of each version.
+        """
+        for count in routes:
+            version = len(self.log.records) + 1
+            self.log.append("config", configuration(version, count))
+            self._loop.call_later(
+                APPLY_LIMIT_S, self._check, version, self._loop.time()
+            )
+            await asyncio.sleep(gap_s)
+
+    def stop(self) -> None:
+        """End all processes; raise the exception of one that failed."""
+        for process in self.processes.values():
+            for task in process.tasks:
+                if task.done() and not task.cancelled():
+                    task.result()
+                task.cancel()
+
+    def _start(self, name: str) -> None:
+        uplink = thin_links.Link(_NODE_RATE)
+        store = thin_links.ThinStore(
+            self.log,
+            (self.region, thin_links.Link(_NODE_RATE)),
+            _CALL_TIMEOUT_S,
+        )
+        previous = self.processes.get(name)
+        if previous is not None:
+            store.is_refusing = previous.store.is_refusing
+        board = board_lib.MeshBoard()
+        board.members.claim("test")(self._members)
+        peers = _Peers(
+            {
+                other: thin_links.Stream(
+                    other, uplink, self._deliverer(name, other)
+                )
+                for other in NODES
+                if other != name
+            }
+        )
+        process = _Process(
+            operator_records.OperatorRecords(
+                _settings(name),
+                store,
+                lambda record: self._apply(process, record),
+                board,
+                peers,
+                lambda other: other != name and self._is_connected(other),
+                lambda: True,
+                random.Random(name),
+                counts_lib.MeshCounts(),
+            ),
+            store,
+            peers,
+            calm_since=self._loop.time(),
+        )
+        process.tasks = [
+            self._loop.create_task(process.records.run()),
+            self._loop.create_task(_tick(process.records)),
+        ]
+        self.processes[name] = process
+
+    def _is_connected(self, name: str) -> bool:
+        lost_at = self.processes[name].lost_at
+        return lost_at is None or self._loop.time() - lost_at < _DETECTION_S
+
+    def _apply(self, process: _Process, record: keyed.KeyedRecord) -> None:
+        text = record.value.partition(b":")[2].partition(b",")[0]
+        version = int(text)
+        assert version > process.version, "an older version came back"
+        process.version = version
+
+    def _deliverer(self, sender: str, receiver: str) -> Callable[[Any], None]:
+        def deliver(message: Any) -> None:
+            process = self.processes[receiver]
+            if process.lost_at is None and self._is_alive(sender):
+                stream = process.peers.dialed(sender)
+                process.records.handle_message(stream, message)
+
+        return deliver
+
+    def _is_alive(self, name: str) -> bool:
+        return self.processes[name].lost_at is None
+
+    def _check(self, version: int, written_at: float) -> None:
+        """Record the undisturbed nodes at which a version is late."""
+        for name, process in self.processes.items():
+            is_calm = (
+                process.lost_at is None
+                and max(process.calm_since, self._store_calm_since) < written_at
+            )
+            if is_calm and process.version < version:
+                self.late.setdefault(name, []).append(version)
+
+
+async def _tick(records: operator_records.OperatorRecords) -> None:
+    while True:
+        await asyncio.sleep(_TICK_S)
+        records.tick()
+
+
+def _settings(name: str) -> node_settings.MeshSettings:
+    return node_settings.MeshSettings(
+        name,
+        "d",
+        "r",
+        "s",
+        _ADDRESS,
+        _ADDRESS,
+        _ADDRESS,
+        "op",
+        "status",
+        streams.StreamTimes(1.0, 3.0),
+        shared_budget.BudgetTerms(0.2, 10.0, 100.0),
+        6.0,
+    )
+
+
+def run(
+    scenario: Callable[[DataCentre], Coroutine[Any, Any, None]],
+) -> DataCentre:
+    """Run a scenario in a new data centre and return it."""
+
+    async def run_scenario() -> DataCentre:
+        data_centre = DataCentre()
+        await scenario(data_centre)
+        data_centre.stop()
+        return data_centre
+
+    return virtual_time.run(run_scenario())
