Fail answers that go on without end instead of reading to the deadline

The node read them until the call's deadline: a head, interim answers, trailers or answers to other requests were taken without limit, and up to 64 MB of each body was kept, more than a node of 128 MB has for 13 calls at once.

An answer may now have 64 KB outside of bodies and 8 bytes of framing for each byte of a body, 16 answers to other requests before it, and 16 MB of body; the answers of a client may have 32 MB together, above which those fail that have more than their share. The connection is closed at once.

--- a/tests/test_gateway/test_gateway_http_client.py
+++ b/tests/test_gateway/test_gateway_http_client.py
@@ -158,3 +158,120 @@
             await ended.wait()
 
     uvloop.run(run())
+
+
+class _Endless:
+    """Script that sends the same bytes until the client closes."""
+
+    def __init__(self, start: bytes, piece: bytes):
+        self._start = start
+        self._piece = piece
+        self.sent = 0
+
+    async def __call__(self, reader, writer) -> None:
+        """Answer one request without end."""
+        await fakes.read_head(reader)
+        writer.write(self._start)
+        while True:
+            writer.write(self._piece)
+            await writer.drain()
+            self.sent += len(self._piece)
+            await asyncio.sleep(0)
+
+
+_CHUNKED = b"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+_KB = 1024
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (b"", b"x" * _KB),
+        (b"HTTP/1.1 200 ", b"x" * _KB),
+        (b"HTTP/1.1 200 OK\r\n", b"Name: value\r\n" * 80),
+        (b"HTTP/1.1 200 OK\r\nName: ", b"v" * _KB),
+        (b"HTTP/1.1 200 OK\r\n", b"n" * _KB),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+        (b"", b"HTTP/1.1 103 Early Hints\r\nLink: " + b"l" * _KB + b"\r\n\r\n"),
+        (b"", fakes.answer(b"other", b"9")),
+        (_CHUNKED + b"1;", b"e" * _KB),
+        (_CHUNKED + b"0\r\n", b"Trailer: value\r\n" * 60),
+        (_CHUNKED + b"0\r\nTrailer: ", b"v" * _KB),
+    ],
+)
+def test_bytes_without_end_that_are_no_answer_close_the_connection(
+    start, piece
+):
+    endless = _Endless(start, piece)
+
+    async def run():
+        async with fakes.RawServer(endless) as server:
+            started = asyncio.get_running_loop().time()
+            results = await _call_all(server, 1)
+            elapsed_s = asyncio.get_running_loop().time() - started
+            await asyncio.sleep(0.05)
+            sent = endless.sent
+            await asyncio.sleep(0.05)
+            return results[0], elapsed_s, endless.sent - sent
+
+    result, elapsed_s, sent_later = uvloop.run(run())
+    assert isinstance(result, errors.CallError)
+    assert result.reason is errors.Reason.BACKEND_FAILED
+    assert not result.not_run
+    assert elapsed_s < 2.0
+    assert sent_later == 0
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999999\r\n\r\n",
+    ],
+)
+def test_bodies_without_end_do_not_exceed_the_memory_limit(start):
+    endless = _Endless(start, b"x" * 64 * _KB)
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b"endless" in head:
+            writer.write(start)
+            while True:
+                writer.write(b"x" * 64 * _KB)
+                await writer.drain()
+                endless.sent += 64 * _KB
+        while True:
+            writer.write(fakes.answer(b"sound"))
+            await fakes.read_head(reader)
+
+    async def run():
+        async with fakes.RawServer(serve) as server:
+            client = http_client.HttpClient(server.address, 4)
+            deadline = asyncio.get_running_loop().time() + 5.0
+            head = b"GET /endless HTTP/1.1\r\nHost: a\r\n\r\n"
+            floods = [
+                asyncio.ensure_future(client.call(head, b"", deadline))
+                for _ in range(13)
+            ]
+            most = 0
+            sound = []
+            while not all(flood.done() for flood in floods):
+                most = max(most, client.buffered_bytes)
+                sound.append(await client.call(_HEAD, b"", deadline))
+                await asyncio.sleep(0.001)
+            client.close()
+            return [flood.result() for flood in floods], most, sound
+
+    results, most, sound = uvloop.run(run())
+    assert {result.reason for result in results} == {
+        errors.Reason.BODY_TOO_LARGE
+    }
+    assert most <= http_client.MAX_BUFFERED_BYTES + _KB * _KB
+    assert sound
+    assert all(answer.body == b"sound" for answer in sound)
+
+
+def test_a_body_in_chunks_of_one_byte_is_an_answer():
+    pieces = b"1\r\nx\r\n" * 40_000 + b"0\r\n\r\n"
+    results, _ = _run(_send(_CHUNKED + pieces))
+    assert results[0].body == b"x" * 40_000
--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -19,7 +19,16 @@
 _STEP = "backend.call"
 CONNECT_TIMEOUT_S = 1.0
 # Largest body of an answer that is buffered.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Bytes of bodies buffered by all connections of a client. Above it, answers
+# that have more than their share fail, as a node may have 128 MB in all.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+# Bytes outside of bodies that may precede the end of an answer: heads, interim
+# answers, trailers, and per byte of a body the framing of its chunk.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Answers to other requests that may precede an answer.
+MAX_DISCARDED_ANSWERS = 16
 # Idle time after which a connection is not reused, if the server announces
 # none in a Keep-Alive header.
 DEFAULT_IDLE_S = 4.0
@@ -55,6 +64,12 @@
         self._has_keepalive = has_keepalive
         self._idle: collections.deque[_Connection] = collections.deque()
         self._connections_opened = 0
+        self._in_flight: set[_Connection] = set()
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the bodies of answers that are not complete."""
+        return sum(each.body_bytes for each in self._in_flight)
 
     @property
     def address(self) -> addresses.Address:
@@ -91,6 +106,7 @@
         connection = await self._connect(deadline)
         if isinstance(connection, errors.CallError):
             return connection
+        self._in_flight.add(connection)
         try:
             result = await connection.exchange(
                 head, body, deadline, matches_request
@@ -98,6 +114,8 @@
         except asyncio.CancelledError:
             connection.abort()
             raise
+        finally:
+            self._in_flight.discard(connection)
         if isinstance(result, errors.CallError) or not connection.is_reusable:
             connection.abort()
         elif len(self._idle) >= self._max_idle:
@@ -137,6 +155,13 @@
             connection.close()
         return await self._open(deadline)
 
+    def _may_buffer(self, body_bytes: int) -> bool:
+        """Return True if an answer may have a body of this length so far."""
+        if body_bytes > MAX_ANSWER_BYTES:
+            return False
+        share = MAX_BUFFERED_BYTES / max(1, len(self._in_flight))
+        return body_bytes <= share or self.buffered_bytes <= MAX_BUFFERED_BYTES
+
     async def _open(self, deadline: float) -> "_Connection | errors.CallError":
         loop = asyncio.get_running_loop()
         now = loop.time()
@@ -147,7 +172,7 @@
         try:
             async with asyncio.timeout(limit_s):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(str(self._address)),
+                    lambda: _Connection(str(self._address), self._may_buffer),
                     self._address.host,
                     self._address.port,
                 )
@@ -170,8 +195,9 @@
 class _Connection(asyncio.Protocol):
     """A connection with at most one request in flight."""
 
-    def __init__(self, peer: str):
+    def __init__(self, peer: str, may_buffer: Callable[[int], bool]):
         self._peer = peer
+        self._may_buffer = may_buffer
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future | None = None
@@ -182,7 +208,15 @@
         self._idle_until = 0.0
         self._reset_answer()
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the body received so far."""
+        return self._body_bytes
+
     def _reset_answer(self) -> None:
+        self._received_bytes = 0
+        self._all_body_bytes = 0
+        self._discarded = 0
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[http_types.Header] = []
         self._chunks: list[bytes] = []
@@ -256,7 +290,7 @@
         if is_complete:
             self.on_message_complete()
         reason = type(error).__name__ if error else "closed"
-        self._finish(self._error(errors.Reason.BACKEND_FAILED, reason))
+        self._fail(reason)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of answers; close on bytes without a pending request."""
@@ -270,9 +304,14 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            detail = type(error).__name__
             self._is_reusable = False
-            self._finish(self._error(errors.Reason.BACKEND_FAILED, detail))
+            self._fail(type(error).__name__)
+            return
+        self._received_bytes += len(data)
+        overhead = self._received_bytes - self._all_body_bytes
+        allowed = MAX_OVERHEAD_PER_BODY_BYTE * self._all_body_bytes
+        if overhead > MAX_OVERHEAD_BYTES + allowed:
+            self._fail("no answer within the limit of bytes")
 
     # Callbacks of the parser.
 
@@ -309,7 +348,8 @@
         """Buffer bytes of the body."""
         self._chunks.append(chunk)
         self._body_bytes += len(chunk)
-        if self._body_bytes > MAX_ANSWER_BYTES:
+        self._all_body_bytes += len(chunk)
+        if not self._may_buffer(self._body_bytes):
             self._finish(self._error(errors.Reason.BODY_TOO_LARGE))
 
     def on_message_complete(self) -> None:
@@ -329,6 +369,9 @@
             # A late answer to an earlier request; the answer to this request
             # may follow.
             self._is_reusable = False
+            self._discarded += 1
+            if self._discarded > MAX_DISCARDED_ANSWERS:
+                self._fail("answers to other requests without end")
             decisions.failure(
                 logger,
                 "foreign_answer",
@@ -345,6 +388,9 @@
         elif isinstance(result, http_types.HttpAnswer):
             self._is_reusable = False
 
+    def _fail(self, detail: str) -> None:
+        self._finish(self._error(errors.Reason.BACKEND_FAILED, detail))
+
     def _time_out(self) -> None:
         self._finish(self._error(errors.Reason.DEADLINE_EXCEEDED))
 
