--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -84,6 +84,8 @@
         self._on_failure = on_failure
         self._skips_superseded = skips_superseded
         self._has_backlog = False
+        # Records written between the last two reads.
+        self._last_written = 0
         # Time at which the records up to the offset were the newest ones.
         self._current_at = -float("inf")
         self._read_soon_requested = asyncio.Event()
@@ -165,8 +167,10 @@
         self._report_read(page, len(newest), offset, elapsed_s)
         for record in newest:
             self._on_record(record)
-        written = page.next_offset - (offset or 0)
-        self._has_backlog = written > max(len(newest), 1)
+        written = 0 if offset is None else page.next_offset - offset
+        # A record in each of two reads: more of them may come with the next.
+        self._has_backlog = written + min(self._last_written, 1) > 1
+        self._last_written = written
         self._advance(page.next_offset)
         self._on_read(self._offset)
         return None
