Pass over nodes that are leaving, and ask others for what is overdue

Cause: a node that has received SIGTERM goes on serving for about 3 s and stayed the reader and the source of others.

Nodes that are leaving now rank behind all others, as those whose reads fail, so they neither read nor pass records on. A node that lacks records 0.6 s after they were first offered asks a random node of its data centre, twice a second, instead of repeating its request to the node that announced them.

test_configurations_are_in_force_in_time_while_nodes_stop_in_turn failed before (up to 7 versions late at 20 nodes) and passes.

--- a/tests/test_gateway/data_centre.py
+++ b/tests/test_gateway/data_centre.py
@@ -62,6 +62,7 @@
         records: Operator records of the running process.
         store: The store as this node sees it.
         peers: Streams to the other nodes.
+        publish_members: Publishes the members on the node's blackboard.
         version: Newest version in force; 0 for none.
         calm_since: Time since which the node has not been disturbed.
         lost_at: Time at which the process ended; None while it runs.
@@ -71,6 +72,7 @@
     records: operator_records.OperatorRecords
     store: thin_links.ThinStore
     peers: "_Peers"
+    publish_members: Callable[[directory.Snapshot], None]
     version: int = 0
     calm_since: float = 0.0
     lost_at: float | None = None
@@ -103,12 +105,7 @@
         self.late: dict[str, list[int]] = {}
         self._loop = asyncio.get_running_loop()
         self._store_calm_since = 0.0
-        self._members = directory.snapshot(
-            [
-                members.Member(name, 1, 1, "d", _ADDRESS, service="s")
-                for name in NODES
-            ]
-        )
+        self._leaving: set[str] = set()
         self.processes: dict[str, _Process] = {}
         for name in NODES:
             self._start(name)
@@ -124,6 +121,13 @@
             self.processes[name].store.is_refusing = is_refusing
         self._store_calm_since = self._loop.time()
 
+    def leave(self, name: str) -> None:
+        """Announce that a node is about to stop."""
+        self._leaving.add(name)
+        snapshot = self._snapshot()
+        for process in self.processes.values():
+            process.publish_members(snapshot)
+
     def kill(self, name: str) -> None:
         """End a node's process without notice."""
         process = self.processes[name]
@@ -133,6 +137,7 @@
 
     def restart(self, name: str) -> None:
         """Start a process of a node that was killed."""
+        self._leaving.discard(name)
         self._start(name)
 
     async def publish(self, gap_s: float, routes: Sequence[int]) -> None:
@@ -169,7 +174,8 @@
         if previous is not None:
             store.is_refusing = previous.store.is_refusing
         board = board_lib.MeshBoard()
-        board.members.claim("test")(self._members)
+        publish_members = board.members.claim("test")
+        publish_members(self._snapshot())
         peers = _Peers(
             {
                 other: thin_links.Stream(
@@ -193,6 +199,7 @@
             ),
             store,
             peers,
+            publish_members,
             calm_since=self._loop.time(),
         )
         process.tasks = [
@@ -201,6 +208,22 @@
         ]
         self.processes[name] = process
 
+    def _snapshot(self) -> directory.Snapshot:
+        return directory.snapshot(
+            [
+                members.Member(
+                    name,
+                    1,
+                    1,
+                    "d",
+                    _ADDRESS,
+                    service="s",
+                    leaving=name in self._leaving,
+                )
+                for name in NODES
+            ]
+        )
+
     def _is_connected(self, name: str) -> bool:
         lost_at = self.processes[name].lost_at
         return lost_at is None or self._loop.time() - lost_at < _DETECTION_S
--- a/tests/test_gateway/test_gateway_operator_records.py
+++ b/tests/test_gateway/test_gateway_operator_records.py
@@ -9,6 +9,7 @@
 
 from tests.test_gateway import data_centre
 from trefoilwind.distribution import topology
+from trefoilwind.gateway import node as node_lib
 
 _ORDER = topology.rendezvous(
     "reader/d", data_centre.NODES, len(data_centre.NODES)
@@ -69,14 +70,40 @@
     assert data_centre.run(scenario).late == {}
 
 
+def test_configurations_are_in_force_in_time_while_nodes_stop_in_turn():
+    async def stop(nodes: data_centre.DataCentre, name: str) -> None:
+        nodes.leave(name)
+        await asyncio.sleep(node_lib.STOP_NOTICE_S)
+        nodes.kill(name)
+
+    async def stop_in_turn(nodes: data_centre.DataCentre) -> None:
+        async with asyncio.TaskGroup() as stops:
+            for name in _ORDER[:12]:
+                stops.create_task(stop(nodes, name))
+                await asyncio.sleep(0.4)
+
+    async def scenario(nodes: data_centre.DataCentre) -> None:
+        await nodes.publish(4.1, [_ROUTES])
+        await asyncio.gather(
+            stop_in_turn(nodes),
+            nodes.publish(0.21, [data_centre.MAX_ROUTES] * 22),
+        )
+        await asyncio.sleep(6.0)
+
+    assert data_centre.run(scenario).late == {}
+
+
 def _disturb(nodes: data_centre.DataCentre, rng: random.Random) -> None:
     """Change the state of the store or of some nodes."""
     some = rng.sample(data_centre.NODES, rng.randrange(1, 9))
-    fault = rng.randrange(4)
+    fault = rng.randrange(5)
     if fault == 0:
         nodes.refuse(some)
     elif fault == 1:
         nodes.refuse(data_centre.NODES, is_refusing=False)
+    elif fault == 4:
+        for name in some:
+            nodes.leave(name)
     else:
         for name in some:
             if nodes.processes[name].lost_at is None and fault == 2:
--- a/tests/test_gateway/test_gateway_reader_selection.py
+++ b/tests/test_gateway/test_gateway_reader_selection.py
@@ -9,8 +9,12 @@
 _OTHER = next(node for node in _NODES if node != _READER)
 
 
-def _selection(node: str) -> reader_selection.ReaderSelection:
-    return reader_selection.ReaderSelection(node, "d", _READ_INTERVAL_S, 0.0)
+def _selection(
+    node: str, leaving: tuple[str, ...] = ()
+) -> reader_selection.ReaderSelection:
+    return reader_selection.ReaderSelection(
+        node, "d", _READ_INTERVAL_S, leaving.__contains__, 0.0
+    )
 
 
 def _others(node: str) -> tuple[str, ...]:
@@ -70,6 +74,18 @@
     assert due == [_READER]
 
 
+def test_leaving_nodes_neither_read_nor_pass_records_on():
+    leaving = (_READER, _NODES[0], _NODES[1])
+    for node in _NODES:
+        selection = _selection(node, leaving)
+        order = selection.order(_others(node))
+        assert set(order[-3:]) == set(leaving)
+        assert selection.parent(_others(node)) not in leaving
+    selection = _selection(_READER, leaving)
+    selection.handle_announcement(_OTHER, 10.0)
+    assert not selection.plan(_others(_READER), 10.1).is_due
+
+
 def test_all_nodes_try_while_the_reads_of_all_fail():
     for node in _NODES:
         selection = _selection(node)
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -25,8 +25,8 @@
 READ_INTERVAL_S = 0.8
 # Seconds after which a request for records is repeated.
 REQUEST_TIMEOUT_S = 0.8
-# Seconds from the reader's announcement for which a node waits for the node
-# that passes records on to it.
+# Seconds from the first announcement of a record after which a node that lacks
+# it asks any node of its data centre.
 RELAY_TIMEOUT_S = 0.6
 
 RecordMessage = (
@@ -93,10 +93,14 @@
             settings.node_id,
             settings.data_centre,
             READ_INTERVAL_S,
+            self._is_leaving,
             self._loop.time(),
         )
         self._role = ("", False)
         self._announced_offset = 0
+        # Largest offset that a peer announced, and when this node fell behind.
+        self._offered_offset = 0
+        self._behind_since: float | None = None
         # Time until which an answer to a request is awaited; 0 for none.
         self._request_deadline = 0.0
         self._requested_whole = False
@@ -111,20 +115,25 @@
         await self._follower.run()
 
     def tick(self) -> None:
-        """Request records from any peer while no reader announces any."""
+        """Request records from any peer if no other way has worked."""
         now = self._loop.time()
         local_peers = self._local_peers()
-        needs_peer = self.is_unavailable or (
-            bool(self._selection.parent(local_peers))
-            and self._selection.is_silent(now)
+        is_group = bool(self._selection.parent(local_peers))
+        needs_peer = (
+            self.is_unavailable
+            or self._is_overdue(now)
+            or (is_group and self._selection.is_silent(now))
         )
         request = self._sharing.request(needs_peer, now)
-        connected = self._peers.connected
-        if request is not None and connected:
+        candidates = self._peers.connected
+        if not self.is_unavailable:
+            dialed = map(self._peers.dialed, local_peers)
+            candidates = tuple(filter(None, dialed))
+        if request is not None and candidates:
             # Peers that have no newer records do not answer, so no answer is
             # awaited.
             self._requested_whole = False
-            stream = self._random.choice(connected)
+            stream = self._random.choice(candidates)
             stream.send(peers_lib.control_frame(request))
 
     def handle_message(
@@ -167,6 +176,10 @@
                 offset=self._follower.offset,
             )
 
+    def _is_leaving(self, node_id: str) -> bool:
+        member = self._board.members.value.by_node.get(node_id)
+        return member is not None and member.leaving
+
     def _known_peers(self) -> tuple[str, ...]:
         """Return the nodes of the data centre, without this one."""
         nodes = self._board.members.value.in_data_centre(self._data_centre)
@@ -210,31 +223,37 @@
         parent = self._selection.parent(self._local_peers())
         if parent in ("", stream.peer):
             self._request_missing(stream, message.next_offset)
-        elif self._is_behind(message.next_offset):
-            self._loop.call_later(
-                RELAY_TIMEOUT_S,
-                self._request_missing,
-                stream,
-                message.next_offset,
-            )
+        else:
+            self._note_offer(message.next_offset)
+
+    def _note_offer(self, next_offset: int) -> bool:
+        """Note the records that a peer offers; return True if any are new."""
+        self._offered_offset = max(self._offered_offset, next_offset)
+        if not self._is_behind(next_offset):
+            return False
+        if self._behind_since is None:
+            self._behind_since = self._loop.time()
+        return True
 
     def _is_behind(self, next_offset: int) -> bool:
         offset = self._follower.offset
         return offset is None or offset < next_offset
 
+    def _is_overdue(self, now: float) -> bool:
+        """Return True if records that were offered long ago are missing."""
+        if self._behind_since is None:
+            return False
+        if not self._is_behind(self._offered_offset):
+            self._behind_since = None
+            return False
+        return now - self._behind_since > RELAY_TIMEOUT_S
+
     def _request_missing(
         self, stream: streams.Stream, next_offset: int
     ) -> None:
-        """Request the records before an offset once no answer is awaited."""
-        if not self._is_behind(next_offset):
-            return
-        if self._loop.time() < self._request_deadline:
-            self._loop.call_at(
-                self._request_deadline,
-                self._request_missing,
-                stream,
-                next_offset,
-            )
+        """Request the records before an offset unless an answer is awaited."""
+        is_new = self._note_offer(next_offset)
+        if not is_new or self._loop.time() < self._request_deadline:
             return
         last_offset = self._sharing.last_offset
         # A peer that does not know requests for deltas leaves them unanswered.
@@ -276,6 +295,7 @@
             self._follower.start_at(message.next_offset)
         else:
             self._follower.skip_to(message.next_offset)
+        self._behind_since = None
         if self._sharing.last_offset > last_offset:
             self._pass_on()
 
--- a/trefoilwind/gateway/reader_selection.py
+++ b/trefoilwind/gateway/reader_selection.py
@@ -6,7 +6,8 @@
 announces its offset, and the others request the records that they lack. There
 is no election: each node ranks the nodes that it is connected to.
 
-A reader whose reads fail says so and is passed over. While nobody announces
+Nodes that are leaving, and nodes that said that their reads fail, are passed
+over. While nobody announces
 reads, nodes read one after the other, in the order of their ranks: if all of
 them read at once, the reads could fill the link, time out and be repeated.
 
@@ -14,6 +15,7 @@
 sends copies to the whole data centre.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 
@@ -42,7 +44,12 @@
     """Decides whether this node reads, and from which peer it gets records."""
 
     def __init__(
-        self, node_id: str, data_centre: str, interval_s: float, now: float
+        self,
+        node_id: str,
+        data_centre: str,
+        interval_s: float,
+        is_leaving: Callable[[str], bool],
+        now: float,
     ):
         """Initialize the selection.
 
@@ -50,11 +57,13 @@
             node_id: Id of this node.
             data_centre: Data centre of this node.
             interval_s: Seconds between two reads of a node.
+            is_leaving: Returns True if a node accepts no new calls.
             now: Monotonic time in seconds.
         """
         self._node_id = node_id
         self._key = f"reader/{data_centre}"
         self._interval_s = interval_s
+        self._is_leaving = is_leaving
         self._started_at = now
         self._last_announcement_at = -float("inf")
         self._failing: set[str] = set()
@@ -66,14 +75,14 @@
             local_peers: Other nodes of the data centre.
 
         Returns:
-            All nodes, those whose reads fail last; empty if each node reads
-            for itself.
+            All nodes, those that are passed over last; empty if each node
+            reads for itself.
         """
         nodes = {*local_peers, self._node_id}
         if len(nodes) < MIN_NODES:
             return ()
         ranked = topology.rendezvous(self._key, nodes, len(nodes))
-        return tuple(sorted(ranked, key=self._failing.__contains__))
+        return tuple(sorted(ranked, key=self._is_passed_over))
 
     def reader(self, local_peers: Iterable[str]) -> str:
         """Return the node that reads for all; empty if each node reads."""
@@ -157,6 +166,9 @@
         """Pass over a node until it announces a read again."""
         self._failing.add(node_id)
 
+    def _is_passed_over(self, node_id: str) -> bool:
+        return node_id in self._failing or self._is_leaving(node_id)
+
     def _silence_s(self, now: float) -> float:
         return now - max(self._last_announcement_at, self._started_at)
 
