--- a/tests/test_gateway/test_gateway_reader_selection.py
+++ b/tests/test_gateway/test_gateway_reader_selection.py
@@ -9,8 +9,12 @@
 _OTHER = next(node for node in _NODES if node != _READER)
 
 
-def _selection(node: str) -> reader_selection.ReaderSelection:
-    return reader_selection.ReaderSelection(node, "d", _READ_INTERVAL_S, 0.0)
+def _selection(
+    node: str, leaving: tuple[str, ...] = ()
+) -> reader_selection.ReaderSelection:
+    return reader_selection.ReaderSelection(
+        node, "d", _READ_INTERVAL_S, leaving.__contains__, 0.0
+    )
 
 
 def _others(node: str) -> tuple[str, ...]:
@@ -47,6 +51,21 @@
     assert list(due.values()) == [[], [order[1]], list(order[1:3])]
 
 
+def test_the_first_of_two_nodes_that_took_over_goes_on():
+    order = _selection(_OTHER).order(_others(_OTHER))
+    late = reader_selection.READER_TIMEOUT_S + 0.01
+    late += reader_selection.TAKEOVER_STEP_S
+    due = {}
+    for node, other in ((order[1], order[2]), (order[2], order[1])):
+        selection = _selection(node)
+        assert selection.plan(_others(node), late).is_due
+        selection.handle_announcement(other, late)
+        due[node] = selection.plan(_others(node), late + 0.1).is_due
+        selection.handle_announcement(_READER, late + 0.2)
+        assert not selection.plan(_others(node), late + 0.3).is_due
+    assert due == {order[1]: True, order[2]: False}
+
+
 def test_every_node_reads_in_the_end_if_nobody_announces_reads():
     limit_s = reader_selection.READER_TIMEOUT_S
     limit_s += len(_NODES) * reader_selection.TAKEOVER_STEP_S
@@ -70,6 +89,18 @@
     assert due == [_READER]
 
 
+def test_leaving_nodes_neither_read_nor_pass_records_on():
+    leaving = (_READER, _NODES[0], _NODES[1])
+    for node in _NODES:
+        selection = _selection(node, leaving)
+        order = selection.order(_others(node))
+        assert set(order[-3:]) == set(leaving)
+        assert selection.parent(_others(node)) not in leaving
+    selection = _selection(_READER, leaving)
+    selection.handle_announcement(_OTHER, 10.0)
+    assert not selection.plan(_others(_READER), 10.1).is_due
+
+
 def test_all_nodes_try_while_the_reads_of_all_fail():
     for node in _NODES:
         selection = _selection(node)
--- a/trefoilwind/gateway/reader_selection.py
+++ b/trefoilwind/gateway/reader_selection.py
@@ -6,7 +6,8 @@
 announces its offset, and the others request the records that they lack. There
 is no election: each node ranks the nodes that it is connected to.
 
-A reader whose reads fail says so and is passed over. While nobody announces
+Nodes that are leaving, and nodes that said that their reads fail, are passed
+over. While nobody announces
 reads, nodes read one after the other, in the order of their ranks: if all of
 them read at once, the reads could fill the link, time out and be repeated.
 
@@ -14,6 +15,7 @@
 sends copies to the whole data centre.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 
@@ -42,7 +44,12 @@
     """Decides whether this node reads, and from which peer it gets records."""
 
     def __init__(
-        self, node_id: str, data_centre: str, interval_s: float, now: float
+        self,
+        node_id: str,
+        data_centre: str,
+        interval_s: float,
+        is_leaving: Callable[[str], bool],
+        now: float,
     ):
         """Initialize the selection.
 
@@ -50,14 +57,18 @@
             node_id: Id of this node.
             data_centre: Data centre of this node.
             interval_s: Seconds between two reads of a node.
+            is_leaving: Returns True if a node accepts no new calls.
             now: Monotonic time in seconds.
         """
         self._node_id = node_id
         self._key = f"reader/{data_centre}"
         self._interval_s = interval_s
+        self._is_leaving = is_leaving
         self._started_at = now
         self._last_announcement_at = -float("inf")
         self._failing: set[str] = set()
+        # True while this node reads in place of a silent reader.
+        self._has_taken_over = False
 
     def order(self, local_peers: Iterable[str]) -> tuple[str, ...]:
         """Return the nodes in the order in which they are to read.
@@ -66,14 +77,13 @@
             local_peers: Other nodes of the data centre.
 
         Returns:
-            All nodes, those whose reads fail last; empty if each node reads
-            for itself.
+            All nodes, those that are passed over last; empty if each node
+            reads for itself.
         """
         nodes = {*local_peers, self._node_id}
         if len(nodes) < MIN_NODES:
             return ()
-        ranked = topology.rendezvous(self._key, nodes, len(nodes))
-        return tuple(sorted(ranked, key=self._failing.__contains__))
+        return tuple(sorted(nodes, key=self._precedence))
 
     def reader(self, local_peers: Iterable[str]) -> str:
         """Return the node that reads for all; empty if each node reads."""
@@ -105,11 +115,9 @@
         if not order:
             return follower.ReadPlan(self._interval_s)
         rank = order.index(self._node_id)
-        is_due = (
-            rank == 0
-            or self._node_id in self._failing
-            or self._silence_s(now) > _takeover_s(rank)
-        )
+        is_silent = self._silence_s(now) > _takeover_s(rank)
+        self._has_taken_over = rank > 0 and is_silent
+        is_due = rank == 0 or is_silent or self._node_id in self._failing
         return follower.ReadPlan(self._interval_s, READ_WAIT_S, is_due)
 
     def first_plan(
@@ -142,12 +150,16 @@
     def handle_announcement(self, node_id: str, now: float) -> None:
         """Handle the announcement that a node has read.
 
+        Of several nodes that have taken over, the first in rank goes on.
+
         Args:
             node_id: Node that has read.
             now: Monotonic time in seconds.
         """
         self.handle_success(node_id)
-        self._last_announcement_at = now
+        is_first = self._precedence(self._node_id) < self._precedence(node_id)
+        if not (self._has_taken_over and is_first):
+            self._last_announcement_at = now
 
     def handle_success(self, node_id: str) -> None:
         """Consider a node as a reader again."""
@@ -157,6 +169,11 @@
         """Pass over a node until it announces a read again."""
         self._failing.add(node_id)
 
+    def _precedence(self, node_id: str) -> tuple[bool, int]:
+        """Return the key that orders the nodes; the reader has the least."""
+        is_passed_over = node_id in self._failing or self._is_leaving(node_id)
+        return is_passed_over, -topology.rank(self._key, node_id)
+
     def _silence_s(self, now: float) -> float:
         return now - max(self._last_announcement_at, self._started_at)
 
