--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -84,8 +84,8 @@
         self._on_failure = on_failure
         self._skips_superseded = skips_superseded
         self._has_backlog = False
-        # Records written between the last two reads.
-        self._last_written = 0
+        # True if the last read found new records.
+        self._was_written = False
         # Time at which the records up to the offset were the newest ones.
         self._current_at = -float("inf")
         self._read_soon_requested = asyncio.Event()
@@ -168,9 +168,9 @@
         for record in newest:
             self._on_record(record)
         written = 0 if offset is None else page.next_offset - offset
-        # A record in each of two reads: more of them may come with the next.
-        self._has_backlog = written + min(self._last_written, 1) > 1
-        self._last_written = written
+        # After one record in each of two reads, the next may return several.
+        self._has_backlog = written > 1 or (written > 0 and self._was_written)
+        self._was_written = written > 0
         self._advance(page.next_offset)
         self._on_read(self._offset)
         return None
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -13,6 +13,7 @@
 from trefoilwind.gateway import node_settings
 from trefoilwind.gateway import peers as peers_lib
 from trefoilwind.gateway import reader_selection
+from trefoilwind.gateway import record_offers
 from trefoilwind.gateway import record_sharing
 from trefoilwind.gateway import streams
 from trefoilwind.log import keyed
@@ -24,13 +25,8 @@
 # Seconds between two reads of the operator's topic: a third of the time within
 # which a configuration must be in force.
 READ_INTERVAL_S = 0.8
-# Seconds after which a request for records is repeated.
-REQUEST_TIMEOUT_S = 0.8
-# Seconds from the first announcement of a record after which a node that lacks
-# it asks any node of its data centre.
-RELAY_TIMEOUT_S = 0.6
-# Share of these requests that go to the node that announced the records; the
-# others spread the load.
+# Share of the requests for overdue records that go to the node that offered
+# them; the others spread the load.
 OFFERING_PEER_SHARE = 0.5
 
 RecordMessage = (
@@ -102,14 +98,7 @@
         )
         self._role = ("", False)
         self._announced_offset = 0
-        # Largest offset that a peer announced, that peer, and when this node
-        # fell behind.
-        self._offered_offset = 0
-        self._offering_peer = ""
-        self._behind_since: float | None = None
-        # Time until which an answer to a request is awaited; 0 for none.
-        self._request_deadline = 0.0
-        self._requested_whole = False
+        self._offers = record_offers.RecordOffers()
 
     @property
     def is_unavailable(self) -> bool:
@@ -127,7 +116,7 @@
         is_group = bool(self._selection.parent(local_peers))
         needs_peer = (
             self.is_unavailable
-            or self._is_overdue(now)
+            or self._offers.is_overdue(self._follower.offset, now)
             or (is_group and self._selection.is_silent(now))
         )
         request = self._sharing.request(needs_peer, now)
@@ -135,7 +124,6 @@
         if stream is not None:
             # Peers that have no newer records do not answer, so no answer is
             # awaited.
-            self._requested_whole = False
             stream.send(peers_lib.control_frame(request))
 
     def _random_peer(self, local_peers: Sequence[str]) -> streams.Stream | None:
@@ -143,9 +131,9 @@
         if self.is_unavailable:
             connected = self._peers.connected
             return self._random.choice(connected) if connected else None
-        is_offered = self._is_behind(self._offered_offset)
+        is_offered = self._offers.is_open(self._follower.offset)
         if is_offered and self._random.random() < OFFERING_PEER_SHARE:
-            stream = self._peers.dialed(self._offering_peer)
+            stream = self._peers.dialed(self._offers.peer)
             if stream is not None:
                 return stream
         if not local_peers:
@@ -244,42 +232,22 @@
 
     def _note_offer(self, peer: str, next_offset: int) -> bool:
         """Note the records that a peer offers; return True if any are new."""
-        if next_offset >= self._offered_offset:
-            self._offered_offset = next_offset
-            self._offering_peer = peer
-        if not self._is_behind(next_offset):
-            return False
-        if self._behind_since is None:
-            self._behind_since = self._loop.time()
-        return True
-
-    def _is_behind(self, next_offset: int) -> bool:
-        offset = self._follower.offset
-        return offset is None or offset < next_offset
-
-    def _is_overdue(self, now: float) -> bool:
-        """Return True if records that were offered long ago are missing."""
-        if self._behind_since is None:
-            return False
-        if not self._is_behind(self._offered_offset):
-            self._behind_since = None
-            return False
-        return now - self._behind_since > RELAY_TIMEOUT_S
+        return self._offers.note(
+            peer, next_offset, self._follower.offset, self._loop.time()
+        )
 
     def _request_missing(
         self, stream: streams.Stream, next_offset: int
     ) -> None:
         """Request the records before an offset unless an answer is awaited."""
-        is_new = self._note_offer(stream.peer, next_offset)
-        if not is_new or self._loop.time() < self._request_deadline:
+        if not self._note_offer(stream.peer, next_offset):
             return
-        last_offset = self._sharing.last_offset
-        # A peer that does not know requests for deltas leaves them unanswered.
-        if self._request_deadline > 0:
-            request = control_messages.RecordsRequest(last_offset)
-        else:
-            request = control_messages.DeltasRequest(last_offset)
-        self._send_request(stream, request)
+        request = self._offers.request(
+            self._sharing.last_offset, self._loop.time()
+        )
+        if request is None:
+            return
+        stream.send(peers_lib.control_frame(request))
         decisions.failure(
             logger,
             "records_requested",
@@ -289,31 +257,21 @@
             announced=next_offset,
         )
 
-    def _send_request(
-        self, stream: streams.Stream, request: record_sharing.RecordsRequest
-    ) -> None:
-        self._request_deadline = self._loop.time() + REQUEST_TIMEOUT_S
-        self._requested_whole = isinstance(
-            request, control_messages.RecordsRequest
-        )
-        stream.send(peers_lib.control_frame(request))
-
     def _handle_records(
         self, stream: streams.Stream, message: control_messages.SharedRecords
     ) -> None:
         self._counts.records_shared("received", len(message.packed))
-        self._request_deadline = 0.0
         last_offset = self._sharing.last_offset
         if not self._sharing.apply_shared(message, stream.peer):
-            if not self._requested_whole:
-                request = control_messages.RecordsRequest(last_offset)
-                self._send_request(stream, request)
+            request = self._offers.retry_whole(last_offset, self._loop.time())
+            if request is not None:
+                stream.send(peers_lib.control_frame(request))
             return
+        self._offers.handle_applied()
         if last_offset < 0 < message.next_offset:
             self._follower.start_at(message.next_offset)
         else:
             self._follower.skip_to(message.next_offset)
-        self._behind_since = None
         if self._sharing.last_offset > last_offset:
             self._pass_on()
 
