--- a/trefoilwind/gateway/record_sharing.py
+++ b/trefoilwind/gateway/record_sharing.py
@@ -13,7 +13,7 @@
 
 logger = logging.getLogger(__name__)
 
-# Seconds between two requests of a node whose store is unavailable.
+# Seconds between two requests to any peer.
 REQUEST_INTERVAL_S = 0.5
 # Records of each key that are kept as bases of deltas.
 HISTORY_RECORDS = 4
@@ -61,15 +61,16 @@
         self._on_record(record)
 
     def request(
-        self, is_unavailable: bool, now: float
+        self, needs_peer: bool, now: float
     ) -> control_messages.DeltasRequest | None:
-        """Return the request to send to a peer, or None.
+        """Return the request to send to any peer, or None.
 
         Args:
-            is_unavailable: True while this node's reads of the store fail.
+            needs_peer: True while neither the store nor a reader provides
+                the newest records.
             now: Monotonic time in seconds.
         """
-        if not is_unavailable or now < self._next_request_at:
+        if not needs_peer or now < self._next_request_at:
             return None
         self._next_request_at = now + REQUEST_INTERVAL_S
         return control_messages.DeltasRequest(self.last_offset)
