Log the limit that a backend server names, and the calls sent under it

Nothing told whether a limit reached a node, how long it was known there, or how many calls the server got in that time. A target node now reads both notices in each answer of its backend server, and writes a line server_notice when they change; the metric backend_limit_per_second gives the current value. Answers of another process at the address, and those that arrive after the server was replaced, are not read. No decision depends on it yet.

--- a/tests/test_gateway/fakes.py
+++ b/tests/test_gateway/fakes.py
@@ -3,11 +3,13 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 
 from trefoilwind import errors
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import http_types
 from trefoilwind.model import addresses
+from trefoilwind.model import mesh
 
 HOST = "127.0.0.1"
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -29,6 +31,12 @@
     def refusal(answer: http_types.HttpAnswer) -> errors.Reason | None:
         return errors.Reason.OVERLOADED if answer.header(b"unrun") else None
 
+    def notice(answer: http_types.HttpAnswer) -> mesh.ServerNotice:
+        limit = answer.header(b"limit")
+        return mesh.ServerNotice(
+            float(limit) if limit else math.inf, bool(answer.header(b"leaving"))
+        )
+
     return calls.HeaderPort(
         read=read,
         request_id=lambda headers: http_types.find_header(headers, b"id"),
@@ -40,6 +48,7 @@
         matches_request=lambda headers, answer: (
             answer.header(b"id") == http_types.find_header(headers, b"id")
         ),
+        notice=notice,
         retry_headers=lambda retry_s: ((b"Retry-After", b"%.3f" % retry_s),),
     )
 
--- a/tests/test_platform/test_platform_headers.py
+++ b/tests/test_platform/test_platform_headers.py
@@ -1,9 +1,12 @@
 """Headers and statuses of callers and backend servers."""
 
+import math
+
 import pytest
 
 from trefoilwind import errors
 from trefoilwind.gateway import http_types
+from trefoilwind.model import mesh
 from trefoilwind.platform import headers
 
 _PORT = headers.port()
@@ -82,3 +85,23 @@
     assert _PORT.read(own).parent_id == b""
     assert _PORT.read(nested).parent_id == b"9c41"
     assert _PORT.read(nested).request_id == b"9c41.77"
+
+
+@pytest.mark.parametrize(
+    ("sent", "limit_per_s", "is_leaving"),
+    [
+        ((), math.inf, False),
+        (((b"Server-Limit", b"2.7"),), 2.7, False),
+        (((b"server-limit", b"0"),), 0.0, False),
+        (((b"Server-Limit", b"-1"),), math.inf, False),
+        (((b"Server-Limit", b"nan"),), math.inf, False),
+        (((b"Server-Limit", b"many"),), math.inf, False),
+        (((b"Server-Leaving", b"1"),), math.inf, True),
+        (((b"Server-Leaving", b"0"),), math.inf, False),
+    ],
+)
+def test_limit_and_leaving_are_read_from_answers(
+    sent: tuple[http_types.Header, ...], limit_per_s: float, is_leaving: bool
+):
+    notice = _PORT.notice(http_types.HttpAnswer(200, sent))
+    assert notice == mesh.ServerNotice(limit_per_s, is_leaving)
--- a/trefoilwind/gateway/calls.py
+++ b/trefoilwind/gateway/calls.py
@@ -5,6 +5,7 @@
 
 from trefoilwind import errors
 from trefoilwind.gateway import http_types
+from trefoilwind.model import mesh
 
 Result = http_types.HttpAnswer | errors.CallError
 
@@ -44,6 +45,7 @@
             if it may have run it.
         matches_request: Returns True if an answer belongs to a request, given
             the headers of the request.
+        notice: Returns what a backend server says about itself in an answer.
         retry_headers: Returns the headers that give the caller the time in
             seconds until its next attempt.
     """
@@ -56,6 +58,7 @@
     matches_request: Callable[
         [tuple[http_types.Header, ...], http_types.HttpAnswer], bool
     ]
+    notice: Callable[[http_types.HttpAnswer], mesh.ServerNotice]
     retry_headers: Callable[[float], tuple[http_types.Header, ...]]
 
 
--- a/trefoilwind/gateway/metrics_page.py
+++ b/trefoilwind/gateway/metrics_page.py
@@ -24,6 +24,8 @@
         in_flight: Requests of callers and calls of peers in flight.
         slots: Calls that the backend server runs at once.
         occupied: Calls running at the backend server or waiting for a slot.
+        limit_per_s: Calls per second that the backend server accepts; infinity
+            if it names no limit.
         is_store_unavailable: True while reads of the store fail.
     """
 
@@ -34,6 +36,7 @@
     in_flight: int
     slots: int
     occupied: int
+    limit_per_s: float
     is_store_unavailable: bool
 
 
@@ -91,6 +94,11 @@
         "Calls running at the backend server or waiting for a slot.",
         gauges.occupied,
     )
+    yield prometheus.gauge(
+        "backend_limit_per_second",
+        "Calls per second that the backend server accepts; +Inf for no limit.",
+        gauges.limit_per_s,
+    )
     yield prometheus.gauge(
         "store_available",
         "0 while reads of the store fail, else 1.",
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -219,6 +219,7 @@
             in_flight=self._in_flight,
             slots=self._target.slots,
             occupied=self._target.occupied,
+            limit_per_s=self._target.limit_per_s,
             is_store_unavailable=(
                 self._operator_records.is_unavailable
                 or self._mesh_follower.is_unavailable
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -4,6 +4,7 @@
 import collections
 import itertools
 import logging
+import math
 
 from trefoilwind import errors
 from trefoilwind.gateway import calls
@@ -58,6 +59,9 @@
         self._queue = call_queue.CallQueue(1)
         self._failures = failures.FailureShare()
         self._mean_time = service_time.MeanTime()
+        self._notice = mesh.ServerNotice()
+        self._sent = 0
+        self._noticed_at = self._loop.time()
         self._ticket_numbers = itertools.count(1)
         self._waiters: dict[int, asyncio.Future[bool]] = {}
         self._overdue_timer: asyncio.TimerHandle | None = None
@@ -96,6 +100,11 @@
         """Calls running at the backend server or queued for it."""
         return self._queue.occupied
 
+    @property
+    def limit_per_s(self) -> float:
+        """Calls per second that the backend server accepts, or infinity."""
+        return self._notice.limit_per_s
+
     def is_running(self, request_id: bytes) -> bool:
         """Return True if a request with this id runs at the backend server."""
         return request_id in self._running_ids
@@ -112,13 +121,13 @@
         is_new = (
             old is None
             or old.address != server.address
-            or old.instance_id != server.instance_id
-            or old.started_ms != server.started_ms
+            or old.process != server.process
         )
         if is_new:
             self._unreachable_until = 0.0
             self._failures = failures.FailureShare()
             self._mean_time = service_time.MeanTime()
+            self._apply_notice(mesh.ServerNotice())
             max_idle = server.slots + SPARE_IDLE_CONNECTIONS
             self._client = http_client.HttpClient(server.address, max_idle)
         self._queue.set_slots(server.slots)
@@ -265,6 +274,7 @@
         )
         request_id = self._headers.request_id(call.headers)
         self._running_ids[request_id] += 1
+        self._sent += 1
         try:
             result = await client.call(
                 head,
@@ -282,6 +292,10 @@
             self._handle_call_failure(call, result)
             return result
         reason = self._headers.refusal(result)
+        if reason is not errors.Reason.BACKEND_CHANGED and (
+            self._is_current(server)
+        ):
+            self._apply_notice(self._headers.notice(result))
         if reason is None:
             self._suspects.clear(call)
             return result
@@ -297,6 +311,33 @@
             has_arrived=True,
         )
 
+    def _is_current(self, server: mesh.BackendServer) -> bool:
+        """Return True unless another process has replaced a backend server."""
+        return self._server is not None and (
+            self._server.process == server.process
+        )
+
+    def _apply_notice(self, notice: mesh.ServerNotice) -> None:
+        """Apply what the backend server says about itself in an answer."""
+        old = self._notice
+        if notice == old:
+            return
+        self._notice = notice
+        now = self._now()
+        decisions.failure(
+            logger,
+            "server_notice",
+            "target: notice of the backend server changed",
+            instance=self._server.instance_id,
+            limit_per_s=_finite(notice.limit_per_s),
+            is_leaving=notice.is_leaving,
+            old_limit_per_s=_finite(old.limit_per_s),
+            sent=self._sent,
+            elapsed_s=round(now - self._noticed_at, 3),
+        )
+        self._sent = 0
+        self._noticed_at = now
+
     def _handle_call_failure(
         self, call: calls.Call, error: errors.CallError
     ) -> None:
@@ -389,6 +430,11 @@
         )
 
 
+def _finite(limit_per_s: float) -> float | None:
+    """Return a limit as a JSON value: null if there is none."""
+    return limit_per_s if math.isfinite(limit_per_s) else None
+
+
 def _head(call: calls.Call, added: tuple[http_types.Header, ...]) -> bytes:
     parts = [f"{call.method} {call.target} HTTP/1.1\r\n".encode("latin-1")]
     parts += [b"%b: %b\r\n" % (n, v) for n, v in (*call.headers, *added)]
--- a/trefoilwind/model/mesh.py
+++ b/trefoilwind/model/mesh.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from trefoilwind.model import addresses
 
@@ -149,7 +150,26 @@
     sequence: int = 0
     cold_s: float = 0.0
 
+    @property
+    def process(self) -> tuple[str, int]:
+        """Key of the process, which is kept over its heartbeats."""
+        return (self.instance_id, self.started_ms)
+
     @property
     def precedence(self) -> tuple[int, int]:
         """Key that orders the heartbeats of backend servers at one address."""
         return (self.started_ms, self.sequence)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What a backend server says about itself in an answer.
+
+    Attributes:
+        limit_per_s: Number of calls per second that it accepts from all nodes
+            together; infinity if it names no limit.
+        is_leaving: True if it accepts no new calls.
+    """
+
+    limit_per_s: float = math.inf
+    is_leaving: bool = False
--- a/trefoilwind/platform/headers.py
+++ b/trefoilwind/platform/headers.py
@@ -1,10 +1,16 @@
 """Headers and statuses of callers and backend servers."""
 
 import http
+import logging
+import math
 
 from trefoilwind import errors
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import http_types
+from trefoilwind.logs import decisions
+from trefoilwind.model import mesh
+
+logger = logging.getLogger(__name__)
 
 REQUEST_ID = b"x-request-id"
 # Milliseconds that the caller still waits, counted from the time of sending.
@@ -17,6 +23,12 @@
 _CALLER_SERVICE_NAME = b"X-Caller-Service"
 # Sent only by a backend server that did not run the request.
 _NOT_EXECUTED = b"x-not-executed"
+# Requests per second that a backend server accepts from all nodes together, as
+# a decimal number; it ends with the first answer that does not name it.
+_LIMIT = b"server-limit"
+# "1" in the answers of a backend server that is leaving.
+_LEAVING = b"server-leaving"
+_IS_LEAVING = b"1"
 # Set only by nodes; the values that a caller sends are not forwarded.
 _NODE_HEADERS = frozenset({_DEADLINE, _EXPECTED_INSTANCE, _CALLER_SERVICE})
 _MS_PER_S = 1000
@@ -31,6 +43,7 @@
         target_headers=_target_headers,
         refusal=_refusal,
         matches_request=_matches_request,
+        notice=_notice,
         retry_headers=_retry_headers,
     )
 
@@ -100,5 +113,31 @@
     return answer_id == _request_id(headers)
 
 
+def _notice(answer: http_types.HttpAnswer) -> mesh.ServerNotice:
+    return mesh.ServerNotice(
+        _limit_per_s(answer.header(_LIMIT)),
+        answer.header(_LEAVING) == _IS_LEAVING,
+    )
+
+
+def _limit_per_s(text: bytes) -> float:
+    """Return a limit, or infinity if there is none or it is malformed."""
+    if not text:
+        return math.inf
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        limit_per_s = math.nan
+    if limit_per_s >= 0.0:
+        return limit_per_s
+    decisions.failure(
+        logger,
+        "limit_malformed",
+        "backend: malformed limit ignored",
+        value=text.decode("latin-1"),
+    )
+    return math.inf
+
+
 def _retry_headers(retry_s: float) -> tuple[http_types.Header, ...]:
     return ((b"Retry-After", f"{retry_s:.3f}".encode()),)
