Reproduce calls beyond the limit that a backend server names

The target node sends 8,134 calls in a second to a server that names a limit of 20 a second in each answer.

--- a/tests/test_gateway/test_gateway_target.py
+++ b/tests/test_gateway/test_gateway_target.py
@@ -6,6 +6,7 @@
 
 from tests.test_gateway import fakes
 from trefoilwind import errors
+from trefoilwind.gateway import calls
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import suspect_table
 from trefoilwind.gateway import target as target_lib
@@ -202,3 +203,31 @@
         assert fixture.sent_updates == []
 
     _run(scenario)
+
+
+def test_backend_server_gets_no_more_calls_than_the_limit_it_names():
+    async def scenario(fixture: _TargetFixture) -> None:
+        arrivals = []
+
+        async def script(reader, writer):
+            while True:
+                await fakes.read_head(reader)
+                arrivals.append(asyncio.get_running_loop().time())
+                writer.write(fakes.answer(b"x", extra=b"Limit: 20\r\n"))
+
+        async with fakes.RawServer(script) as server:
+            fixture.announce(address=server.address)
+            await fixture.target.run(fakes.call())
+            until = arrivals[0] + 1.0
+            while asyncio.get_running_loop().time() < until:
+                await fixture.target.run(_hurried_call())
+                await asyncio.sleep(0)
+        assert len(arrivals) <= 1.5 * 20 + 5
+
+    _run(scenario)
+
+
+def _hurried_call() -> calls.Call:
+    """Return a call that is late after a tenth of a second."""
+    late_at = asyncio.get_running_loop().time() + 0.1
+    return fakes.call(target_deadline=late_at)
