Keep the calls of a backend server within the limit that it names

Cause: no part read the limit; a target node started calls as long as it had a free slot.

Every call to a backend server passes the node beside it, so that node alone can keep the sum over all nodes. A token bucket there delays the start of calls like a missing slot does: they wait in the same queue, by rank, or are refused at once if they would be late, as not run, with reason rate-limited and the expected wait as the time to retry. A limit that falls refuses what can no longer start in time.

--- a/tests/test_gateway/test_gateway_target.py
+++ b/tests/test_gateway/test_gateway_target.py
@@ -27,6 +27,7 @@
         self.target = target_lib.Target(
             "n1", fakes.header_port(), self.suspects, self.counts
         )
+        self.answer_headers = b""
         self.running = 0
         self.most_running = 0
         self.started = asyncio.Event()
@@ -41,7 +42,7 @@
             self.started.set()
             await self.release.wait()
             self.running -= 1
-            writer.write(fakes.answer(b"x"))
+            writer.write(fakes.answer(b"x", extra=self.answer_headers))
 
     def announce(self, **changes) -> None:
         """Announce the backend server."""
@@ -227,6 +228,57 @@
     _run(scenario)
 
 
+def test_calls_beyond_the_limit_are_refused_at_once_with_a_time_to_retry():
+    async def scenario(fixture: _TargetFixture) -> None:
+        fixture.answer_headers = b"Limit: 2\r\n"
+        fixture.release.set()
+        fixture.announce()
+        await fixture.target.run(fakes.call())
+        await fixture.target.run(fakes.call())
+        refused = (await fixture.target.run(_hurried_call())).result
+        assert refused.reason is errors.Reason.RATE_LIMITED
+        assert refused.not_run and not refused.has_arrived
+        assert 0.3 < refused.retry_s <= 0.5
+        assert fixture.most_running == 1
+
+    _run(scenario)
+
+
+def test_calls_waiting_for_the_limit_run_as_soon_as_it_ends():
+    async def scenario(fixture: _TargetFixture) -> None:
+        fixture.answer_headers = b"Limit: 0.5\r\n"
+        fixture.release.set()
+        fixture.announce()
+        await fixture.target.run(fakes.call())
+        await fixture.target.run(fakes.call())
+        fixture.answer_headers = b""
+        started = asyncio.get_running_loop().time()
+        outcomes = await asyncio.gather(
+            *(fixture.target.run(fakes.call()) for _ in range(2))
+        )
+        waited_s = asyncio.get_running_loop().time() - started
+        assert all(outcome.result.body == b"x" for outcome in outcomes)
+        # The first of them waits for its token, the other one for its answer.
+        assert 1.5 < waited_s < 3.5
+
+    _run(scenario)
+
+
+def test_limit_of_an_earlier_process_does_not_apply_to_the_next_one():
+    async def scenario(fixture: _TargetFixture) -> None:
+        fixture.answer_headers = b"Limit: 1\r\n"
+        fixture.release.set()
+        fixture.announce()
+        await fixture.target.run(fakes.call())
+        await fixture.target.run(fakes.call())
+        fixture.answer_headers = b""
+        fixture.announce(instance_id="i-2")
+        outcome = await fixture.target.run(_hurried_call())
+        assert outcome.result.body == b"x"
+
+    _run(scenario)
+
+
 def _hurried_call() -> calls.Call:
     """Return a call that is late after a tenth of a second."""
     late_at = asyncio.get_running_loop().time() + 0.1
--- a/trefoilwind/emulator/world.py
+++ b/trefoilwind/emulator/world.py
@@ -469,7 +469,7 @@
             return
         server.is_check_scheduled = True
         self._events.call_later(
-            target.OVERDUE_CHECK_S, lambda: self._refuse_overdue(server)
+            target.QUEUE_CHECK_S, lambda: self._refuse_overdue(server)
         )
 
     def _refuse_overdue(self, server: _Server) -> None:
--- a/trefoilwind/errors.py
+++ b/trefoilwind/errors.py
@@ -44,6 +44,7 @@
     NO_ROUTE = "no-route"
     NO_BACKEND = "no-backend-server"
     OVERLOADED = "overloaded"
+    RATE_LIMITED = "rate-limited"
     DEADLINE_EXCEEDED = "deadline-exceeded"
     CANCELLED = "cancelled"
     DRAINING = "draining"
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -40,6 +40,10 @@
     {errors.Reason.DEADLINE_EXCEEDED, errors.Reason.POISON_REQUEST}
 )
 
+_CAPACITY_REASONS = frozenset(
+    {errors.Reason.OVERLOADED, errors.Reason.RATE_LIMITED}
+)
+
 Run = Callable[[str, calls.Call], Awaitable[calls.Outcome]]
 
 
@@ -277,9 +281,9 @@
 
 
 def _was_overloaded(result: calls.Result | None) -> bool:
-    """Return True if a node refused the call because of overload."""
+    """Return True if a node refused the call for lack of capacity."""
     is_error = isinstance(result, errors.CallError)
-    return is_error and result.reason is errors.Reason.OVERLOADED
+    return is_error and result.reason in _CAPACITY_REASONS
 
 
 def _record_attempt(
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -26,6 +26,7 @@
 _TRANSIENT_REASONS = frozenset(
     {
         errors.Reason.OVERLOADED,
+        errors.Reason.RATE_LIMITED,
         errors.Reason.DEADLINE_EXCEEDED,
         errors.Reason.CANCELLED,
         errors.Reason.BACKEND_FAILED,
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -21,8 +21,8 @@
 logger = logging.getLogger(__name__)
 
 _STEP = "target.admit"
-# Seconds between checks for queued calls that can no longer end in time.
-OVERDUE_CHECK_S = 0.02
+# Seconds between checks for queued calls that may start or are overdue.
+QUEUE_CHECK_S = 0.02
 # Idle connections kept in addition to one per slot.
 SPARE_IDLE_CONNECTIONS = 4
 # Seconds after an interrupted call by which the port of a dead backend server
@@ -64,7 +64,7 @@
         self._noticed_at = self._loop.time()
         self._ticket_numbers = itertools.count(1)
         self._waiters: dict[int, asyncio.Future[bool]] = {}
-        self._overdue_timer: asyncio.TimerHandle | None = None
+        self._queue_timer: asyncio.TimerHandle | None = None
         self._running_ids: collections.Counter[bytes] = collections.Counter()
         self._interrupted_calls: list[calls.Call] = []
         self._death_check: asyncio.Task | None = None
@@ -222,7 +222,7 @@
         """Wait for a slot; return False if the queued call is refused."""
         waiter = self._loop.create_future()
         self._waiters[ticket.number] = waiter
-        self._schedule_overdue_check()
+        self._schedule_queue_check()
         try:
             return await waiter
         except asyncio.CancelledError:
@@ -337,6 +337,7 @@
         )
         self._sent = 0
         self._noticed_at = now
+        self._apply_change(self._queue.set_rate_limit(notice.limit_per_s, now))
 
     def _handle_call_failure(
         self, call: calls.Call, error: errors.CallError
@@ -398,23 +399,28 @@
         for ticket in self._queue.clear():
             self._resolve(ticket, False)
 
-    def _schedule_overdue_check(self) -> None:
-        if self._overdue_timer is None:
-            self._overdue_timer = self._loop.call_later(
-                OVERDUE_CHECK_S, self._refuse_overdue
+    def _schedule_queue_check(self) -> None:
+        if self._queue_timer is None:
+            self._queue_timer = self._loop.call_later(
+                QUEUE_CHECK_S, self._check_queue
             )
 
-    def _refuse_overdue(self) -> None:
-        self._overdue_timer = None
-        self._apply_change(self._queue.refuse_overdue(self._now()))
+    def _check_queue(self) -> None:
+        self._queue_timer = None
+        now = self._now()
+        self._apply_change(self._queue.advance(now))
+        self._apply_change(self._queue.refuse_overdue(now))
         if self._waiters:
-            self._schedule_overdue_check()
+            self._schedule_queue_check()
 
     def _overloaded(self, retry_s: float) -> calls.Outcome:
         if self._is_draining or self._is_leaving:
             return calls.Outcome(self._refusal(errors.Reason.DRAINING))
+        reason = errors.Reason.OVERLOADED
+        if self._queue.is_rate_limited:
+            reason = errors.Reason.RATE_LIMITED
         error = errors.CallError(
-            errors.Reason.OVERLOADED,
+            reason,
             _STEP,
             self._node_id,
             not_run=True,
--- a/trefoilwind/routing/call_queue.py
+++ b/trefoilwind/routing/call_queue.py
@@ -4,15 +4,19 @@
 server has slots. The calls have different ranks and lose value once their
 target latency has passed. A call that cannot end in time is refused on arrival,
 while a retry still helps its caller. A call that a running call waits for goes
-first, as the running call holds a slot in the meantime.
+first, as the running call holds a slot in the meantime. A backend server that
+limits the rate of its calls delays them in the same queue.
 
 Performs no I/O and reads no clock; the time is passed in.
 """
 
 import bisect
 import dataclasses
+import math
 import operator
 
+from trefoilwind.routing import rate_limit
+
 # Weight of a new sample in the average service time.
 _SAMPLE_WEIGHT = 0.1
 # Service time in seconds assumed before any call was measured.
@@ -105,6 +109,8 @@
         self._mean_s_by_kind: dict[str, float] = {}
         self._wait_factors: dict[str, float] = {}
         self._mean_s = INITIAL_SERVICE_S
+        # None while the rate of calls is not limited.
+        self._bucket: rate_limit.TokenBucket | None = None
 
     @property
     def slots(self) -> int:
@@ -121,14 +127,35 @@
         """Number of calls that hold a slot or wait for one."""
         return self._running + len(self._waiting)
 
+    @property
+    def is_rate_limited(self) -> bool:
+        """True if a new call has to wait for the rate limit."""
+        return self._rate_wait_s(len(self._waiting)) > 0.0
+
+    def set_rate_limit(self, limit_per_s: float, now: float) -> QueueChange:
+        """Limit the calls that start per second.
+
+        Args:
+            limit_per_s: Calls per second; infinity for no limit.
+            now: Monotonic time in seconds.
+        """
+        if math.isinf(limit_per_s):
+            self._bucket = None
+        elif self._bucket is None:
+            self._bucket = rate_limit.full(limit_per_s, now)
+        else:
+            self._bucket = self._bucket.with_rate(limit_per_s, now)
+        return self.advance(now)
+
     def set_slots(self, slots: int) -> None:
         """Change the number of slots; running calls are not affected."""
         self._slots = max(1, slots)
 
     def submit(self, ticket: Ticket, now: float) -> Verdict:
         """Start, queue or refuse a new call."""
-        if self._running < self._slots and not self._waiting:
-            self._running += 1
+        self._refill(now)
+        if self._may_start() and not self._waiting:
+            self._start()
             return Started()
         ahead = self._index(ticket)
         wait_factor = self._wait_factors.get(ticket.kind, MIN_WAIT_FACTOR)
@@ -141,7 +168,8 @@
 
     def expected_wait_s(self, ahead: int) -> float:
         """Return the expected wait in seconds behind `ahead` waiting calls."""
-        return (ahead + 1) * self._mean_s / self._slots
+        slot_wait_s = (ahead + 1) * self._mean_s / self._slots
+        return max(slot_wait_s, self._rate_wait_s(ahead))
 
     def retry_s(self) -> float:
         """Return the retry delay in seconds: the bounded expected wait."""
@@ -164,27 +192,29 @@
 
     def advance(self, now: float) -> QueueChange:
         """Start waiting calls while slots are free; refuse overdue ones."""
+        self._refill(now)
         started = []
         refused = []
-        while self._waiting and self._running < self._slots:
+        while self._waiting and self._may_start():
             ticket = self._waiting.pop(0)
             if now + self._expected_service_s(ticket.kind) > ticket.deadline:
                 refused.append(ticket)
                 continue
-            self._running += 1
+            self._start()
             started.append(ticket)
         return QueueChange(tuple(started), tuple(refused))
 
     def refuse_overdue(self, now: float) -> QueueChange:
         """Remove and refuse the calls that can no longer end in time."""
-        refused = tuple(
-            ticket
-            for ticket in self._waiting
-            if now + self._expected_service_s(ticket.kind) > ticket.deadline
-        )
-        for ticket in refused:
-            self.remove(ticket)
-        return QueueChange(refused=refused)
+        self._refill(now)
+        kept: list[Ticket] = []
+        refused = []
+        for ticket in self._waiting:
+            start = now + self._rate_wait_s(len(kept))
+            end = start + self._expected_service_s(ticket.kind)
+            (refused if end > ticket.deadline else kept).append(ticket)
+        self._waiting = kept
+        return QueueChange(refused=tuple(refused))
 
     def remove(self, ticket: Ticket) -> bool:
         """Remove a waiting call; return False if it is not queued."""
@@ -200,6 +230,22 @@
         self._waiting.clear()
         return waiting
 
+    def _refill(self, now: float) -> None:
+        if self._bucket is not None:
+            self._bucket = self._bucket.refilled(now)
+
+    def _may_start(self) -> bool:
+        has_token = self._bucket is None or self._bucket.may_start
+        return has_token and self._running < self._slots
+
+    def _start(self) -> None:
+        self._running += 1
+        if self._bucket is not None:
+            self._bucket = self._bucket.taken()
+
+    def _rate_wait_s(self, ahead: int) -> float:
+        return 0.0 if self._bucket is None else self._bucket.wait_s(ahead)
+
     def _index(self, ticket: Ticket) -> int:
         return bisect.bisect_left(
             self._waiting, ticket.order, key=operator.attrgetter("order")
