Keep the limit of a backend server over a restart of its node

A node that restarts knew the limit of its backend server again only after its first answers; until then the slots filled at once. The other nodes had passed the limit on to their callers and count on.

An entry node keeps the latest notice in the answers of each backend server and repeats it to the node beside it when it connects, before any call. The node uses it until the first answer of that process, which is newer; of several entry nodes the stricter one counts. Notices name the process, so one that was replaced meanwhile is not limited.

--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -57,6 +57,8 @@
         self.name = name
         self.status = status
         self.ran: list[bytes] = []
+        # Headers of its answers, as lines.
+        self.headers = b""
         self.server = fakes.RawServer(self._serve)
 
     async def _serve(self, reader, writer):
@@ -64,8 +66,13 @@
             head = await fakes.read_head(reader)
             self.ran.append(head)
             writer.write(
-                b"HTTP/1.1 %d X\r\nId: 1\r\nContent-Length: %d\r\n\r\n%b"
-                % (self.status, len(self.name), self.name.encode())
+                b"HTTP/1.1 %d X\r\nId: 1\r\n%bContent-Length: %d\r\n\r\n%b"
+                % (
+                    self.status,
+                    self.headers,
+                    len(self.name),
+                    self.name.encode(),
+                )
             )
             await writer.drain()
 
@@ -193,12 +200,14 @@
         await asyncio.sleep(0.01)
 
 
-async def _request(node: node_lib.MeshNode, path: str = "/a/1") -> bytes:
+async def _request(
+    node: node_lib.MeshNode, path: str = "/a/1", headers: bytes = b""
+) -> bytes:
     address = node.settings.caller_address
     reader, writer = await asyncio.open_connection(address.host, address.port)
     writer.write(
         b"GET %b HTTP/1.1\r\nHost: a.example\r\nId: 1\r\n"
-        b"Connection: close\r\n\r\n" % path.encode()
+        b"%bConnection: close\r\n\r\n" % (path.encode(), headers)
     )
     answer = await reader.read()
     writer.close()
@@ -266,6 +275,50 @@
     _run(scenario)
 
 
+async def _add_entry_and_target(
+    cluster: _Cluster,
+) -> tuple[node_lib.MeshNode, node_lib.MeshNode]:
+    """Start two nodes, the first of which has no usable backend server."""
+    await cluster.write("config", "config 3")
+    entry = await cluster.add("n1")
+    target = await cluster.add("n2")
+    await _until(lambda: _has_members(entry, 2) and _has_members(target, 2))
+    await _until(lambda: entry.is_ready and entry.is_connected("n2"))
+    entry.withdraw()
+    return entry, target
+
+
+async def _restart_target(
+    cluster: _Cluster, entry: node_lib.MeshNode, target: node_lib.MeshNode
+) -> node_lib.MeshNode:
+    """Restart the node beside the second backend server."""
+    target.abort()
+    await _until(lambda: not entry.is_connected("n2"))
+    again = await cluster.start_node("n2", cluster.backends[1])
+    await _until(lambda: entry.is_connected("n2") and again.is_ready)
+    return again
+
+
+def test_limit_of_a_backend_server_survives_a_restart_of_its_node():
+    async def scenario(cluster: _Cluster) -> None:
+        entry, target = await _add_entry_and_target(cluster)
+        backend = cluster.backends[1]
+        backend.headers = b"Limit: 0.5\r\n"
+        assert (await _request(entry)).endswith(b"n2")
+        await _restart_target(cluster, entry, target)
+        backend.ran.clear()
+        hurried = [_request(entry, headers=b"Wait: 1\r\n") for _ in range(4)]
+        answers = await asyncio.gather(*hurried)
+        assert len(backend.ran) == 1
+        refused = [each for each in answers if not each.endswith(b"n2")]
+        assert len(refused) == 3
+        for answer in refused:
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert b"\r\nRetry-After: " in answer
+
+    _run(scenario)
+
+
 def test_older_configuration_is_ignored():
     async def scenario(cluster: _Cluster) -> None:
         node = await cluster.add("n1")
--- a/tests/test_gateway/test_gateway_target.py
+++ b/tests/test_gateway/test_gateway_target.py
@@ -1,6 +1,7 @@
 """Tests of the target node: slots, admission, deaths of backend servers."""
 
 import asyncio
+import math
 
 import uvloop
 
@@ -279,6 +280,49 @@
     _run(scenario)
 
 
+def test_limit_reported_by_a_peer_applies_until_the_first_answer():
+    async def scenario(fixture: _TargetFixture) -> None:
+        fixture.release.set()
+        process = ("i-1", 0)
+        fixture.target.apply_notice_of_peer(process, mesh.ServerNotice(2.0))
+        fixture.target.apply_notice_of_peer(process, mesh.ServerNotice(9.0))
+        fixture.target.apply_notice_of_peer(("i-0", 0), mesh.ServerNotice(1.0))
+        fixture.announce()
+        assert fixture.target.limit_per_s == 2.0
+        await fixture.target.run(fakes.call())
+        assert fixture.target.limit_per_s == math.inf
+        fixture.target.apply_notice_of_peer(process, mesh.ServerNotice(2.0))
+        assert fixture.target.limit_per_s == math.inf
+
+    _run(scenario)
+
+
+def test_limit_reported_after_the_announcement_applies_to_the_first_call():
+    async def scenario(fixture: _TargetFixture) -> None:
+        fixture.announce()
+        fixture.target.apply_notice_of_peer(("i-1", 0), mesh.ServerNotice(2.0))
+        running = asyncio.create_task(fixture.target.run(fakes.call()))
+        await fixture.started.wait()
+        refused = (await fixture.target.run(_hurried_call())).result
+        assert refused.reason is errors.Reason.RATE_LIMITED
+        fixture.release.set()
+        assert (await running).result.body == b"x"
+
+    _run(scenario)
+
+
+def test_notices_of_unknown_processes_are_bounded():
+    async def scenario(fixture: _TargetFixture) -> None:
+        for number in range(3 * target_lib.MAX_NOTICES_OF_PEERS):
+            fixture.target.apply_notice_of_peer(
+                (f"i-{number}", 0), mesh.ServerNotice(1.0)
+            )
+        fixture.announce(instance_id="i-0")
+        assert fixture.target.limit_per_s == math.inf
+
+    _run(scenario)
+
+
 def _hurried_call() -> calls.Call:
     """Return a call that is late after a tenth of a second."""
     late_at = asyncio.get_running_loop().time() + 0.1
--- a/trefoilwind/gateway/control_messages.py
+++ b/trefoilwind/gateway/control_messages.py
@@ -1,9 +1,11 @@
 """Control messages between nodes on the event-loop path."""
 
 import dataclasses
+import math
 
 from trefoilwind import codec
 from trefoilwind.model import members
+from trefoilwind.model import mesh
 
 
 @codec.message("mesh.member")
@@ -14,6 +16,33 @@
     member: members.Member
 
 
+@codec.message("mesh.server_notice")
+@dataclasses.dataclass(frozen=True)
+class ServerNoticeSeen:
+    """Notice of the receiver's backend server, as seen in its answers.
+
+    Attributes:
+        instance_id: Id of the backend server's process.
+        started_ms: Wall clock in milliseconds at its start.
+        limit_per_s: Limit in its latest answer, in calls per second; negative
+            if there was none.
+        is_leaving: True if it said that it is leaving.
+    """
+
+    instance_id: str
+    started_ms: int
+    limit_per_s: float
+    is_leaving: bool
+
+    @property
+    def notice(self) -> mesh.ServerNotice:
+        """The notice."""
+        is_limited = self.limit_per_s >= 0.0
+        return mesh.ServerNotice(
+            self.limit_per_s if is_limited else math.inf, self.is_leaving
+        )
+
+
 @codec.message("mesh.stable")
 @dataclasses.dataclass(frozen=True)
 class StableVersion:
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -27,6 +27,7 @@
 from trefoilwind.gateway import publisher as publisher_lib
 from trefoilwind.gateway import rollout_manager
 from trefoilwind.gateway import rollouts as rollouts_lib
+from trefoilwind.gateway import server_notices
 from trefoilwind.gateway import stream_calls
 from trefoilwind.gateway import streams
 from trefoilwind.gateway import suspect_table
@@ -123,6 +124,8 @@
         self._target = target_lib.Target(
             settings.node_id, headers, self._suspects, self._counts
         )
+        self._headers = headers
+        self._notices = server_notices.ServerNotices()
         self._remote = stream_calls.RemoteCalls()
         self._incoming = stream_calls.IncomingCalls(
             self._target.run, lambda: self._limits().max_body_bytes
@@ -363,8 +366,15 @@
     async def _run(self, node_id: str, call: calls.Call) -> calls.Outcome:
         outcome = await self._run_at(node_id, call)
         self._rollouts.control.observe(node_id, call, outcome)
+        self._record_notice(node_id, outcome)
         return outcome
 
+    def _record_notice(self, node_id: str, outcome: calls.Outcome) -> None:
+        member = self._board.members.value.by_node.get(node_id)
+        is_answer = isinstance(outcome.result, http_types.HttpAnswer)
+        if member is not None and is_answer:
+            self._notices.record(member, self._headers.notice(outcome.result))
+
     async def _run_at(self, node_id: str, call: calls.Call) -> calls.Outcome:
         if node_id == self._settings.node_id:
             return await self._target.run(call)
@@ -385,6 +395,9 @@
             known = self._suspects.full_update()
             if known.entries:
                 stream.send(peers_lib.control_frame(known))
+            notice = self._notices.message(stream.peer)
+            if notice is not None:
+                stream.send(peers_lib.control_frame(notice))
 
     def _closed(self, stream: streams.Stream) -> None:
         logger.info("peers: stream with %s closed", stream.peer)
@@ -417,6 +430,10 @@
             self._rollouts.control.merge_evidence(message)
         elif isinstance(message, suspect_messages.SuspectUpdate):
             self._suspects.merge(message)
+        elif isinstance(message, control_messages.ServerNoticeSeen):
+            self._target.apply_notice_of_peer(
+                (message.instance_id, message.started_ms), message.notice
+            )
         elif isinstance(message, operator_records.RecordMessage):
             self._operator_records.handle_message(stream, message)
 
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -28,6 +28,8 @@
 # Seconds after an interrupted call by which the port of a dead backend server
 # is certainly closed.
 DEATH_CHECK_DELAY_S = 0.02
+# Processes of which notices are kept until one of them is announced.
+MAX_NOTICES_OF_PEERS = 8
 # Smallest remaining time in seconds with which a call is sent to the backend
 # server.
 MIN_REMAINING_S = 0.005
@@ -60,6 +62,10 @@
         self._failures = failures.FailureShare()
         self._mean_time = service_time.MeanTime()
         self._notice = mesh.ServerNotice()
+        # True once the running backend server has answered a call.
+        self._has_answered = False
+        # Notices of processes that have not been announced yet, from peers.
+        self._notices_of_peers: dict[tuple[str, int], mesh.ServerNotice] = {}
         self._sent = 0
         self._noticed_at = self._loop.time()
         self._ticket_numbers = itertools.count(1)
@@ -127,13 +133,36 @@
             self._unreachable_until = 0.0
             self._failures = failures.FailureShare()
             self._mean_time = service_time.MeanTime()
-            self._apply_notice(mesh.ServerNotice())
+            self._has_answered = False
+            notice = self._notices_of_peers.pop(
+                server.process, mesh.ServerNotice()
+            )
+            self._apply_notice(notice)
             max_idle = server.slots + SPARE_IDLE_CONNECTIONS
             self._client = http_client.HttpClient(server.address, max_idle)
         self._queue.set_slots(server.slots)
         if server.is_leaving:
             self._refuse_waiting()
 
+    def apply_notice_of_peer(
+        self, process: tuple[str, int], notice: mesh.ServerNotice
+    ) -> None:
+        """Apply a notice that a peer saw before this node started.
+
+        Args:
+            process: Process of the backend server that gave it.
+            notice: The notice. An answer of the process to this node
+                overrides it.
+        """
+        server = self._server
+        if server is None or server.process != process:
+            known = self._notices_of_peers
+            known[process] = notice.or_stricter(known.get(process))
+            if len(known) > MAX_NOTICES_OF_PEERS:
+                del known[next(iter(known))]
+        elif not self._has_answered:
+            self._apply_notice(notice.or_stricter(self._notice))
+
     def drain(self) -> None:
         """Refuse new and queued calls; running calls continue."""
         self._is_draining = True
@@ -295,6 +324,7 @@
         if reason is not errors.Reason.BACKEND_CHANGED and (
             self._is_current(server)
         ):
+            self._has_answered = True
             self._apply_notice(self._headers.notice(result))
         if reason is None:
             self._suspects.clear(call)
--- a/trefoilwind/model/members.py
+++ b/trefoilwind/model/members.py
@@ -61,6 +61,11 @@
         """Key that orders the members announced by one node."""
         return (self.incarnation, self.sequence)
 
+    @property
+    def process(self) -> tuple[str, int]:
+        """Key of the backend server's process."""
+        return (self.instance_id, self.started_ms)
+
     def half(self, configuration: configuration_lib.Configuration) -> str:
         """Return the owner by the first matching rule, or the empty string."""
         for rule in configuration.ownership:
--- a/trefoilwind/model/mesh.py
+++ b/trefoilwind/model/mesh.py
@@ -173,3 +173,22 @@
 
     limit_per_s: float = math.inf
     is_leaving: bool = False
+
+    def or_stricter(self, other: "ServerNotice | None") -> "ServerNotice":
+        """Return the notice with the stricter values of both."""
+        if other is None:
+            return self
+        return ServerNotice(
+            min(self.limit_per_s, other.limit_per_s),
+            self.is_leaving or other.is_leaving,
+        )
+
+    def followed_by(self, later: "ServerNotice") -> "ServerNotice":
+        """Return the notice after a later one of the same process.
+
+        A limit ends with the first answer that does not name it; a process
+        that is leaving does not stay.
+        """
+        return ServerNotice(
+            later.limit_per_s, self.is_leaving or later.is_leaving
+        )
