Place calls by the wait for a backend server's limit

A target node now reports a load that delays a call as long as its rate limit does, in the field for the occupied slots; without a limit it is what it was. So entry nodes weigh that wait against the path to another data centre or region, and a refused call crosses regions only for a server that is below its limit. Older nodes understand the field.

--- a/tests/test_gateway/test_gateway_target.py
+++ b/tests/test_gateway/test_gateway_target.py
@@ -236,10 +236,13 @@
         fixture.announce()
         await fixture.target.run(fakes.call())
         await fixture.target.run(fakes.call())
-        refused = (await fixture.target.run(_hurried_call())).result
+        outcome = await fixture.target.run(_hurried_call())
+        refused = outcome.result
         assert refused.reason is errors.Reason.RATE_LIMITED
         assert refused.not_run and not refused.has_arrived
         assert 0.3 < refused.retry_s <= 0.5
+        assert outcome.occupied > fixture.target.slots
+        assert fixture.target.occupied == 0
         assert fixture.most_running == 1
 
     _run(scenario)
--- a/tests/test_routing/test_routing_rate_limit.py
+++ b/tests/test_routing/test_routing_rate_limit.py
@@ -120,3 +120,14 @@
     change = queue.set_rate_limit(math.inf, 0.1)
     assert change.started == tuple(tickets[1:])
     assert not queue.is_rate_limited
+
+
+def test_load_is_that_of_slots_which_delay_a_call_as_long_as_the_limit():
+    queue = call_queue.CallQueue(10)
+    assert queue.load == 0
+    queue.set_rate_limit(2.0, 0.0)
+    queue.submit(_ticket(1), 0.0)
+    # Calls take `INITIAL_SERVICE_S`, so 100 of them would take 0.5 s.
+    assert queue.load == 9 + 0.5 * 10 / call_queue.INITIAL_SERVICE_S
+    queue.set_rate_limit(math.inf, 0.1)
+    assert queue.load == queue.occupied == 1
--- a/trefoilwind/gateway/calls.py
+++ b/trefoilwind/gateway/calls.py
@@ -105,7 +105,8 @@
         result: Answer of the backend server, or an error.
         served_s: Seconds that the backend server took; negative if unknown.
         occupied: Calls running or queued at the backend server after this
-            attempt; negative if unknown.
+            attempt, or the number that would delay a call as long as its rate
+            limit does; negative if unknown.
         failure_share: Share of the backend server's recent calls that failed,
             as measured by the target node.
         mean_s: Average time in seconds of the backend server's calls, as
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -144,7 +144,7 @@
             own,
             self._board,
             self.is_connected,
-            lambda: self._target.occupied,
+            lambda: self._target.load,
             self._random.random,
         )
         self._budget = shared_budget.SharedBudget(settings.budget)
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -111,6 +111,11 @@
         """Calls per second that the backend server accepts, or infinity."""
         return self._notice.limit_per_s
 
+    @property
+    def load(self) -> int:
+        """Calls that run or wait; more while a limit delays calls longer."""
+        return self._queue.load
+
     def is_running(self, request_id: bytes) -> bool:
         """Return True if a request with this id runs at the backend server."""
         return request_id in self._running_ids
@@ -183,7 +188,7 @@
         if refusal is None and self._now() >= call.deadline:
             refusal = self._refusal(errors.Reason.DEADLINE_EXCEEDED)
         if refusal is not None:
-            return calls.Outcome(refusal, occupied=self.occupied)
+            return calls.Outcome(refusal, occupied=self.load)
         ticket = call_queue.Ticket(
             next(self._ticket_numbers),
             call.route_name,
@@ -279,7 +284,7 @@
         self._record_result(result, held_s)
         share = self._failures.current(self._now())
         mean_s = self._mean_time.seconds
-        return calls.Outcome(result, held_s, self.occupied, share, mean_s)
+        return calls.Outcome(result, held_s, self.load, share, mean_s)
 
     def _record_result(self, result: calls.Result, held_s: float) -> None:
         has_failed = calls.was_shed(result) or calls.has_failed(result)
@@ -456,7 +461,7 @@
             not_run=True,
             retry_s=retry_s,
         )
-        return calls.Outcome(error, occupied=self.occupied)
+        return calls.Outcome(error, occupied=self.load)
 
     def _refusal(
         self, reason: errors.Reason, detail: str = ""
--- a/trefoilwind/routing/call_queue.py
+++ b/trefoilwind/routing/call_queue.py
@@ -127,6 +127,18 @@
         """Number of calls that hold a slot or wait for one."""
         return self._running + len(self._waiting)
 
+    @property
+    def load(self) -> int:
+        """Number of occupied slots and waiting calls that delays a call alike.
+
+        The same as `occupied`, unless the rate limit delays calls for longer.
+        """
+        rate_wait_s = self._rate_wait_s(len(self._waiting))
+        if rate_wait_s <= 0.0:
+            return self.occupied
+        excess = math.ceil(rate_wait_s * self._slots / self._mean_s)
+        return max(self.occupied, self._slots - 1 + excess)
+
     @property
     def is_rate_limited(self) -> bool:
         """True if a new call has to wait for the rate limit."""
