Send no more calls to a backend server that says it is leaving

A backend server that leaves says so in all its answers, and no machine that has passed such an answer on may send it calls drain_s later. Only heartbeats were read: two new tests get 200 from a server after such an answer, one of them after its node restarted and took a late heartbeat for the truth.

The target node now treats such an answer like the acknowledgement of a drain: queued calls are refused as not run, the member record says that the server has left, and a later heartbeat of the same process does not undo it. Entry nodes keep which process said so, send it nothing more, and repeat it to its node, like a limit, so that it holds where that node restarts.

--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -319,6 +319,43 @@
     _run(scenario)
 
 
+def test_backend_server_that_says_that_it_is_leaving_gets_no_more_calls():
+    async def scenario(cluster: _Cluster) -> None:
+        entry, target = await _add_entry_and_target(cluster)
+        backend = cluster.backends[1]
+        backend.headers = b"Leaving: 1\r\n"
+        assert (await _request(entry)).endswith(b"n2")
+        backend.headers = b""
+        for node in (entry, target):
+            assert (await _request(node)).startswith(b"HTTP/1.1 503")
+        assert len(backend.ran) == 1
+        announce(target, backend, "v1")
+        assert (await _request(target)).startswith(b"HTTP/1.1 503")
+        await _until(lambda: _has_members(entry, 0))
+
+    _run(scenario)
+
+
+def test_leaving_backend_server_stays_so_for_entry_nodes_if_its_node_forgets():
+    async def scenario(cluster: _Cluster) -> None:
+        entry, target = await _add_entry_and_target(cluster)
+        backend = cluster.backends[1]
+        backend.headers = b"Leaving: 1\r\n"
+        assert (await _request(entry)).endswith(b"n2")
+        backend.headers = b""
+        target.abort()
+        await _until(lambda: not entry.is_connected("n2"))
+        # The server's heartbeat arrives before the member record is read.
+        again = await cluster.start_node("n2", backend)
+        announce(again, backend, "v1")
+        await _until(lambda: entry.is_connected("n2") and again.is_ready)
+        for node in (entry, again):
+            assert (await _request(node)).startswith(b"HTTP/1.1 503")
+        assert len(backend.ran) == 1
+
+    _run(scenario)
+
+
 def test_older_configuration_is_ignored():
     async def scenario(cluster: _Cluster) -> None:
         node = await cluster.add("n1")
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -122,7 +122,11 @@
             self._loop.time, self._send_suspects
         )
         self._target = target_lib.Target(
-            settings.node_id, headers, self._suspects, self._counts
+            settings.node_id,
+            headers,
+            self._suspects,
+            self._counts,
+            self.withdraw,
         )
         self._headers = headers
         self._notices = server_notices.ServerNotices()
@@ -143,7 +147,7 @@
         self._picker = picker_lib.Picker(
             own,
             self._board,
-            self.is_connected,
+            self._may_call,
             lambda: self._target.load,
             self._random.random,
         )
@@ -247,6 +251,12 @@
         stream = self._peers.dialed(node_id)
         return stream is not None and not stream.is_unresponsive
 
+    def _may_call(self, node_id: str) -> bool:
+        """Return True if a call may be sent to a node."""
+        member = self._board.members.value.by_node.get(node_id)
+        has_left = member is not None and self._notices.has_left(member)
+        return not has_left and self.is_connected(node_id)
+
     async def start(self) -> errors.Error | None:
         """Open the listening sockets and start all tasks."""
         settings = self._settings
@@ -329,7 +339,7 @@
         self._target.set_server(server)
         if self._board.is_draining.value:
             return
-        if self._members.set_server(server):
+        if self._members.set_server(self._target.server):
             self._announce_own_member()
 
     def withdraw(self) -> None:
@@ -364,17 +374,15 @@
         return await self._entry.serve(request)
 
     async def _run(self, node_id: str, call: calls.Call) -> calls.Outcome:
+        # The process that runs the call, not one that replaces it meanwhile.
+        member = self._board.members.value.by_node.get(node_id)
         outcome = await self._run_at(node_id, call)
         self._rollouts.control.observe(node_id, call, outcome)
-        self._record_notice(node_id, outcome)
+        result = outcome.result
+        if member is not None and isinstance(result, http_types.HttpAnswer):
+            self._notices.record(member, self._headers.notice(result))
         return outcome
 
-    def _record_notice(self, node_id: str, outcome: calls.Outcome) -> None:
-        member = self._board.members.value.by_node.get(node_id)
-        is_answer = isinstance(outcome.result, http_types.HttpAnswer)
-        if member is not None and is_answer:
-            self._notices.record(member, self._headers.notice(outcome.result))
-
     async def _run_at(self, node_id: str, call: calls.Call) -> calls.Outcome:
         if node_id == self._settings.node_id:
             return await self._target.run(call)
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
+import dataclasses
 import itertools
 import logging
 import math
@@ -47,8 +49,20 @@
         headers: calls.HeaderPort,
         suspects: suspect_table.SuspectTable,
         counts: counts_lib.MeshCounts,
+        on_leaving: Callable[[], None] = lambda: None,
     ):
+        """Initialize the target node's part without a backend server.
+
+        Args:
+            node_id: Id of this node.
+            headers: Header functions of the platform.
+            suspects: Table of the requests that crash backend servers.
+            counts: Counters of the node.
+            on_leaving: Called when the backend server says in an answer that
+                it is leaving.
+        """
         self._node_id = node_id
+        self._on_leaving = on_leaving
         self._headers = headers
         self._suspects = suspects
         self._counts = counts
@@ -121,34 +135,44 @@
         return request_id in self._running_ids
 
     def set_server(self, server: mesh.BackendServer | None) -> None:
-        """Apply an announcement of the backend server; None if unknown."""
+        """Apply an announcement of the backend server; None if unknown.
+
+        A process that said in an answer that it is leaving does not become
+        ready again.
+        """
         old = self._server
         self._server = server
         if server is None:
             self._client = None
             self._refuse_waiting()
             return
-        self._is_leaving = server.is_leaving
         is_new = (
             old is None
             or old.address != server.address
             or old.process != server.process
         )
         if is_new:
-            self._unreachable_until = 0.0
-            self._failures = failures.FailureShare()
-            self._mean_time = service_time.MeanTime()
-            self._has_answered = False
-            notice = self._notices_of_peers.pop(
-                server.process, mesh.ServerNotice()
-            )
-            self._apply_notice(notice)
-            max_idle = server.slots + SPARE_IDLE_CONNECTIONS
-            self._client = http_client.HttpClient(server.address, max_idle)
+            self._reset(server)
+        if self._notice.is_leaving and not server.is_leaving:
+            self._server = dataclasses.replace(server, is_leaving=True)
+        self._is_leaving = self._server.is_leaving
         self._queue.set_slots(server.slots)
-        if server.is_leaving:
+        if self._is_leaving:
             self._refuse_waiting()
 
+    def _reset(self, server: mesh.BackendServer) -> None:
+        """Start without any knowledge of a new process but that of peers."""
+        self._unreachable_until = 0.0
+        self._failures = failures.FailureShare()
+        self._mean_time = service_time.MeanTime()
+        self._has_answered = False
+        max_idle = server.slots + SPARE_IDLE_CONNECTIONS
+        self._client = http_client.HttpClient(server.address, max_idle)
+        no_notice = mesh.ServerNotice()
+        self._apply_notice(
+            self._notices_of_peers.pop(server.process, no_notice)
+        )
+
     def apply_notice_of_peer(
         self, process: tuple[str, int], notice: mesh.ServerNotice
     ) -> None:
@@ -166,7 +190,7 @@
             if len(known) > MAX_NOTICES_OF_PEERS:
                 del known[next(iter(known))]
         elif not self._has_answered:
-            self._apply_notice(notice.or_stricter(self._notice))
+            self._handle_notice(notice.or_stricter(self._notice))
 
     def drain(self) -> None:
         """Refuse new and queued calls; running calls continue."""
@@ -330,7 +354,8 @@
             self._is_current(server)
         ):
             self._has_answered = True
-            self._apply_notice(self._headers.notice(result))
+            notice = self._headers.notice(result)
+            self._handle_notice(self._notice.followed_by(notice))
         if reason is None:
             self._suspects.clear(call)
             return result
@@ -352,6 +377,11 @@
             self._server.process == server.process
         )
 
+    def _handle_notice(self, notice: mesh.ServerNotice) -> None:
+        self._apply_notice(notice)
+        if notice.is_leaving and not self._is_leaving:
+            self._on_leaving()
+
     def _apply_notice(self, notice: mesh.ServerNotice) -> None:
         """Apply what the backend server says about itself in an answer."""
         old = self._notice
--- a/trefoilwind/platform/endpoints.py
+++ b/trefoilwind/platform/endpoints.py
@@ -94,17 +94,14 @@
 
     def _is_current(self, server: mesh.BackendServer) -> bool:
         """Return False for a heartbeat that a newer one superseded."""
-        if (server.instance_id, server.started_ms) in self._deregistered:
+        if server.process in self._deregistered:
             return False
         current = self._node.server
         if current is None:
             return True
         if server.precedence <= current.precedence:
             return False
-        is_same_process = (
-            current.instance_id == server.instance_id
-            and current.started_ms == server.started_ms
-        )
+        is_same_process = current.process == server.process
         # A process that is leaving does not become ready again.
         return not (
             is_same_process and current.is_leaving and not server.is_leaving
@@ -113,7 +110,7 @@
     def _deregister(self, instance_id: str) -> http_types.HttpAnswer:
         current = self._node.server
         if current is not None and current.instance_id == instance_id:
-            self._deregistered.add((instance_id, current.started_ms))
+            self._deregistered.add(current.process)
             self._node.withdraw()
         return _DONE
 
