Log the era of the store and operator records that are dropped

The logs showed that a configuration was read after a restore, but neither that the store had been restored nor what became of the record. store_restored reports another era in the store's answers, record_dropped a record that counts as older than the stored one though its value differs.

--- a/trefoilwind/gateway/record_sharing.py
+++ b/trefoilwind/gateway/record_sharing.py
@@ -54,6 +54,8 @@
         """Add a record from the store or a peer unless it is outdated."""
         known = self._history.setdefault(record.key, [])
         if known and known[-1].offset >= record.offset:
+            if known[-1].value != record.value:
+                _report_drop(record, known[-1])
             return
         known.append(record)
         del known[:-HISTORY_RECORDS]
@@ -191,6 +193,17 @@
         return _malformed(f"unknown base {record.base_offset}")
 
 
+def _report_drop(record: keyed.KeyedRecord, newer: keyed.KeyedRecord) -> None:
+    decisions.failure(
+        logger,
+        "record_dropped",
+        "records: older than the stored one; dropped",
+        key=record.key,
+        offset=record.offset,
+        stored_offset=newer.offset,
+    )
+
+
 def _unpack_bundle(
     packed: bytes,
 ) -> (
--- a/trefoilwind/platform/store.py
+++ b/trefoilwind/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import dataclasses
 import json
+import logging
 import struct
 from typing import Any
 import urllib.parse
@@ -12,8 +13,11 @@
 from trefoilwind.gateway import http_client
 from trefoilwind.gateway import http_types
 from trefoilwind.log import keyed
+from trefoilwind.logs import decisions
 from trefoilwind.model import addresses
 
+logger = logging.getLogger(__name__)
+
 # Topics with this prefix keep the newest record of each key.
 _KEYED_PREFIX = "keyed."
 OPERATOR_TOPIC = "op"
@@ -22,6 +26,8 @@
 CALL_TIMEOUT_S = 2.0
 # Idle connections kept to the store: one to read each topic, one to write.
 _MAX_IDLE_CONNECTIONS = 4
+# Number of times that the store was restored from a copy, in all its answers.
+_ERA = b"store-era"
 _RECORD_LENGTH = struct.Struct(">I")
 _PAGE_HEADER = struct.Struct(">QQ")
 _MS_PER_S = 1000
@@ -48,6 +54,7 @@
             address, _MAX_IDLE_CONNECTIONS, has_keepalive=True
         )
         self._calls = 0
+        self._era = 0
 
     @property
     def calls(self) -> int:
@@ -131,6 +138,7 @@
         step = f"store.{path.rpartition('/')[2]}"
         if isinstance(answer, errors.CallError):
             return self._connection_error(answer, step)
+        self._note_era(_era(answer))
         if answer.status == _OK:
             return answer
         reason = _REASON_BY_STATUS.get(
@@ -140,6 +148,18 @@
             reason, step, str(self._address), f"status {answer.status}"
         )
 
+    def _note_era(self, era: int) -> None:
+        if era <= self._era:
+            return
+        decisions.failure(
+            logger,
+            "store_restored",
+            "store: era of the store has changed",
+            era=era,
+            old_era=self._era,
+        )
+        self._era = era
+
     def _connection_error(
         self, error: errors.CallError, step: str
     ) -> errors.LogError:
@@ -165,6 +185,12 @@
     has_more: bool
 
 
+def _era(answer: http_types.HttpAnswer) -> int:
+    """Return the era in an answer; 0 if it names none."""
+    text = answer.header(_ERA)
+    return int(text) if text.isdigit() else 0
+
+
 def _encode_record(key: str, value: bytes) -> bytes:
     name = key.encode()
     content = bytes((len(name),)) + name + value
