--- a/tests/test_platform/fakes.py
+++ b/tests/test_platform/fakes.py
@@ -28,6 +28,9 @@
         self.calls: list[str] = []
         self._records: list[tuple[bytes, bytes]] = []
         self._first = 0
+        self._era = 1
+        # Incremented to end the reads that wait.
+        self._interruptions = 0
         self._server = http_server.HttpServer(self._handle, mesh.CallerLimits)
 
     async def start(self) -> addresses.Address:
@@ -40,6 +43,12 @@
         """Remove all records from the readable history."""
         self._first = len(self._records)
 
+    def restore(self, kept: int) -> None:
+        """Return to a copy with the first records only, in a new era."""
+        del self._records[kept:]
+        self._era += 1
+        self._interruptions += 1
+
     async def _handle(
         self, request: http_types.HttpRequest
     ) -> http_types.HttpAnswer:
@@ -50,11 +59,18 @@
         assert fields["part"] == "0"
         status = self.answers.pop(0) if self.answers else 200
         if status not in (0, 200):
-            return http_types.HttpAnswer(status, (), b"{}")
+            return self._in_era(http_types.HttpAnswer(status, (), b"{}"))
+        interruptions = self._interruptions
         answer = await self._execute(path, fields, request.body)
-        if status == 0:
+        if status == 0 or interruptions != self._interruptions:
             raise ConnectionAbortedError
-        return answer
+        return self._in_era(answer)
+
+    def _in_era(self, answer: http_types.HttpAnswer) -> http_types.HttpAnswer:
+        header = (b"Store-Era", b"%d" % self._era)
+        return http_types.HttpAnswer(
+            answer.status, (*answer.headers, header), answer.body
+        )
 
     async def _execute(
         self, path: str, fields: dict[str, str], body: bytes
@@ -96,10 +112,13 @@
 
     async def _read(self, fields: dict[str, str]) -> http_types.HttpAnswer:
         start = int(fields["from"])
-        if start < self._first:
+        if not self._first <= start <= len(self._records):
             return _json(410, {"first_offset": self._first})
         deadline = int(fields["wait_ms"]) / 1000
+        interruptions = self._interruptions
         while len(self._records) <= start and deadline > 0:
+            if interruptions != self._interruptions:
+                break
             await asyncio.sleep(0.01)
             deadline -= 0.01
         data = struct.pack(">QQ", len(self._records), self._first)
