Order the records of a restored store after all earlier ones

Cause: nodes took the offset of a record for its age, and a restored store gives offsets out again, for other records. Evidence: version 16 is read by all 13 nodes within 60 ms and dropped by all, as it has offset 3 like the lost record of version 13 (record_dropped). A test shows the other form: where the topic has grown past the offset that a node has, it reads on from there and never sees the records below.

The store names its era in all answers. Its client now gives out positions, with the era in the bits above the offset, so they only grow, and everything that compares, shares or announces them keeps working, between nodes too. A position of an earlier era is expired for reads, which makes a follower read the newest records, at once, and stale for conditional writes, without a call once the era is known. A conditional write that a new era has accepted counts as stale too, as the node has not read what precedes it. Reads that wait end as soon as any call finds the restore.

--- a/tests/test_platform/fakes.py
+++ b/tests/test_platform/fakes.py
@@ -28,7 +28,7 @@
         self.calls: list[str] = []
         self._records: list[tuple[bytes, bytes]] = []
         self._first = 0
-        self._era = 1
+        self._era = 0
         # Incremented to end the reads that wait.
         self._interruptions = 0
         self._server = http_server.HttpServer(self._handle, mesh.CallerLimits)
@@ -44,10 +44,14 @@
         self._first = len(self._records)
 
     def restore(self, kept: int) -> None:
+        """Return to a copy with the first records, and close connections."""
+        self.restore_silently(kept)
+        self._interruptions += 1
+
+    def restore_silently(self, kept: int) -> None:
         """Return to a copy with the first records only, in a new era."""
         del self._records[kept:]
         self._era += 1
-        self._interruptions += 1
 
     async def _handle(
         self, request: http_types.HttpRequest
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -130,3 +130,58 @@
 
     result = asyncio.run(run())
     assert result.reason is errors.Reason.LOG_UNAVAILABLE
+
+
+def test_offsets_after_a_restore_are_greater_than_all_before():
+    async def scenario(store, server):
+        before = [await store.put("t", "k", b"%d" % n) for n in range(3)]
+        server.restore(kept=1)
+        after = await store.put("t", "k", b"4")
+        assert after > max(before)
+        page = await store.newest("t")
+        assert [record.offset for record in page.records] == [after]
+        assert page.next_offset > after
+
+    _run(scenario)
+
+
+def test_offset_of_an_earlier_era_has_expired_even_if_the_store_has_it():
+    async def scenario(store, server):
+        await store.put("t", "k", b"1")
+        end = (await store.newest("t")).next_offset
+        server.restore(kept=1)
+        await store.put("t", "k", b"2")
+        for _ in range(2):
+            page = await store.read("t", end, 0.0)
+            assert page.reason is errors.Reason.OFFSET_EXPIRED
+
+    _run(scenario)
+
+
+def test_conditional_put_on_an_earlier_era_returns_stale_base():
+    async def scenario(store, server):
+        await store.put("t", "k", b"1")
+        end = (await store.newest("t")).next_offset
+        server.restore(kept=1)
+        # The first call finds the restore with its answer, the second knows.
+        for _ in range(2):
+            result = await store.put("t", "k", b"2", at=end)
+            assert result.reason is errors.Reason.STALE_BASE
+        assert server.calls.count("/-/log-append") == 2
+
+    _run(scenario)
+
+
+def test_waiting_read_ends_once_another_call_finds_a_restore():
+    async def scenario(store, server):
+        await store.put("t", "k", b"1")
+        end = (await store.newest("t")).next_offset
+        reading = asyncio.create_task(store.read("t", end, 20.0))
+        await asyncio.sleep(0.05)
+        server.restore_silently(kept=1)
+        await store.newest("t")
+        async with asyncio.timeout(5.0):
+            page = await reading
+        assert page.reason is errors.Reason.OFFSET_EXPIRED
+
+    _run(scenario)
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -134,6 +134,9 @@
                 await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
                 continue
             problem = await self._read_once(plan)
+            if problem is None and self._offset is None:
+                # The offset expired, so records may have been missed.
+                continue
             if problem is None:
                 await self._wait_interval(plan.interval_s)
                 continue
--- a/trefoilwind/log/keyed.py
+++ b/trefoilwind/log/keyed.py
@@ -1,6 +1,8 @@
 """Port to the platform's keyed topics; each adapter is one file.
 
 A keyed topic is a compacted log: the newest record of each key is always kept.
+Offsets are positions as in `model.positions`: they grow over restores of the
+store, but there are gaps between them.
 """
 
 import dataclasses
@@ -54,7 +56,8 @@
             wait_s: Maximum time in seconds to wait for the first record.
 
         Returns:
-            A page, or an error; OFFSET_EXPIRED if `offset` was removed.
+            A page, or an error; OFFSET_EXPIRED if the records from `offset`
+            on cannot be told, as it was removed or the store was restored.
         """
 
     async def put(
@@ -70,5 +73,6 @@
 
         Returns:
             The offset, or an error: LOG_UNKNOWN_RESULT if the record may or
-            may not have been stored, STALE_BASE if it cannot get offset `at`.
+            may not have been stored, STALE_BASE if it cannot get offset `at`,
+            or got it in a restored store.
         """
--- a/trefoilwind/platform/store.py
+++ b/trefoilwind/platform/store.py
@@ -15,6 +15,7 @@
 from trefoilwind.log import keyed
 from trefoilwind.logs import decisions
 from trefoilwind.model import addresses
+from trefoilwind.model import positions
 
 logger = logging.getLogger(__name__)
 
@@ -54,7 +55,10 @@
             address, _MAX_IDLE_CONNECTIONS, has_keepalive=True
         )
         self._calls = 0
-        self._era = 0
+        # Latest era of the store; None before its first answer.
+        self._era: int | None = None
+        # Reads that wait for records, with the era of their offset.
+        self._waiting_reads: dict[asyncio.Future[None], int] = {}
 
     @property
     def calls(self) -> int:
@@ -73,9 +77,11 @@
             answer = await self._call("GET", "/-/log-newest", query)
             if isinstance(answer, errors.LogError):
                 return answer
-            page = _decode_newest(answer.body)
+            page = _decode_newest(answer.body, _era(answer))
             if isinstance(page, errors.LogError):
                 return page
+            if records and _has_other_era(page, records[0].offset):
+                return _restored(errors.Reason.LOG_UNAVAILABLE, "log-newest")
             records.extend(page.records)
             # Pages are not one snapshot: records appended after the first page
             # was made are read again.
@@ -88,16 +94,42 @@
     async def read(
         self, topic: str, offset: int, wait_s: float
     ) -> keyed.KeyedPage | errors.LogError:
-        """Return the records from an offset onwards."""
+        """Return the records from an offset onwards.
+
+        Ends early if another call finds that the store was restored.
+        """
+        era = positions.era(offset)
+        if self._era is not None and era < self._era:
+            return _restored(errors.Reason.OFFSET_EXPIRED, "log-read")
+        restored = asyncio.get_running_loop().create_future()
+        self._waiting_reads[restored] = era
+        reading = asyncio.ensure_future(self._read(topic, offset, wait_s))
+        try:
+            await asyncio.wait(
+                (reading, restored), return_when=asyncio.FIRST_COMPLETED
+            )
+            if reading.done():
+                return reading.result()
+            return _restored(errors.Reason.OFFSET_EXPIRED, "log-read")
+        finally:
+            del self._waiting_reads[restored]
+            restored.cancel()
+            reading.cancel()
+
+    async def _read(
+        self, topic: str, offset: int, wait_s: float
+    ) -> keyed.KeyedPage | errors.LogError:
         query = {
             "topic": _KEYED_PREFIX + topic,
             "part": "0",
-            "from": str(offset),
+            "from": str(positions.offset(offset)),
             "wait_ms": str(int(wait_s * _MS_PER_S)),
         }
         answer = await self._call("GET", "/-/log-read", query, wait_s=wait_s)
         if isinstance(answer, errors.LogError):
             return answer
+        if _era(answer) != positions.era(offset):
+            return _restored(errors.Reason.OFFSET_EXPIRED, "log-read")
         return _decode_page(answer.body, offset)
 
     async def put(
@@ -106,13 +138,20 @@
         """Append a record and return its offset."""
         query = {"topic": _KEYED_PREFIX + topic, "part": "0"}
         if at is not None:
-            query["at"] = str(at)
+            if positions.era(at) < (self._era or 0):
+                return _restored(errors.Reason.STALE_BASE, "log-append")
+            query["at"] = str(positions.offset(at))
         body = _encode_record(key, value)
         answer = await self._call("POST", "/-/log-append", query, body)
         if isinstance(answer, errors.LogError):
             return answer
+        era = _era(answer)
+        if at is not None and era != positions.era(at):
+            # Stored, but after records that the caller has not read.
+            return _restored(errors.Reason.STALE_BASE, "log-append")
         try:
-            return int(json.loads(answer.body)["offset"])
+            offset = int(json.loads(answer.body)["offset"])
+            return positions.position(era, offset)
         except (ValueError, KeyError, TypeError) as error:
             return _undecodable(error)
 
@@ -149,16 +188,22 @@
         )
 
     def _note_era(self, era: int) -> None:
-        if era <= self._era:
+        old_era = self._era
+        if old_era is not None and era <= old_era:
+            return
+        self._era = era
+        if old_era is None:
             return
         decisions.failure(
             logger,
             "store_restored",
-            "store: era of the store has changed",
+            "store: restored from a copy",
             era=era,
-            old_era=self._era,
+            old_era=old_era,
         )
-        self._era = era
+        for restored, read_era in self._waiting_reads.items():
+            if read_era < era and not restored.done():
+                restored.set_result(None)
 
     def _connection_error(
         self, error: errors.CallError, step: str
@@ -197,20 +242,29 @@
     return _RECORD_LENGTH.pack(len(content)) + content
 
 
-def _decode_newest(body: bytes) -> _NewestPage | errors.LogError:
+def _has_other_era(page: _NewestPage, offset: int) -> bool:
+    return positions.era(page.end_offset) != positions.era(offset)
+
+
+def _restored(reason: errors.Reason, call: str) -> errors.LogError:
+    return errors.LogError(
+        reason, f"store.{call}", detail="the store was restored from a copy"
+    )
+
+
+def _decode_newest(body: bytes, era: int = 0) -> _NewestPage | errors.LogError:
     try:
         plain: Any = json.loads(body)
         records = tuple(
             keyed.KeyedRecord(
                 item["key"],
                 base64.b64decode(item.get("value") or ""),
-                int(item["offset"]),
+                positions.position(era, int(item["offset"])),
             )
             for item in plain["items"]
         )
-        return _NewestPage(
-            records, int(plain["end_offset"]), bool(plain.get("has_more"))
-        )
+        end = positions.position(era, int(plain["end_offset"]))
+        return _NewestPage(records, end, bool(plain.get("has_more")))
     except (ValueError, KeyError, TypeError) as error:
         return _undecodable(error)
 
