Keep a rollout and its decision when the order is written again

After a restore the operator's order is written again and has another position, by which nodes recognize an order. A version that had been rolled back got traffic anew, a rollout in progress began again without its evidence and brake, and a restarted node did not apply the decision of before.

An order for the same service and version that is the first of its service since the restore is the earlier one: its rollout continues, its decision stays. The same order for a second time in one era is new, as before. A decision that a node has stored is applied there at once, so that a restore before the next read does not make it forget what it has reported.

A follower whose offset has expired waits a random 0.2 s at most, as all nodes are in this state together.

--- a/tests/test_gateway/test_gateway_rollouts.py
+++ b/tests/test_gateway/test_gateway_rollouts.py
@@ -1,5 +1,6 @@
 """Tests of rollouts with several nodes on a virtual clock, without sockets."""
 
+import dataclasses
 import random
 
 import pytest
@@ -14,6 +15,7 @@
 from trefoilwind.model import addresses
 from trefoilwind.model import members
 from trefoilwind.model import mesh
+from trefoilwind.model import positions
 
 _DURATION_S = 15.0
 _STEP_S = 0.25
@@ -38,7 +40,7 @@
             control.apply_stable(control_messages.StableVersion("s", "v1"))
             control.handle_order(_ORDER)
 
-    def _add(self, index: int) -> None:
+    def _add(self, index: int) -> rollouts.RolloutControl:
         board = board_lib.MeshBoard()
         servers = [_server(n, "v1") for n in range(4)]
         servers += [_server(n + 4, "v2") for n in range(4)]
@@ -59,6 +61,7 @@
                 lambda: self.now,
             )
         )
+        return self.controls[-1]
 
     def _send(self, sender: int, update, is_local: bool) -> None:
         for index, control in enumerate(self.controls):
@@ -225,7 +228,7 @@
     assert control.stable["s"] == "v2"
     later = mesh.RolloutOrder(9, "s", "v3", _DURATION_S)
     assert control.handle_order(later)
-    assert not control.is_newest("s", 7)
+    assert not control.is_newest(done)
 
 
 def test_refused_calls_are_not_counted_as_evidence():
@@ -238,3 +241,70 @@
     simulation.controls[0].tick()
     assert not simulation.decisions
     assert simulation.boards[0].versions.value.by_service["s"].share > 0
+
+
+def _rewritten(era: int = 1, offset: int = 3) -> mesh.RolloutOrder:
+    """Return the order as written after a restore of the store."""
+    order_id = positions.position(era, offset)
+    return dataclasses.replace(_ORDER, order_id=order_id)
+
+
+def _rolled_back(
+    order: mesh.RolloutOrder = _ORDER,
+) -> control_messages.RolloutDecision:
+    return control_messages.RolloutDecision(
+        order.order_id, order.service, order.version, False, "errors"
+    )
+
+
+def _candidate(control: rollouts.RolloutControl, board) -> str:
+    control.tick()
+    return board.versions.value.by_service["s"].candidate
+
+
+def test_order_written_again_after_a_restore_does_not_reopen_its_rollout():
+    mesh_ = _SimulatedMesh(1, nodes=1)
+    control, board = mesh_.controls[0], mesh_.boards[0]
+    control.apply_decision(_rolled_back())
+    assert not control.handle_order(_rewritten())
+    assert _candidate(control, board) == ""
+    assert "v2" in board.versions.value.by_service["s"].banned
+    assert control.final_decisions == (_rolled_back(),)
+
+
+def test_order_for_the_same_version_after_a_restore_and_a_decision_is_new():
+    control = _SimulatedMesh(1, nodes=1).controls[0]
+    control.apply_decision(_rolled_back())
+    control.handle_order(_rewritten())
+    again = _rewritten(offset=8)
+    assert control.handle_order(again)
+    assert control.apply_decision(_rolled_back(again))
+    assert control.final_decisions == (_rolled_back(again),)
+
+
+def test_open_rollout_goes_on_when_its_order_is_written_again():
+    mesh_ = _SimulatedMesh(1, nodes=1)
+    control, board = mesh_.controls[0], mesh_.boards[0]
+    mesh_.now += _DURATION_S / 2
+    control.tick()
+    share = board.versions.value.by_service["s"].share
+    assert not control.handle_order(_rewritten())
+    control.tick()
+    assert board.versions.value.by_service["s"].share >= share > 0.0
+    assert control.open_orders == (_rewritten(),)
+    # A node that has not read the order again decides on the earlier one.
+    assert control.apply_decision(_rolled_back())
+    assert not control.apply_decision(_rolled_back(_rewritten()))
+    assert control.open_orders == ()
+
+
+@pytest.mark.parametrize("is_order_first", [True, False])
+def test_restarted_node_applies_a_decision_from_before_a_restore(
+    is_order_first: bool,
+):
+    control = _SimulatedMesh(1, nodes=0)._add(0)
+    if is_order_first:
+        assert control.handle_order(_rewritten())
+    assert control.apply_decision(_rolled_back())
+    assert not control.handle_order(_rewritten())
+    assert control.open_orders == ()
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -20,6 +20,9 @@
 # Bounds of the full-jitter backoff after a failed call of the store.
 RETRY_BASE_S = 0.1
 RETRY_CAP_S = 1.0
+# Longest delay in seconds until the newest records are read after an offset has
+# expired; random, as it expires at all nodes together.
+READ_AGAIN_S = 0.2
 # Seconds between checks of whether this node must read again, while another
 # node reads for it.
 IDLE_CHECK_INTERVAL_S = 0.2
@@ -59,6 +62,9 @@
         on_read: Callable[[int], None] = lambda offset: None,
         on_failure: Callable[[], None] = lambda: None,
         skips_superseded: bool = False,
+        on_read_again: Callable[
+            [tuple[keyed.KeyedRecord, ...]], None
+        ] = lambda records: None,
     ):
         """Initialize the follower of a topic.
 
@@ -73,6 +79,8 @@
             on_failure: Called when the first of several reads fails.
             skips_superseded: True to read only the newest record of each key
                 while records are written faster than they are read.
+            on_read_again: Called with the newest records of all keys after
+                these had to be read again, as the offset had expired.
         """
         self._store = store
         self._topic = topic
@@ -83,6 +91,8 @@
         self._on_read = on_read
         self._on_failure = on_failure
         self._skips_superseded = skips_superseded
+        self._on_read_again = on_read_again
+        self._has_expired = False
         self._has_backlog = False
         # True if the last read found new records.
         self._was_written = False
@@ -136,6 +146,7 @@
             problem = await self._read_once(plan)
             if problem is None and self._offset is None:
                 # The offset expired, so records may have been missed.
+                await asyncio.sleep(READ_AGAIN_S * self._random.random())
                 continue
             if problem is None:
                 await self._wait_interval(plan.interval_s)
@@ -176,6 +187,9 @@
         self._was_written = written > 0
         self._advance(page.next_offset)
         self._on_read(self._offset)
+        if self._has_expired:
+            self._has_expired = False
+            self._on_read_again(page.records)
         return None
 
     def _reads_newest(self, plan: ReadPlan, now: float) -> bool:
@@ -236,6 +250,7 @@
                 problem,
             )
             self._offset = None
+            self._has_expired = True
             return None
         if not self._failures:
             self._unavailable_since = asyncio.get_running_loop().time()
--- a/trefoilwind/gateway/rollout_manager.py
+++ b/trefoilwind/gateway/rollout_manager.py
@@ -169,10 +169,17 @@
             key,
             decision,
             self._rank(key) * RANK_DELAY_S,
-            lambda: self._control.is_decided(decision.order_id),
-            self._report_decision,
+            lambda: self._control.is_decided(decision),
+            self._handle_stored,
         )
 
+    def _handle_stored(
+        self, decision: control_messages.RolloutDecision
+    ) -> None:
+        """Apply a decision that this node has stored, before it is read."""
+        self._control.apply_decision(decision)
+        self._report_decision(decision)
+
     def _rank(self, key: str, service: str = "") -> int:
         """Return this node's rank for a key.
 
@@ -207,7 +214,7 @@
     def _report_decision(
         self, decision: control_messages.RolloutDecision
     ) -> None:
-        if not self._control.is_newest(decision.service, decision.order_id):
+        if not self._control.is_newest(decision):
             return
         state = mesh.RolloutState.UNDONE
         if decision.is_done:
--- a/trefoilwind/gateway/rollouts.py
+++ b/trefoilwind/gateway/rollouts.py
@@ -8,6 +8,7 @@
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import control_messages
 from trefoilwind.model import mesh
+from trefoilwind.model import positions
 from trefoilwind.rollout import evidence
 from trefoilwind.rollout import history as history_lib
 from trefoilwind.rollout import messages
@@ -51,7 +52,7 @@
     @property
     def move_id(self) -> str:
         """Id of the rollout in the evidence."""
-        return str(self.order.order_id)
+        return self.order.rollout_id
 
 
 @dataclasses.dataclass(frozen=True)
@@ -104,28 +105,73 @@
         self._stable: dict[str, str] = {}
         self._decisions: dict[int, control_messages.RolloutDecision] = {}
         self._first_seen: dict[str, float] = {}
-        self._newest: dict[str, int] = {}
+        # Newest order of each service.
+        self._orders: dict[str, mesh.RolloutOrder] = {}
 
     @property
     def stable(self) -> dict[str, str]:
         """Recorded stable version of each service."""
         return self._stable
 
-    def is_decided(self, order_id: int) -> bool:
-        """Return True if a rollout order has a decision."""
-        return order_id in self._decisions
+    def is_decided(self, decision: control_messages.RolloutDecision) -> bool:
+        """Return True if the order of a proposed decision has a decision."""
+        if decision.order_id in self._decisions:
+            return True
+        # A decision on the same order, as written in another era.
+        return decision.service not in self._open and any(
+            (known.service, known.version)
+            == (decision.service, decision.version)
+            and positions.era(known.order_id)
+            != positions.era(decision.order_id)
+            for known in self._decisions.values()
+        )
+
+    def is_newest(self, decision: control_messages.RolloutDecision) -> bool:
+        """Return True if a service has no rollout order after a decision."""
+        order = self._orders.get(decision.service)
+        return order is None or _is_decided_by(order, decision)
+
+    @property
+    def final_decisions(self) -> tuple[control_messages.RolloutDecision, ...]:
+        """The decision on the newest order of each service that has one."""
+        newest = {
+            decision.service: decision
+            for decision in sorted(
+                self._decisions.values(), key=lambda each: each.order_id
+            )
+            if self.is_newest(decision)
+        }
+        return tuple(newest.values())
 
-    def is_newest(self, service: str, order_id: int) -> bool:
-        """Return True if a service has no later rollout order."""
-        return self._newest.get(service, order_id) <= order_id
+    @property
+    def open_orders(self) -> tuple[mesh.RolloutOrder, ...]:
+        """Orders that have no decision yet."""
+        return tuple(rollout.order for rollout in self._open.values())
 
     def handle_order(self, order: mesh.RolloutOrder) -> bool:
-        """Open a rollout for an order; return True if the order is new."""
-        newest = self._newest.get(order.service, order.order_id)
-        self._newest[order.service] = max(newest, order.order_id)
-        known = self._open.get(order.service)
-        is_known = known is not None and known.order.order_id >= order.order_id
-        if order.order_id in self._decisions or is_known:
+        """Open a rollout for an order; return True if the order is new.
+
+        An order that is written again after a restore of the store keeps its
+        rollout, or the decision on it.
+        """
+        newest = self._orders.get(order.service)
+        if newest is not None and newest.order_id >= order.order_id:
+            return False
+        self._orders[order.service] = order
+        if newest is not None and order.is_rewritten(newest):
+            rollout = self._open.get(order.service)
+            if rollout is not None:
+                rollout.order = order
+                return False
+        is_first_of_era = newest is None or order.is_of_later_era(
+            newest.order_id
+        )
+        if order.order_id in self._decisions:
+            return False
+        if is_first_of_era and any(
+            _is_decided_by(order, decision)
+            for decision in self._decisions.values()
+        ):
             return False
         now = self._clock()
         self._open[order.service] = _OpenRollout(
@@ -152,13 +198,13 @@
         self, decision: control_messages.RolloutDecision
     ) -> bool:
         """Apply a decision; return True if it is the first on its order."""
-        if decision.order_id in self._decisions:
+        if self.is_decided(decision):
             return False
         self._decisions[decision.order_id] = decision
         if decision.is_done:
             self._stable[decision.service] = decision.version
         rollout = self._open.get(decision.service)
-        if rollout and rollout.order.order_id <= decision.order_id:
+        if rollout and _is_decided_by(rollout.order, decision):
             del self._open[decision.service]
             self._ledger.remove_moves(frozenset({rollout.move_id}))
         logger.info(
@@ -383,3 +429,19 @@
             plans[service] = dataclasses.replace(
                 plan, banned=plan.banned | {version}
             )
+
+
+def _is_decided_by(
+    order: mesh.RolloutOrder, decision: control_messages.RolloutDecision
+) -> bool:
+    """Return True if a decision ends the rollout of an order.
+
+    A decision from before a restore applies to the order that the operator
+    has written again since.
+    """
+    if order.service != decision.service:
+        return False
+    if order.order_id <= decision.order_id:
+        return True
+    is_same = order.version == decision.version
+    return is_same and order.is_of_later_era(decision.order_id)
--- a/trefoilwind/model/mesh.py
+++ b/trefoilwind/model/mesh.py
@@ -5,6 +5,7 @@
 import math
 
 from trefoilwind.model import addresses
+from trefoilwind.model import positions
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,7 +95,8 @@
     """An operator's order to shift a service's traffic to a version.
 
     Attributes:
-        order_id: Offset of the order's record; a later order has a larger one.
+        order_id: Position of the order's record; a later order has a larger
+            one.
         service: Service whose traffic is shifted.
         version: Version that is to receive the traffic.
         duration_s: Seconds from the order to its deadline.
@@ -105,6 +107,20 @@
     version: str
     duration_s: float
 
+    @property
+    def rollout_id(self) -> str:
+        """Id of the rollout in the evidence; the same if written again."""
+        return f"{self.service}/{self.version}"
+
+    def is_rewritten(self, earlier: "RolloutOrder") -> bool:
+        """Return True if this is an earlier order, written after a restore."""
+        is_same = self.rollout_id == earlier.rollout_id
+        return is_same and self.is_of_later_era(earlier.order_id)
+
+    def is_of_later_era(self, order_id: int) -> bool:
+        """Return True if the store was restored since an order was written."""
+        return positions.era(order_id) < positions.era(self.order_id)
+
 
 @enum.unique
 class RolloutState(enum.Enum):
