Write again what a restored store has lost of this system's records

After a restore members, stable versions, decisions and statuses written since the copy were missing for good, as each is written once: nodes that started later did not find members whose records were lost, and the operator did not see a rollout's state.

A follower that had to read the newest records of the mesh topic anew now hands them to the node, which compares: it writes its member record if another one or none is there; the first node in rank writes stable versions and decisions that are missing, under the same condition as before; statuses are reported anew by the nodes that report them. With nothing missing, as after an expired history, only the few statuses are written.

--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -419,6 +419,77 @@
     _run(scenario)
 
 
+def _stored_members(cluster: _Cluster) -> set[str]:
+    records = cluster.store.records(node_settings.MESH_TOPIC)
+    return {r.key for r in records if r.key.startswith(node_lib.MEMBER_KEY)}
+
+
+def test_members_that_a_restored_store_lost_are_written_again():
+    async def scenario(cluster: _Cluster) -> None:
+        await cluster.write("config", "config 3")
+        await cluster.add("n1")
+        await cluster.add("n2")
+        both = {"member/n1", "member/n2"}
+        await _until(lambda: _stored_members(cluster) == both)
+        await cluster.store.restore(lambda key: key != "member/n2")
+        assert _stored_members(cluster) == {"member/n1"}
+        await _until(lambda: _stored_members(cluster) == both)
+        later = await cluster.add("n3")
+        await _until(lambda: later.is_connected("n2"))
+
+    _run(scenario)
+
+
+def test_configuration_written_after_a_restore_is_applied_by_all_nodes():
+    async def scenario(cluster: _Cluster) -> None:
+        for version in (3, 6, 9):
+            await cluster.write("config", f"config {version}")
+        nodes = [await cluster.add(name) for name in ("n1", "n2")]
+        await _until(lambda: all(node.is_ready for node in nodes))
+        await cluster.store.restore(lambda key: False)
+        await cluster.write("config", "config 12")
+        await _until(
+            lambda: all(
+                node.board.configuration.value.version == 12 for node in nodes
+            )
+        )
+
+    _run(scenario)
+
+
+def test_decisions_and_statuses_that_a_restored_store_lost_are_written_again():
+    async def scenario(cluster: _Cluster) -> None:
+        await cluster.write("config", "config 3")
+        old = await cluster.add("n1")
+        await _until(lambda: old.stable_versions.get("s") == "v1")
+        await cluster.add("n2", "v2")
+        await cluster.write("rollout/s", "order 0.5")
+
+        def kinds() -> set[str]:
+            store = cluster.store
+            records = (
+                *store.records(node_settings.MESH_TOPIC),
+                *store.records(_STATUS),
+            )
+            return {record.key.partition("/")[0] for record in records}
+
+        def is_reported() -> bool:
+            statuses = cluster.store.records(_STATUS)
+            return bool(statuses) and b"running" not in statuses[-1].value
+
+        await _until(is_reported)
+        before = kinds()
+        assert before == {"member", "stable", "decision", "s"}
+        final = cluster.store.records(_STATUS)[-1].value
+        await cluster.store.restore(lambda key: key.startswith("member/"))
+        await cluster.write("config", "config 3")
+        await cluster.write("rollout/s", "order 0.5")
+        await _until(lambda: kinds() == before)
+        assert cluster.store.records(_STATUS)[-1].value == final
+
+    _run(scenario)
+
+
 def test_changed_settings_are_applied_without_a_restart():
     async def scenario(cluster: _Cluster) -> None:
         node = await cluster.add("n1")
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -186,6 +186,7 @@
             self._plan_mesh_read,
             self._random,
             self._counts,
+            on_read_again=self._write_lost_records,
         )
         self._rollouts = rollout_manager.RolloutManager(
             settings,
@@ -512,17 +513,37 @@
     def _announce_own_member(self) -> None:
         own = self._members.own
         self._peers.send_all(self._member_frame(own))
+        self._publisher.put(*self._own_record())
+
+    def _own_record(self) -> tuple[str, bytes]:
+        """Return key and value of this node's member record."""
+        own = self._members.own
         message = control_messages.MemberChanged(own)
-        self._publisher.put(MEMBER_KEY + own.node_id, codec.encode(message))
+        return MEMBER_KEY + own.node_id, codec.encode(message)
 
     def _member_frame(self, member: members_lib.Member) -> frames.Control:
         return peers_lib.control_frame(control_messages.MemberChanged(member))
 
     # Store.
 
+    def _write_lost_records(
+        self, records: tuple[keyed.KeyedRecord, ...]
+    ) -> None:
+        """Write again what a restored store has lost of this node's records.
+
+        Args:
+            records: Newest records of the mesh topic.
+        """
+        key, value = self._own_record()
+        if (key, value) not in {(r.key, r.value) for r in records}:
+            logger.info("store: own member record is missing; writing it again")
+            self._publisher.put(key, value)
+        self._rollouts.write_lost_records(r.key for r in records)
+
     def _handle_mesh_record(self, record: keyed.KeyedRecord) -> None:
         if not record.value:
             return
+        self._rollouts.note_stored(record.key)
         message = codec.decode(record.value, "store.mesh", record.key)
         if isinstance(message, errors.Error):
             logger.warning("store: %s", message)
--- a/trefoilwind/gateway/rollout_manager.py
+++ b/trefoilwind/gateway/rollout_manager.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 import random
+from typing import Any
 
 from trefoilwind.distribution import topology
 from trefoilwind.gateway import board as board_lib
@@ -65,6 +67,8 @@
         self._encode_status = encode_status
         self._loop = asyncio.get_running_loop()
         self._settled_at = self._loop.time() + SETTLE_S
+        # Keys of the mesh topic that the store has, as far as is known.
+        self._stored: set[str] = set()
         self._reporter = publisher_lib.Publisher(
             store, settings.status_topic, rng
         )
@@ -102,6 +106,43 @@
         """Cancel the writes of decisions that are not stored yet."""
         self._writer.close()
 
+    def note_stored(self, key: str) -> None:
+        """Note that the store has a record of the mesh topic."""
+        self._stored.add(key)
+
+    def write_lost_records(self, stored: Iterable[str]) -> None:
+        """Write again what a restored store has lost.
+
+        Stable versions and decisions are written by the first node that finds
+        none; statuses are reported anew.
+
+        Args:
+            stored: Keys of the records that the mesh topic has.
+        """
+        self._stored = set(stored)
+        for service, version in self._control.stable.items():
+            self._write_if_lost(
+                STABLE_KEY + service,
+                control_messages.StableVersion(service, version),
+            )
+        for decision in self._control.final_decisions:
+            key = f"{DECISION_KEY}{decision.order_id}"
+            self._write_if_lost(key, decision)
+            self._report_by_rank(key, decision)
+        for order in self._control.open_orders:
+            self._report_running(order)
+
+    def _write_if_lost(self, key: str, message: Any) -> None:
+        if key in self._stored:
+            return
+        self._writer.propose(
+            key,
+            message,
+            self._rank(key) * RANK_DELAY_S,
+            lambda: key in self._stored,
+            lambda message: None,
+        )
+
     def tick(self, server: mesh.BackendServer | None) -> None:
         """Evaluate the open rollouts and record a missing stable version.
 
@@ -203,9 +244,14 @@
 
         The first `REPORTING_NODES` nodes in the ranking report it.
         """
-        if not self._control.apply_decision(decision):
-            return
-        rank = self._rank(f"{DECISION_KEY}{decision.order_id}")
+        if self._control.apply_decision(decision):
+            key = f"{DECISION_KEY}{decision.order_id}"
+            self._report_by_rank(key, decision)
+
+    def _report_by_rank(
+        self, key: str, decision: control_messages.RolloutDecision
+    ) -> None:
+        rank = self._rank(key)
         if rank < REPORTING_NODES:
             self._loop.call_later(
                 (rank + 1) * REPORT_DELAY_S, self._report_decision, decision
@@ -229,8 +275,10 @@
 
     def handle_order(self, order: mesh.RolloutOrder) -> None:
         """Handle a rollout order; the first-ranked node reports it running."""
-        if not self._control.handle_order(order):
-            return
+        if self._control.handle_order(order):
+            self._report_running(order)
+
+    def _report_running(self, order: mesh.RolloutOrder) -> None:
         if self._rank(f"{DECISION_KEY}{order.order_id}") == 0:
             self._report(
                 mesh.RolloutStatus(
