Keep that a backend server has left over a restore of the store

A server's leaving is acknowledged by the node beside it and kept in the member record. Where a restored store has lost that record and the node restarts, a late heartbeat made it ready again: a new test finds the entry nodes sending it calls (DRAIN).

Entry nodes now keep from member records, too, which process has left, as they do from its answers; they send it nothing more and repeat it to its node, which refuses calls and writes it to the store again.

--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -356,6 +356,25 @@
     _run(scenario)
 
 
+def test_leaving_backend_server_stays_so_if_a_restored_store_lost_that():
+    async def scenario(cluster: _Cluster) -> None:
+        entry, target = await _add_entry_and_target(cluster)
+        target.withdraw()
+        await _until(lambda: _has_members(entry, 0))
+        target.abort()
+        await _until(lambda: not entry.is_connected("n2"))
+        await cluster.store.restore(lambda key: key != "member/n2")
+        again = await cluster.start_node("n2", cluster.backends[1])
+        announce(again, cluster.backends[1], "v1")
+        await _until(lambda: entry.is_connected("n2") and again.is_ready)
+        await _until(lambda: _has_members(entry, 0))
+        for node in (entry, again):
+            assert (await _request(node)).startswith(b"HTTP/1.1 503")
+        assert not cluster.backends[1].ran
+
+    _run(scenario)
+
+
 def test_older_configuration_is_ignored():
     async def scenario(cluster: _Cluster) -> None:
         node = await cluster.add("n1")
--- a/tests/test_gateway/test_gateway_server_notices.py
+++ b/tests/test_gateway/test_gateway_server_notices.py
@@ -50,3 +50,12 @@
     decoded = codec.decode(codec.encode(message), "test")
     assert decoded == message
     assert decoded.notice.limit_per_s == math.inf
+
+
+def test_server_that_left_by_its_member_record_is_repeated_with_its_limit():
+    notices = server_notices.ServerNotices()
+    notices.record(_MEMBER, _LIMITED)
+    notices.record_left(_MEMBER)
+    assert notices.has_left(_MEMBER)
+    assert notices.message("n1").notice == mesh.ServerNotice(2.5, True)
+    assert not notices.has_left(_NEXT)
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -474,6 +474,8 @@
         is_own = member.node_id == self._settings.node_id
         if is_own and self._target.server is None:
             self._restore_server(member)
+        if member.has_left:
+            self._notices.record_left(member)
         if not self._members.merge(member):
             return
         if is_own:
--- a/trefoilwind/gateway/server_notices.py
+++ b/trefoilwind/gateway/server_notices.py
@@ -1,8 +1,9 @@
-"""Notices of backend servers as an entry node has seen them in answers.
+"""Notices of backend servers as an entry node knows them.
 
 The node beside a backend server forgets its notices when it restarts, while
 the backend server and the entry nodes that have answered callers with them
-continue. An entry node repeats them to that node when it reconnects.
+continue. An entry node repeats them to that node when it reconnects. The same
+holds for a server that has left, as a restored store may have lost that.
 """
 
 import math
@@ -32,19 +33,21 @@
             member: Member whose backend server answered.
             notice: Notice in its answer.
         """
-        process, latest = self._seen.get(member.node_id, (None, _NO_NOTICE))
-        if process != member.process:
-            latest = _NO_NOTICE
-        notice = latest.followed_by(notice)
+        notice = self._latest(member).followed_by(notice)
         if notice == _NO_NOTICE:
             self._seen.pop(member.node_id, None)
         else:
             self._seen[member.node_id] = (member.process, notice)
 
+    def record_left(self, member: members_lib.Member) -> None:
+        """Record that a member's backend server accepts no new calls."""
+        limit_per_s = self._latest(member).limit_per_s
+        left = mesh.ServerNotice(limit_per_s, is_leaving=True)
+        self._seen[member.node_id] = (member.process, left)
+
     def has_left(self, member: members_lib.Member) -> bool:
         """Return True if a member's backend server said that it is leaving."""
-        process, notice = self._seen.get(member.node_id, (None, _NO_NOTICE))
-        return process == member.process and notice.is_leaving
+        return self._latest(member).is_leaving
 
     def message(self, node_id: str) -> control_messages.ServerNoticeSeen | None:
         """Return what to tell a node about its backend server, or None."""
@@ -58,3 +61,8 @@
             notice.limit_per_s if is_limited else _NO_LIMIT,
             notice.is_leaving,
         )
+
+    def _latest(self, member: members_lib.Member) -> mesh.ServerNotice:
+        """Return the latest notice of a member's backend server."""
+        process, notice = self._seen.get(member.node_id, (None, _NO_NOTICE))
+        return notice if process == member.process else _NO_NOTICE
