Ignore an order of the copy that a lost order had superseded

The copy of a restored store may hold an earlier order of a service than the last one. Read in the new era it took the place of the last one, whose rollout then began again when it was written again.

Orders are now compared with the last one of the same service and version: one that was seen in an earlier era is ignored until the last order of its service has been read in this era.

--- a/tests/test_gateway/test_gateway_rollouts.py
+++ b/tests/test_gateway/test_gateway_rollouts.py
@@ -308,3 +308,32 @@
     assert control.apply_decision(_rolled_back())
     assert not control.handle_order(_rewritten())
     assert control.open_orders == ()
+
+
+@pytest.mark.parametrize("is_decided", [True, False])
+def test_older_order_in_the_copy_does_not_replace_a_later_one(is_decided: bool):
+    control = _SimulatedMesh(1, nodes=1).controls[0]
+    control.apply_decision(_rolled_back())
+    later = mesh.RolloutOrder(9, "s", "v3", _DURATION_S)
+    control.handle_order(later)
+    if is_decided:
+        control.apply_decision(_rolled_back(later))
+    assert not control.handle_order(_rewritten())
+    rewritten = dataclasses.replace(later, order_id=_rewritten().order_id + 1)
+    assert not control.handle_order(rewritten)
+    assert control.open_orders == (() if is_decided else (rewritten,))
+    if is_decided:
+        assert control.final_decisions == (_rolled_back(later),)
+
+
+def test_order_for_an_earlier_version_is_new_once_the_latest_is_written_again():
+    control = _SimulatedMesh(1, nodes=1).controls[0]
+    control.apply_decision(_rolled_back())
+    later = mesh.RolloutOrder(9, "s", "v3", _DURATION_S)
+    control.handle_order(later)
+    control.handle_order(
+        dataclasses.replace(later, order_id=_rewritten().order_id)
+    )
+    again = _rewritten(offset=8)
+    assert control.handle_order(again)
+    assert control.open_orders == (again,)
--- a/trefoilwind/gateway/rollouts.py
+++ b/trefoilwind/gateway/rollouts.py
@@ -107,6 +107,8 @@
         self._first_seen: dict[str, float] = {}
         # Newest order of each service.
         self._orders: dict[str, mesh.RolloutOrder] = {}
+        # Newest order of each service and version, by rollout id.
+        self._seen: dict[str, mesh.RolloutOrder] = {}
 
     @property
     def stable(self) -> dict[str, str]:
@@ -157,21 +159,22 @@
         newest = self._orders.get(order.service)
         if newest is not None and newest.order_id >= order.order_id:
             return False
-        self._orders[order.service] = order
-        if newest is not None and order.is_rewritten(newest):
-            rollout = self._open.get(order.service)
-            if rollout is not None:
-                rollout.order = order
-                return False
+        previous = self._seen.get(order.rollout_id)
+        self._seen[order.rollout_id] = order
         is_first_of_era = newest is None or order.is_of_later_era(
             newest.order_id
         )
+        if previous is not None and is_first_of_era:
+            if newest.rollout_id != order.rollout_id:
+                # The copy has an order that a lost one had superseded.
+                return False
+            if self._continue(order):
+                return False
+        self._orders[order.service] = order
         if order.order_id in self._decisions:
             return False
-        if is_first_of_era and any(
-            _is_decided_by(order, decision)
-            for decision in self._decisions.values()
-        ):
+        may_be_repeated = previous is None or is_first_of_era
+        if may_be_repeated and self._was_decided(order):
             return False
         now = self._clock()
         self._open[order.service] = _OpenRollout(
@@ -188,6 +191,21 @@
         self._publish_table()
         return True
 
+    def _continue(self, order: mesh.RolloutOrder) -> bool:
+        """Return True if an order is that of an open rollout, written again."""
+        rollout = self._open.get(order.service)
+        if rollout is None or rollout.move_id != order.rollout_id:
+            return False
+        rollout.order = order
+        self._orders[order.service] = order
+        return True
+
+    def _was_decided(self, order: mesh.RolloutOrder) -> bool:
+        return any(
+            _is_decided_by(order, decision)
+            for decision in self._decisions.values()
+        )
+
     def apply_stable(self, stable: control_messages.StableVersion) -> None:
         """Apply the recorded version of a service; later ones are ignored."""
         if stable.service not in self._stable:
--- a/trefoilwind/model/mesh.py
+++ b/trefoilwind/model/mesh.py
@@ -112,11 +112,6 @@
         """Id of the rollout in the evidence; the same if written again."""
         return f"{self.service}/{self.version}"
 
-    def is_rewritten(self, earlier: "RolloutOrder") -> bool:
-        """Return True if this is an earlier order, written after a restore."""
-        is_same = self.rollout_id == earlier.rollout_id
-        return is_same and self.is_of_later_era(earlier.order_id)
-
     def is_of_later_era(self, order_id: int) -> bool:
         """Return True if the store was restored since an order was written."""
         return positions.era(order_id) < positions.era(self.order_id)
