Apply a peer's word that the server has left after its first answer too

A node that restarted dropped it if its server had answered any call before the peer connected, as limits are dropped then. A limit is superseded by an answer, leaving is not. Found by reading; the new test fails on the parent commit.

--- a/tests/test_gateway/test_gateway_target.py
+++ b/tests/test_gateway/test_gateway_target.py
@@ -314,6 +314,22 @@
     _run(scenario)
 
 
+def test_leaving_reported_by_a_peer_applies_after_the_first_answer():
+    async def scenario(fixture: _TargetFixture) -> None:
+        fixture.release.set()
+        fixture.announce()
+        await fixture.target.run(fakes.call())
+        left = mesh.ServerNotice(2.0, is_leaving=True)
+        fixture.target.apply_notice_of_peer(("i-1", 0), left)
+        assert fixture.target.limit_per_s == math.inf
+        # As the node does when the target reports it.
+        fixture.announce()
+        outcome = await fixture.target.run(fakes.call())
+        assert outcome.result.reason is errors.Reason.DRAINING
+
+    _run(scenario)
+
+
 def test_notices_of_unknown_processes_are_bounded():
     async def scenario(fixture: _TargetFixture) -> None:
         for number in range(3 * target_lib.MAX_NOTICES_OF_PEERS):
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -180,8 +180,8 @@
 
         Args:
             process: Process of the backend server that gave it.
-            notice: The notice. An answer of the process to this node
-                overrides it.
+            notice: The notice. Its limit is ignored once the process has
+                answered this node.
         """
         server = self._server
         if server is None or server.process != process:
@@ -189,7 +189,10 @@
             known[process] = notice.or_stricter(known.get(process))
             if len(known) > MAX_NOTICES_OF_PEERS:
                 del known[next(iter(known))]
-        elif not self._has_answered:
+        elif self._has_answered:
+            left = mesh.ServerNotice(is_leaving=notice.is_leaving)
+            self._handle_notice(left.followed_by(self._notice))
+        else:
             self._handle_notice(notice.or_stricter(self._notice))
 
     def drain(self) -> None:
