Keep the notice of a process from late answers of the one before it

An answer that a replaced backend server gave while its successor had already named a limit removed that limit at the entry node, so it could not be repeated to a node that restarts. Found by reading; the new test fails on the parent commit. Notices of nodes that are no longer members are removed.

--- a/tests/test_gateway/test_gateway_server_notices.py
+++ b/tests/test_gateway/test_gateway_server_notices.py
@@ -59,3 +59,18 @@
     assert notices.has_left(_MEMBER)
     assert notices.message("n1").notice == mesh.ServerNotice(2.5, True)
     assert not notices.has_left(_NEXT)
+
+
+def test_late_answer_of_a_replaced_process_does_not_remove_a_notice():
+    notices = server_notices.ServerNotices()
+    notices.record(_NEXT, _LIMITED)
+    notices.record(_MEMBER, mesh.ServerNotice())
+    notices.record_left(_MEMBER)
+    assert notices.message("n1").notice == _LIMITED
+
+
+def test_notices_of_nodes_that_are_gone_are_removed():
+    notices = server_notices.ServerNotices()
+    notices.record(_MEMBER, _LIMITED)
+    notices.evict(lambda node_id: node_id != "n1")
+    assert notices.message("n1") is None
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -511,6 +511,7 @@
         self._peers.set_peers({n: m.peer_address for n, m in dialable.items()})
         known = self._board.members.value.by_node
         self._picker.evict(known.__contains__)
+        self._notices.evict(known.__contains__)
 
     def _announce_own_member(self) -> None:
         own = self._members.own
--- a/trefoilwind/gateway/server_notices.py
+++ b/trefoilwind/gateway/server_notices.py
@@ -6,6 +6,7 @@
 holds for a server that has left, as a restored store may have lost that.
 """
 
+from collections.abc import Callable
 import math
 
 from trefoilwind.gateway import control_messages
@@ -33,6 +34,8 @@
             member: Member whose backend server answered.
             notice: Notice in its answer.
         """
+        if self._was_replaced(member):
+            return
         notice = self._latest(member).followed_by(notice)
         if notice == _NO_NOTICE:
             self._seen.pop(member.node_id, None)
@@ -41,6 +44,8 @@
 
     def record_left(self, member: members_lib.Member) -> None:
         """Record that a member's backend server accepts no new calls."""
+        if self._was_replaced(member):
+            return
         limit_per_s = self._latest(member).limit_per_s
         left = mesh.ServerNotice(limit_per_s, is_leaving=True)
         self._seen[member.node_id] = (member.process, left)
@@ -62,6 +67,19 @@
             notice.is_leaving,
         )
 
+    def evict(self, is_known: Callable[[str], bool]) -> None:
+        """Remove the notices of nodes that are no longer members."""
+        for node_id in list(self._seen):
+            if not is_known(node_id):
+                del self._seen[node_id]
+
+    def _was_replaced(self, member: members_lib.Member) -> bool:
+        """Return True if a later process at the node has given a notice."""
+        if member.node_id not in self._seen:
+            return False
+        (_, started_ms), _ = self._seen[member.node_id]
+        return member.started_ms < started_ms
+
     def _latest(self, member: members_lib.Member) -> mesh.ServerNotice:
         """Return the latest notice of a member's backend server."""
         process, notice = self._seen.get(member.node_id, (None, _NO_NOTICE))
