--- a/trefoilwind/routing/rate_limit.py
+++ b/trefoilwind/routing/rate_limit.py
@@ -9,8 +9,10 @@
 
 import dataclasses
 
-# Calls, in seconds of the rate, that may start at once after a pause.
+# Calls that may start at once after a pause, in seconds of the rate, and at most:
+# the rate may fall right after them, and five calls are then allowed beyond it.
 BURST_S = 0.25
+MAX_BURST_CALLS = 4.0
 # Lowest rate in calls per second. A backend server that accepts none would get
 # no call in whose answer it could name a higher limit.
 MIN_RATE_PER_S = 0.25
@@ -66,4 +68,4 @@
 
 
 def _capacity(rate_per_s: float) -> float:
-    return max(1.0, rate_per_s * BURST_S)
+    return min(MAX_BURST_CALLS, max(1.0, rate_per_s * BURST_S))
