Allow no burst each time a limit comes and goes

A limit that an answer does not name ends; named again it began with a full bucket. Where single answers lack it, for instance spoiled ones, each time allowed a burst. The bucket of the last limit is now kept, empty, and used again.

--- a/tests/test_routing/test_routing_rate_limit.py
+++ b/tests/test_routing/test_routing_rate_limit.py
@@ -131,3 +131,15 @@
     assert queue.load == 9 + 0.5 * 10 / call_queue.INITIAL_SERVICE_S
     queue.set_rate_limit(math.inf, 0.1)
     assert queue.load == queue.occupied == 1
+
+
+def test_limit_that_comes_and_goes_does_not_allow_a_burst_each_time():
+    queue = call_queue.CallQueue(1000)
+    started = 0
+    for step in range(400):
+        now = step * _STEP_S
+        queue.set_rate_limit(math.inf, now)
+        queue.set_rate_limit(40.0, now)
+        verdict = queue.submit(_ticket(step, now, deadline=now), now)
+        started += isinstance(verdict, call_queue.Started)
+    assert started <= _ALLOWED_FACTOR * 40.0 * 4.0 + _ALLOWED_CALLS
--- a/trefoilwind/routing/call_queue.py
+++ b/trefoilwind/routing/call_queue.py
@@ -111,6 +111,9 @@
         self._mean_s = INITIAL_SERVICE_S
         # None while the rate of calls is not limited.
         self._bucket: rate_limit.TokenBucket | None = None
+        # Bucket of the limit that has ended, so that one which comes and goes
+        # does not allow a burst each time.
+        self._ended_bucket: rate_limit.TokenBucket | None = None
 
     @property
     def slots(self) -> int:
@@ -152,11 +155,15 @@
             now: Monotonic time in seconds.
         """
         if math.isinf(limit_per_s):
+            if self._bucket is not None:
+                self._ended_bucket = self._bucket.emptied(now)
             self._bucket = None
-        elif self._bucket is None:
+            return self.advance(now)
+        bucket = self._bucket or self._ended_bucket
+        if bucket is None:
             self._bucket = rate_limit.full(limit_per_s, now)
         else:
-            self._bucket = self._bucket.with_rate(limit_per_s, now)
+            self._bucket = bucket.with_rate(limit_per_s, now)
         return self.advance(now)
 
     def set_slots(self, slots: int) -> None:
--- a/trefoilwind/routing/rate_limit.py
+++ b/trefoilwind/routing/rate_limit.py
@@ -56,6 +56,10 @@
         """Return the bucket after the start of a call."""
         return dataclasses.replace(self, tokens=self.tokens - 1.0)
 
+    def emptied(self, now: float) -> "TokenBucket":
+        """Return the bucket without tokens."""
+        return TokenBucket(self.rate_per_s, 0.0, now)
+
     def wait_s(self, ahead: int) -> float:
         """Return the seconds until a call may start behind `ahead` others."""
         return max(0.0, (ahead + 1 - self.tokens) / self.rate_per_s)
