--- a/trefoilwind/distribution/frames.py
+++ b/trefoilwind/distribution/frames.py
@@ -117,7 +117,8 @@
         served_s: Time in seconds until the backend server sent the answer's
             head; -1 if unknown.
         occupied: Number of calls that the backend server runs or that are
-            queued for it; -1 if unknown.
+            queued for it, more while a limit delays calls longer; -1 if
+            unknown.
         failure_share: Share of its recent calls that failed.
         mean_s: Mean time in seconds of its calls; -1 if unknown.
     """
@@ -155,7 +156,8 @@
         not_run: True if no byte reached a backend server.
         retry_s: Seconds after which a retry may be accepted; 0 if unknown.
         occupied: Number of calls that the backend server runs or that are
-            queued for it; -1 if unknown.
+            queued for it, more while a limit delays calls longer; -1 if
+            unknown.
         has_arrived: True if a backend server received the call and refused
             it.
         failure_share: Share of its recent calls that failed.
