Free the memory of an answer that is too large at once

Cause: an answer that has exceeded the limit stays in the sum, with its memory, until the task of its call runs. Meanwhile the other connections that are read in the same iteration of the event loop add a piece each. The pieces are now dropped where the limit is found exceeded.

--- a/tests/test_gateway/test_gateway_http_client.py
+++ b/tests/test_gateway/test_gateway_http_client.py
@@ -11,6 +11,7 @@
 from trefoilwind import errors
 from trefoilwind.gateway import http_client
 from trefoilwind.gateway import http_types
+from trefoilwind.model import addresses
 
 _RESET = struct.pack("ii", 1, 0)
 _HEAD = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -271,6 +272,30 @@
     assert all(answer.body == b"sound" for answer in sound)
 
 
+def test_answer_that_is_too_large_frees_its_memory_before_its_call_ends():
+    async def run() -> list[int]:
+        loop = asyncio.get_running_loop()
+        client = http_client.HttpClient(addresses.Address("127.0.0.1", 1), 4)
+        connections = [
+            http_client._Connection("peer", client._may_buffer)
+            for _ in range(13)
+        ]
+        client._in_flight.update(connections)
+        for connection in connections:
+            connection._waiter = loop.create_future()
+            connection.data_received(b"HTTP/1.1 200 OK\r\n\r\n")
+        buffered = []
+        for _ in range(16):
+            for connection in connections:
+                if not connection._waiter.done():
+                    connection.data_received(b"x" * 256 * _KB)
+                    buffered.append(client.buffered_bytes)
+        return buffered
+
+    buffered = uvloop.run(run())
+    assert max(buffered) <= http_client.MAX_BUFFERED_BYTES + 256 * _KB
+
+
 def test_a_body_in_chunks_of_one_byte_is_an_answer():
     pieces = b"1\r\nx\r\n" * 40_000 + b"0\r\n\r\n"
     results, _ = _run(_send(_CHUNKED + pieces))
--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -350,6 +350,9 @@
         self._body_bytes += len(chunk)
         self._all_body_bytes += len(chunk)
         if not self._may_buffer(self._body_bytes):
+            # Freed at once, as other answers share the memory.
+            self._chunks.clear()
+            self._body_bytes = 0
             self._finish(self._error(errors.Reason.BODY_TOO_LARGE))
 
     def on_message_complete(self) -> None:
