Give the test of a first read from a peer an interval that load does not pass

Its interval was 10 ms, and records older than one and a half intervals count as old and are read again, so a pause of 15 ms between two lines of the test gave another result, a correct one. With 5 s the check is the same: records of a peer that are not old are not read again.

--- a/tests/test_gateway/test_gateway_follower.py
+++ b/tests/test_gateway/test_gateway_follower.py
@@ -260,7 +260,8 @@
 
 def test_records_of_a_peer_replace_the_first_read():
     async def scenario():
-        reader = _Reader(_plan(), skips_superseded=True)
+        # Records count as old after one and a half intervals.
+        reader = _Reader(_plan(interval_s=5.0), skips_superseded=True)
         for value in (b"1", b"2"):
             await reader.store.put(_TOPIC, "a", value)
         reader.follower.start_at(2)
