--- a/trefoilwind/routing/rate_limit.py
+++ b/trefoilwind/routing/rate_limit.py
@@ -9,8 +9,11 @@
 
 import dataclasses
 
-# Calls, in seconds of the rate, that may start at once after a pause.
+# Calls that may start at once after a pause, in seconds of the rate;
+# and at most, as the rate may fall right after them,
+# when five calls are allowed beyond it.
 BURST_S = 0.25
+MAX_BURST_CALLS = 4.0
 # Lowest rate in calls per second. A backend server that accepts none would get
 # no call in whose answer it could name a higher limit.
 MIN_RATE_PER_S = 0.25
@@ -54,6 +57,10 @@
         """Return the bucket after the start of a call."""
         return dataclasses.replace(self, tokens=self.tokens - 1.0)
 
+    def emptied(self, now: float) -> "TokenBucket":
+        """Return the bucket without tokens."""
+        return TokenBucket(self.rate_per_s, 0.0, now)
+
     def wait_s(self, ahead: int) -> float:
         """Return the seconds until a call may start behind `ahead` others."""
         return max(0.0, (ahead + 1 - self.tokens) / self.rate_per_s)
@@ -66,4 +73,4 @@
 
 
 def _capacity(rate_per_s: float) -> float:
-    return max(1.0, rate_per_s * BURST_S)
+    return min(MAX_BURST_CALLS, max(1.0, rate_per_s * BURST_S))
