--- a/trefoilwind/routing/rate_limit.py
+++ b/trefoilwind/routing/rate_limit.py
@@ -9,9 +9,9 @@
 
 import dataclasses
 
-# Calls that may start at once after a pause, in seconds of the rate;
-# and at most, as the rate may fall right after them,
-# when five calls are allowed beyond it.
+# Calls that may start at once after a pause: in seconds of the rate, and the most
+# of them. The rate may fall right after them, and only five calls are then
+# allowed beyond it.
 BURST_S = 0.25
 MAX_BURST_CALLS = 4.0
 # Lowest rate in calls per second. A backend server that accepts none would get
