--- a/trefoilwind/routing/rate_limit.py
+++ b/trefoilwind/routing/rate_limit.py
@@ -9,8 +9,8 @@
 
 import dataclasses
 
-# Calls that may start at once after a pause: in seconds of the rate, and the most
-# of them. The rate may fall right after them, and only five calls are then
+# Calls that may start at once after a pause, as seconds of the rate, and their
+# maximum. The rate may fall right after them, and only five calls are then
 # allowed beyond it.
 BURST_S = 0.25
 MAX_BURST_CALLS = 4.0
