Compare a node's versions by the node, not by its address in memory

The check kept the last version by id(node) without the node. After a restart the old node can be freed and the new one get its address, so the new one was compared with the old one's version. The sequence restarts seven nodes; the new node had no version yet.

The check now keeps the nodes themselves, so each is compared with its own versions for the whole run, as before, and with no other's.

--- a/tests/test_distribution/test_distribution_fuzz.py
+++ b/tests/test_distribution/test_distribution_fuzz.py
@@ -38,7 +38,7 @@
         self.oracle = oracle_lib.Oracle()
         self.reference = [state_lib.State()]
         self.checked: dict[str, tuple] = {}
-        self.versions: dict[int, int] = {}
+        self.versions: dict[mesh_lib.Node, int] = {}
         self.leaving_since: dict[str, float] = {}
         self.last_fault_at = 0.0
         self.last_change_at = 0.0
@@ -106,10 +106,8 @@
 
     def check_node(self, node: mesh_lib.Node) -> None:
         state = node.board.state.value
-        assert state.version >= self.versions.get(id(node), -1), (
-            "version decreased"
-        )
-        self.versions[id(node)] = state.version
+        assert state.version >= self.versions.get(node, -1), "version decreased"
+        self.versions[node] = state.version
         assert state == self.reference[state.next_offset], (
             "state is not that of a log prefix"
         )
