Fail the largest answers when all together exceed the memory limit

A node of 128 MB could be killed for it, with all the calls of its backend server.

Cause: an answer that grew was failed only if it itself had more than its share, so answers below their share could add up to a share each while those above it had no bytes to receive. Now the largest answers fail until the rest fits, whichever of them grew; the limit holds to one chunk.

--- a/tests/test_gateway/test_gateway_http_client.py
+++ b/tests/test_gateway/test_gateway_http_client.py
@@ -277,7 +277,7 @@
         loop = asyncio.get_running_loop()
         client = http_client.HttpClient(addresses.Address("127.0.0.1", 1), 4)
         connections = [
-            http_client._Connection("peer", client._may_buffer)
+            http_client._Connection("peer", client._limit_bodies)
             for _ in range(13)
         ]
         client._in_flight.update(connections)
--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -20,8 +20,8 @@
 CONNECT_TIMEOUT_S = 1.0
 # Largest body of an answer that is buffered.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# Bytes of bodies buffered by all connections of a client. Above it, answers
-# that have more than their share fail, as a node may have 128 MB in all.
+# Bytes of bodies buffered by all connections of a client. Above it, the largest
+# answers fail, as a node may have 128 MB in all.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 # Bytes outside of bodies that may precede the end of an answer: heads, interim
 # answers, trailers, and per byte of a body the framing of its chunk.
@@ -155,12 +155,15 @@
             connection.close()
         return await self._open(deadline)
 
-    def _may_buffer(self, body_bytes: int) -> bool:
-        """Return True if an answer may have a body of this length so far."""
-        if body_bytes > MAX_ANSWER_BYTES:
-            return False
-        share = MAX_BUFFERED_BYTES / max(1, len(self._in_flight))
-        return body_bytes <= share or self.buffered_bytes <= MAX_BUFFERED_BYTES
+    def _limit_bodies(self, connection: "_Connection") -> None:
+        """Fail answers that are too large, after one of them has grown.
+
+        The largest ones fail until the others fit, whichever of them grew.
+        """
+        if connection.body_bytes > MAX_ANSWER_BYTES:
+            connection.fail_too_large()
+        while self.buffered_bytes > MAX_BUFFERED_BYTES:
+            max(self._in_flight, key=_body_bytes).fail_too_large()
 
     async def _open(self, deadline: float) -> "_Connection | errors.CallError":
         loop = asyncio.get_running_loop()
@@ -172,7 +175,7 @@
         try:
             async with asyncio.timeout(limit_s):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(str(self._address), self._may_buffer),
+                    lambda: _Connection(str(self._address), self._limit_bodies),
                     self._address.host,
                     self._address.port,
                 )
@@ -192,12 +195,18 @@
         )
 
 
+def _body_bytes(connection: "_Connection") -> int:
+    return connection.body_bytes
+
+
 class _Connection(asyncio.Protocol):
     """A connection with at most one request in flight."""
 
-    def __init__(self, peer: str, may_buffer: Callable[[int], bool]):
+    def __init__(
+        self, peer: str, limit_bodies: Callable[["_Connection"], None]
+    ):
         self._peer = peer
-        self._may_buffer = may_buffer
+        self._limit_bodies = limit_bodies
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future | None = None
@@ -244,6 +253,12 @@
         for option, value in _KEEPALIVE_OPTIONS:
             sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
+    def fail_too_large(self) -> None:
+        """Fail the pending request and free the memory of its answer."""
+        self._chunks.clear()
+        self._body_bytes = 0
+        self._finish(self._error(errors.Reason.BODY_TOO_LARGE))
+
     def close(self) -> None:
         """Close the connection."""
         self._is_broken = True
@@ -349,11 +364,7 @@
         self._chunks.append(chunk)
         self._body_bytes += len(chunk)
         self._all_body_bytes += len(chunk)
-        if not self._may_buffer(self._body_bytes):
-            # Freed at once, as other answers share the memory.
-            self._chunks.clear()
-            self._body_bytes = 0
-            self._finish(self._error(errors.Reason.BODY_TOO_LARGE))
+        self._limit_bodies(self)
 
     def on_message_complete(self) -> None:
         """Return the answer to the pending request, or discard it."""
