Do not take an earlier refusal, written again, for that of the call

Report of other operators: a faulty backend server writes an earlier refusal once more on a kept connection.

Now an error that names no request counts only if the connection has had no other request; otherwise the call fails with an unknown outcome and the connection ends. With the id of another request it is discarded, as before. test_refusal_written_again_on_a_reused_connection_is_not_that_of_the_call and test_refusal_of_an_earlier_call_and_one_without_id_prove_nothing fail without the change.

--- a/tests/test_gateway/fakes.py
+++ b/tests/test_gateway/fakes.py
@@ -31,6 +31,13 @@
     def refusal(answer: http_types.HttpAnswer) -> errors.Reason | None:
         return errors.Reason.OVERLOADED if answer.header(b"unrun") else None
 
+    def match_answer(
+        headers: tuple[http_types.Header, ...], answer: http_types.HttpAnswer
+    ) -> http_types.Match:
+        if answer.header(b"id") == http_types.find_header(headers, b"id"):
+            return http_types.Match.OWN
+        return http_types.Match.OTHER
+
     def notice(answer: http_types.HttpAnswer) -> mesh.ServerNotice:
         limit = answer.header(b"limit")
         return mesh.ServerNotice(
@@ -45,9 +52,7 @@
             (b"To", instance.encode()),
         ),
         refusal=refusal,
-        matches_request=lambda headers, answer: (
-            answer.header(b"id") == http_types.find_header(headers, b"id")
-        ),
+        match_answer=match_answer,
         notice=notice,
         retry_headers=lambda retry_s: ((b"Retry-After", b"%.3f" % retry_s),),
     )
--- a/tests/test_gateway/test_gateway_http_client.py
+++ b/tests/test_gateway/test_gateway_http_client.py
@@ -17,15 +17,22 @@
 _HEAD = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
-def _is_first(answer: http_types.HttpAnswer) -> bool:
-    return answer.header(b"id") == b"1"
+def _match(answer: http_types.HttpAnswer) -> http_types.Match:
+    """Match answers to a request with the id 1."""
+    answer_id = answer.header(b"id")
+    if answer_id == b"1":
+        return http_types.Match.OWN
+    is_error = answer.status >= 400
+    if not answer_id and is_error:
+        return http_types.Match.UNIDENTIFIED
+    return http_types.Match.OTHER
 
 
 async def _call_all(server: fakes.RawServer, count: int):
     client = http_client.HttpClient(server.address, 4)
     deadline = asyncio.get_running_loop().time() + 5.0
     results = [
-        await client.call(_HEAD, b"", deadline, _is_first) for _ in range(count)
+        await client.call(_HEAD, b"", deadline, _match) for _ in range(count)
     ]
     client.close()
     return results
@@ -83,6 +90,57 @@
     assert results[0].body == b"own"
 
 
+_REFUSAL = b"HTTP/1.1 503 Full\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"
+_REFUSAL_OF_ANOTHER = _REFUSAL.replace(b"Unrun", b"Id: 9\r\nUnrun")
+
+
+def test_first_refusal_of_a_connection_needs_no_id():
+    results, _ = _run(_send(_REFUSAL))
+    assert results[0].status == 503
+
+
+def test_refusal_written_again_on_a_reused_connection_is_not_that_of_the_call():
+    results, _ = _run(_send(_REFUSAL, _REFUSAL), 2)
+    assert results[0].status == 503
+    assert isinstance(results[1], errors.CallError)
+    assert results[1].reason is errors.Reason.BACKEND_FAILED
+    assert not results[1].not_run
+
+
+def test_refusal_of_an_earlier_call_does_not_hide_the_answer():
+    late = _REFUSAL_OF_ANOTHER + fakes.answer(b"own")
+    results, _ = _run(_send(fakes.answer(b"x"), late), 2)
+    assert results[1].body == b"own"
+
+
+def test_refusal_of_an_earlier_call_and_one_without_id_prove_nothing():
+    results, _ = _run(_send(_REFUSAL_OF_ANOTHER + _REFUSAL))
+    assert isinstance(results[0], errors.CallError)
+    assert not results[0].not_run
+
+
+_WHOLE_HEAD = (
+    b"HTTP/1.1 200 OK\r\nId: 1\r\nServer-Seal: a1\r\n"
+    b"Content-Type: text/plain\r\nContent-Length: 5\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("prefix", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+def test_answer_that_ends_within_its_head_is_a_failure(prefix):
+    lengths = iter(range(len(_WHOLE_HEAD)))
+
+    async def script(reader, writer):
+        await fakes.read_head(reader)
+        writer.write(prefix + _WHOLE_HEAD[: next(lengths)])
+
+    results, connections = _run(script, len(_WHOLE_HEAD))
+    assert connections == len(_WHOLE_HEAD)
+    for result in results:
+        assert isinstance(result, errors.CallError)
+        assert result.reason is errors.Reason.BACKEND_FAILED
+        assert not result.not_run
+
+
 @pytest.mark.parametrize(
     "piece",
     [
--- a/tests/test_platform/test_platform_headers.py
+++ b/tests/test_platform/test_platform_headers.py
@@ -70,9 +70,15 @@
     own = http_types.HttpAnswer(200, ((b"x-request-id", b"9c41"),))
     other = http_types.HttpAnswer(500, ((b"X-Request-Id", b"9c42"),))
     without_id = http_types.HttpAnswer(200, ())
-    assert _PORT.matches_request(_REQUEST, own)
-    assert not _PORT.matches_request(_REQUEST, other)
-    assert not _PORT.matches_request(_REQUEST, without_id)
+    assert _PORT.match_answer(_REQUEST, own) is http_types.Match.OWN
+    assert _PORT.match_answer(_REQUEST, other) is http_types.Match.OTHER
+    assert _PORT.match_answer(_REQUEST, without_id) is http_types.Match.OTHER
+
+
+def test_refusal_without_an_id_is_not_taken_for_that_of_the_request():
+    refusal = http_types.HttpAnswer(503, ((b"X-Not-Executed", b"1"),))
+    match = _PORT.match_answer(_REQUEST, refusal)
+    assert match is http_types.Match.UNIDENTIFIED
 
 
 def test_retry_after_is_in_seconds():
--- a/trefoilwind/gateway/calls.py
+++ b/trefoilwind/gateway/calls.py
@@ -43,8 +43,8 @@
             the id of the backend server and the remaining time in seconds.
         refusal: Returns why a backend server did not run the request, or None
             if it may have run it.
-        matches_request: Returns True if an answer belongs to a request, given
-            the headers of the request.
+        match_answer: Returns whether an answer belongs to a request, given the
+            headers of the request.
         notice: Returns what a backend server says about itself in an answer.
         retry_headers: Returns the headers that give the caller the time in
             seconds until its next attempt.
@@ -55,8 +55,8 @@
     entry_headers: Callable[[str], tuple[http_types.Header, ...]]
     target_headers: Callable[[str, float], tuple[http_types.Header, ...]]
     refusal: Callable[[http_types.HttpAnswer], errors.Reason | None]
-    matches_request: Callable[
-        [tuple[http_types.Header, ...], http_types.HttpAnswer], bool
+    match_answer: Callable[
+        [tuple[http_types.Header, ...], http_types.HttpAnswer], http_types.Match
     ]
     notice: Callable[[http_types.HttpAnswer], mesh.ServerNotice]
     retry_headers: Callable[[float], tuple[http_types.Header, ...]]
--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -47,7 +47,7 @@
 _BODILESS = frozenset({204, 304})
 
 Result = http_types.HttpAnswer | errors.CallError
-AnswerMatcher = Callable[[http_types.HttpAnswer], bool]
+AnswerMatcher = Callable[[http_types.HttpAnswer], http_types.Match]
 
 
 class HttpClient:
@@ -86,7 +86,7 @@
         head: bytes,
         body: bytes,
         deadline: float,
-        matches_request: AnswerMatcher | None = None,
+        match_answer: AnswerMatcher | None = None,
     ) -> Result:
         """Send a request and return its complete answer.
 
@@ -96,7 +96,7 @@
             head: Request line and headers, including the empty line.
             body: Body.
             deadline: Event loop time in seconds by which the answer is due.
-            matches_request: Returns True if an answer belongs to this request;
+            match_answer: Returns whether an answer belongs to this request;
                 other answers are discarded.
 
         Returns:
@@ -109,7 +109,7 @@
         self._in_flight.add(connection)
         try:
             result = await connection.exchange(
-                head, body, deadline, matches_request
+                head, body, deadline, match_answer
             )
         except asyncio.CancelledError:
             connection.abort()
@@ -210,9 +210,10 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future | None = None
-        self._matches_request: AnswerMatcher | None = None
+        self._match_answer: AnswerMatcher | None = None
         self._is_broken = False
         self._is_reusable = True
+        self._requests = 0
         self._idle_s = DEFAULT_IDLE_S
         self._idle_until = 0.0
         self._reset_answer()
@@ -276,11 +277,12 @@
         head: bytes,
         body: bytes,
         deadline: float,
-        matches_request: AnswerMatcher | None,
+        match_answer: AnswerMatcher | None,
     ) -> Result:
         """Send a request and wait for its answer."""
         self._waiter = self._loop.create_future()
-        self._matches_request = matches_request
+        self._match_answer = match_answer
+        self._requests += 1
         self._reset_answer()
         self._transport.write(head + body if body else head)
         timer = self._loop.call_at(deadline, self._time_out)
@@ -377,24 +379,38 @@
             http_types.end_to_end(tuple(self._headers)),
             b"".join(self._chunks),
         )
-        if self._matches_request is not None and not self._matches_request(
-            answer
-        ):
-            # A late answer to an earlier request; the answer to this request
-            # may follow.
-            self._is_reusable = False
-            self._discarded += 1
-            if self._discarded > MAX_DISCARDED_ANSWERS:
-                self._fail("answers to other requests without end")
-            decisions.failure(
-                logger,
-                "foreign_answer",
-                "backend: answer to another request discarded",
-                peer=self._peer,
-                status=status,
-            )
+        match = self._match(answer)
+        if match is http_types.Match.OWN:
+            self._finish(answer)
+            return
+        self._is_reusable = False
+        decisions.failure(
+            logger,
+            "foreign_answer",
+            "backend: answer to another request discarded",
+            peer=self._peer,
+            status=status,
+        )
+        if match is http_types.Match.UNIDENTIFIED:
+            # Perhaps a copy of an earlier answer, such as a refusal, so it
+            # does not show whether this request has run.
+            self._fail("answer without an id on a reused connection")
             return
-        self._finish(answer)
+        # A late answer to an earlier request; the answer to this request may
+        # follow.
+        self._discarded += 1
+        if self._discarded > MAX_DISCARDED_ANSWERS:
+            self._fail("answers to other requests without end")
+
+    def _match(self, answer: http_types.HttpAnswer) -> http_types.Match:
+        """Return whether an answer is that of the pending request."""
+        if self._match_answer is None:
+            return http_types.Match.OWN
+        match = self._match_answer(answer)
+        is_first = self._requests == 1 and not self._discarded
+        if match is http_types.Match.UNIDENTIFIED and is_first:
+            return http_types.Match.OWN
+        return match
 
     def _finish(self, result: Result) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/trefoilwind/gateway/http_types.py
+++ b/trefoilwind/gateway/http_types.py
@@ -1,6 +1,7 @@
 """HTTP requests and answers with complete bodies, for the event-loop path."""
 
 import dataclasses
+import enum
 
 Header = tuple[bytes, bytes]
 
@@ -66,6 +67,20 @@
         return find_header(self.headers, name)
 
 
+@enum.unique
+class Match(enum.Enum):
+    """Relation of an answer to the pending request of its connection.
+
+    OWN answers it, OTHER answers another one. An UNIDENTIFIED one names no
+    request, so it answers the pending one only if the connection has had no
+    earlier request.
+    """
+
+    OWN = enum.auto()
+    OTHER = enum.auto()
+    UNIDENTIFIED = enum.auto()
+
+
 def find_header(headers: tuple[Header, ...], name: bytes) -> bytes:
     """Return the first header of a lower-case name, or empty bytes."""
     for key, value in headers:
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -341,9 +341,7 @@
                 head,
                 call.body,
                 call.deadline,
-                lambda answer: self._headers.matches_request(
-                    call.headers, answer
-                ),
+                lambda answer: self._headers.match_answer(call.headers, answer),
             )
         finally:
             self._running_ids[request_id] -= 1
--- a/trefoilwind/platform/headers.py
+++ b/trefoilwind/platform/headers.py
@@ -42,7 +42,7 @@
         entry_headers=_entry_headers,
         target_headers=_target_headers,
         refusal=_refusal,
-        matches_request=_matches_request,
+        match_answer=_match_answer,
         notice=_notice,
         retry_headers=_retry_headers,
     )
@@ -104,13 +104,15 @@
     return errors.Reason.OVERLOADED
 
 
-def _matches_request(
+def _match_answer(
     headers: tuple[http_types.Header, ...], answer: http_types.HttpAnswer
-) -> bool:
+) -> http_types.Match:
     answer_id = answer.header(REQUEST_ID)
-    if not answer_id:
-        return answer.status >= http.HTTPStatus.BAD_REQUEST
-    return answer_id == _request_id(headers)
+    if answer_id == _request_id(headers):
+        return http_types.Match.OWN
+    if not answer_id and answer.status >= http.HTTPStatus.BAD_REQUEST:
+        return http_types.Match.UNIDENTIFIED
+    return http_types.Match.OTHER
 
 
 def _notice(answer: http_types.HttpAnswer) -> mesh.ServerNotice:
