Divide the calls of a weighted route evenly at each node

A route with weights (KPAF) was divided by a random draw for each call.

Each node now goes through the weights in steps of the golden ratio from a random start, so that its own calls follow the weights from the first on. The old test of the draw over 4000 random numbers is replaced by one of each fraction.

--- a/tests/test_routing/test_routing_host_routes.py
+++ b/tests/test_routing/test_routing_host_routes.py
@@ -1,7 +1,5 @@
 """Routing by host and longest path prefix."""
 
-import random
-
 import hypothesis
 from hypothesis import strategies
 
@@ -65,11 +63,9 @@
     assert (found.path_prefix if found else None) == expected
 
 
-def test_services_are_chosen_by_weight():
-    rng = random.Random(5)
+@hypothesis.given(fraction=strategies.floats(0.0, 1.0, exclude_max=True))
+def test_services_are_chosen_by_weight(fraction: float):
     destinations = (mesh.Destination("x", 90.0), mesh.Destination("y", 10.0))
-    drawn = [
-        host_routes.choose_service(destinations, rng.random)
-        for _ in range(4000)
-    ]
-    assert 0.87 < drawn.count("x") / len(drawn) < 0.93
+    chosen = host_routes.service_at(destinations, fraction)
+    if abs(fraction - 0.9) > 1e-9:
+        assert chosen == ("x" if fraction < 0.9 else "y")
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -14,8 +14,8 @@
 from trefoilwind.gateway import picker as picker_lib
 from trefoilwind.logs import decisions
 from trefoilwind.model import mesh
-from trefoilwind.routing import host_routes
 from trefoilwind.routing import shared_budget
+from trefoilwind.routing import weighted_choice
 from trefoilwind.telemetry import counts as counts_lib
 
 logger = logging.getLogger(__name__)
@@ -88,6 +88,7 @@
         self._is_running = is_running
         self._counts = counts
         self._random = rng
+        self._weighted_choice = weighted_choice.WeightedChoice(rng.random)
         self._loop = asyncio.get_running_loop()
 
     async def serve(
@@ -102,7 +103,7 @@
         route = table.match(metadata.host, path)
         if route is None:
             return http_types.HttpAnswer(_STATUS_NOT_FOUND, ())
-        call = self._call(request, metadata, route)
+        call = self._call(request, metadata, route, table.version)
         if self._is_refused(call):
             return http_types.HttpAnswer(_STATUS_BAD_GATEWAY, ())
         self._budget.record_first_attempt(call.service, self._loop.time())
@@ -124,14 +125,13 @@
         request: http_types.HttpRequest,
         metadata: calls.RequestMetadata,
         route: mesh.HostRoute,
+        version: int,
     ) -> calls.Call:
         remaining_s = metadata.remaining_s
         if remaining_s is None:
             remaining_s = DEFAULT_DEADLINE_S
         limit_s = min(remaining_s, route.timeout_s)
-        service = host_routes.choose_service(
-            route.destinations, self._random.random
-        )
+        service = self._weighted_choice.choose(route, version)
         return calls.Call(
             method=request.method.decode("latin-1"),
             target=request.target.decode("latin-1"),
--- a/trefoilwind/routing/host_routes.py
+++ b/trefoilwind/routing/host_routes.py
@@ -1,6 +1,5 @@
 """Routing by host and longest path prefix; pure functions."""
 
-from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 
@@ -50,18 +49,16 @@
     return HostRouteTable(configuration.version, by_host)
 
 
-def choose_service(
-    destinations: Sequence[mesh.Destination], draw: Callable[[], float]
+def service_at(
+    destinations: Sequence[mesh.Destination], fraction: float
 ) -> str:
-    """Return a random service, with probability proportional to its weight.
+    """Return the service at a fraction of the sum of the weights.
 
     Args:
         destinations: Services that share the calls; at least one.
-        draw: Returns a random number from 0 to 1.
+        fraction: Number from 0 to 1, without 1.
     """
-    if len(destinations) == 1:
-        return destinations[0].service
-    point = draw() * sum(each.weight for each in destinations)
+    point = fraction * sum(each.weight for each in destinations)
     for each in destinations:
         point -= each.weight
         if point < 0:
