--- a/trefoilwind/cmd/check.py
+++ b/trefoilwind/cmd/check.py
@@ -4,6 +4,8 @@
 
 from trefoilwind import settings as settings_lib
 from trefoilwind.cmd import common
+from trefoilwind.model import mesh
+from trefoilwind.routing import route_validation
 
 app = cyclopts.App(help="Check settings and configuration offline.")
 
@@ -30,6 +32,18 @@
     print(f"{file}: correct")
 
 
+@app.command
+def routes(file: str) -> None:
+    """Check a configuration with routes by host.
+
+    Args:
+        file: Configuration file, JSON with comments.
+    """
+    loaded = common.unwrap(settings_lib.load(file, mesh.MeshConfiguration))
+    common.check_problems(route_validation.validate(loaded), file)
+    print(f"{file}: correct")
+
+
 def main() -> None:
     """Run the program."""
     common.run(app)
--- a/trefoilwind/cmd/common.py
+++ b/trefoilwind/cmd/common.py
@@ -1,5 +1,6 @@
 """Helpers of all programs: exit codes, errors, logging, signals."""
 
+from collections.abc import Sequence
 import dataclasses
 import io
 import logging
@@ -53,11 +54,20 @@
 def load_configuration(path: str) -> configuration_lib.Configuration:
     """Return the configuration in a file, or exit with its first problem."""
     loaded = unwrap(settings_lib.load(path, configuration_lib.Configuration))
-    problems = validation.validate(loaded)
+    check_problems(validation.validate(loaded), path)
+    return loaded
+
+
+def check_problems(problems: Sequence[errors.SettingsError], path: str) -> None:
+    """Exit with a usage error if there are problems.
+
+    Args:
+        problems: Problems of a file's content.
+        path: Path of the file.
+    """
     if problems:
         first = dataclasses.replace(problems[0], peer=path)
         fail(settings_lib.with_line(first))
-    return loaded
 
 
 def check_url(name: str, url: str) -> None:
