Check an idle peer stream once per heartbeat, not ten times a second

For each of them a timer ran every 0.25 s (the interval for peers with calls to answer), and a task looked every 0.1 s whether the dialed stream had closed: some 3,500 wake-ups a second and node, which grow with the mesh.

A stream now sets its timer to the time at which something may be due: the heartbeat while it is idle, the probe interval once it has a call to answer, which a first call sets at once. The end of a stream is a future. test_idle_stream_checks_its_peer_once_per_heartbeat allows 21 checks in ten seconds, where the old interval of the test makes 1,000 (worked out, not run).

--- a/tests/test_gateway/test_gateway_streams.py
+++ b/tests/test_gateway/test_gateway_streams.py
@@ -4,6 +4,7 @@
 
 import uvloop
 
+from tests import virtual_time
 from tests.test_gateway import fakes
 from trefoilwind.distribution import frames
 from trefoilwind.gateway import streams
@@ -68,7 +69,7 @@
     async def scenario(stream: streams.Stream, events: _Events) -> None:
         await _until(lambda: events.opened)
         assert not stream.is_unresponsive
-        stream.pending_answers = 1
+        stream.begin_call()
         await _until(lambda: stream.is_unresponsive)
         assert not stream.is_closed
 
@@ -139,3 +140,63 @@
         assert stream.queueing_delay_s(received + 5000.0) == 0.25
 
     _run(_silent, scenario)
+
+
+def test_idle_stream_checks_its_peer_once_per_heartbeat():
+    """Guards against timers that run at the probe interval on every stream."""
+    times = streams.StreamTimes(1.0, 3.0, probe_s=0.01)
+
+    async def run() -> int:
+        loop = asyncio.get_running_loop()
+        stream = streams.Stream(_HELLO, times, _Events().port(), "n2")
+        stream.connection_made(_Transport())
+        checks = 0
+        check = stream._check_liveness
+
+        def count() -> None:
+            nonlocal checks
+            checks += 1
+            check()
+
+        stream._check_liveness = count
+        end = loop.time() + 10.0
+        while loop.time() < end:
+            await asyncio.sleep(0.1)
+            # The peer answers each heartbeat.
+            stream.data_received(frames.encode(frames.Pong()))
+        stream.connection_lost(None)
+        return checks
+
+    assert virtual_time.run(run()) <= 21
+
+
+def test_peer_is_probed_soon_after_the_first_call_on_an_idle_stream():
+    times = streams.StreamTimes(1.0, 30.0, probe_s=0.1, probe_timeout_s=0.2)
+
+    async def run() -> float:
+        loop = asyncio.get_running_loop()
+        stream = streams.Stream(_HELLO, times, _Events().port(), "n2")
+        stream.connection_made(_Transport())
+        await asyncio.sleep(0.5)
+        stream.begin_call()
+        started = loop.time()
+        while not stream.is_unresponsive:
+            await asyncio.sleep(0.01)
+        stream.connection_lost(None)
+        return loop.time() - started
+
+    assert virtual_time.run(run()) <= 0.1 + 0.2 + 0.1
+
+
+class _Transport(asyncio.Transport):
+    """Transport that discards all bytes."""
+
+    def get_extra_info(self, name, default=None):
+        """Return nothing."""
+        return default
+
+    def write(self, data) -> None:
+        """Discard bytes."""
+
+    def abort(self) -> None:
+        """Do nothing."""
--- a/trefoilwind/gateway/peers.py
+++ b/trefoilwind/gateway/peers.py
@@ -141,10 +141,12 @@
     async def _maintain_stream(self, node_id: str) -> None:
         failures = 0
         while True:
-            stream = await self._dial(node_id, self._peer_addresses[node_id])
+            stream = self._dialed.get(node_id) or await self._dial(
+                node_id, self._peer_addresses[node_id]
+            )
             if stream is not None:
                 started = self._loop.time()
-                await self._wait_closed(stream)
+                await stream.wait_closed()
                 if self._loop.time() - started > self._times.silence_s:
                     failures = 0
             failures += 1
@@ -168,10 +170,6 @@
             return None
         return stream
 
-    async def _wait_closed(self, stream: streams_lib.Stream) -> None:
-        while not stream.is_closed:
-            await asyncio.sleep(DIAL_BACKOFF_BASE_S)
-
     def _opened(self, stream: streams_lib.Stream) -> None:
         if stream.is_dialed:
             self._dialed[stream.peer] = stream
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -45,7 +45,7 @@
         waiter = self._loop.create_future()
         pending = self._pending.setdefault(stream, {})
         pending[call_id] = waiter
-        stream.pending_answers += 1
+        stream.begin_call()
         now = self._loop.time()
         self._send(stream, call_id, call, now)
         try:
@@ -59,7 +59,7 @@
             stream.send(frames.Cancel(call_id))
             raise
         finally:
-            stream.pending_answers -= 1
+            stream.end_call()
             pending.pop(call_id, None)
             self._partial_answers.pop(call_id, None)
 
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -96,7 +96,8 @@
         self._probed_at = 0.0
         self._min_latency_s = float("inf")
         # Calls sent to the peer that have no answer yet.
-        self.pending_answers = 0
+        self._pending_answers = 0
+        self._closed = self._loop.create_future()
 
     @property
     def peer(self) -> str:
@@ -118,6 +119,11 @@
         """Bytes that wait to be sent, without those in the kernel."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def pending_answers(self) -> int:
+        """Number of calls sent to the peer that have no answer yet."""
+        return self._pending_answers
+
     @property
     def is_congested(self) -> bool:
         """True if new calls would wait too long behind unsent bytes."""
@@ -145,6 +151,23 @@
         self._min_latency_s = min(self._min_latency_s, latency_s)
         return latency_s - self._min_latency_s
 
+    async def wait_closed(self) -> None:
+        """Wait until the stream is closed."""
+        await asyncio.shield(self._closed)
+
+    def begin_call(self) -> None:
+        """Count a call sent to the peer; its answer is awaited.
+
+        The peer is probed sooner while it has calls to answer.
+        """
+        self._pending_answers += 1
+        if self._pending_answers == 1 and self._timer is not None:
+            self._schedule()
+
+    def end_call(self) -> None:
+        """Count the end of a call sent to the peer."""
+        self._pending_answers -= 1
+
     def send(self, frame: frames.Frame) -> None:
         """Send a frame at the end of this iteration of the event loop."""
         if self._is_closed:
@@ -197,6 +220,9 @@
         self._unsent.clear()
         if self._timer is not None:
             self._timer.cancel()
+            self._timer = None
+        if not self._closed.done():
+            self._closed.set_result(None)
         self._events.closed(self)
 
     def _handle_frame(self, frame: frames.Frame) -> None:
@@ -238,13 +264,30 @@
             self._transport.write(data)
 
     def _schedule(self) -> None:
-        self._timer = self._loop.call_later(
-            self._times.probe_s, self._check_liveness
-        )
+        """Set the timer to the time at which the peer may have to be probed.
+
+        A node has many streams and most are idle, so their timers run once per
+        heartbeat, not once per probe interval.
+        """
+        check_at = self._next_check_at()
+        if self._timer is not None:
+            if self._timer.when() <= check_at:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(check_at, self._check_liveness)
+
+    def _next_check_at(self) -> float:
+        now = self._loop.time()
+        if self._probed_at > self._last_received:
+            silent_at = self._last_received + self._times.silence_s
+            return min(silent_at, now + self._times.heartbeat_s)
+        due_at = self._last_received + self._probe_after_s
+        return max(due_at, now + self._times.probe_s / 2)
 
     def _check_liveness(self) -> None:
+        self._timer = None
         now = self._loop.time()
-        if now - self._last_received > self._times.silence_s:
+        if now - self._last_received >= self._times.silence_s:
             logger.warning(
                 "stream: no data from peer %s within the silence timeout; "
                 "closing",
@@ -257,10 +300,14 @@
             self.send(_PING)
         self._schedule()
 
+    @property
+    def _probe_after_s(self) -> float:
+        """Seconds without a received byte after which the peer is probed."""
+        if self._pending_answers:
+            return self._times.probe_s
+        return self._times.heartbeat_s
+
     def _needs_probe(self, now: float) -> bool:
         if self._probed_at > self._last_received:
             return False
-        silent_s = now - self._last_received
-        if self.pending_answers:
-            return silent_s >= self._times.probe_s
-        return silent_s >= self._times.heartbeat_s
+        return now - self._last_received >= self._probe_after_s
