Keep streams to a bounded set of nodes; repair members over the peers

Everything below grew with the square of the nodes; it is one change, as none of it works without the rest.

- Each node kept a stream to every other one.
It now keeps them to its data centre, and for each version of a service to eight candidates in its region and eight beyond (two at least in each data centre), chosen by rendezvous hashing with its own id; relays also to the relays of the others.
A stream that is no longer wanted is closed once its calls are answered.
- The picker grouped all members for each call; it now takes the candidates, which are found once for each change of the members.
- Each node read the topic of members from the store, every record of it.
Now one node of a data centre does.
Changes spread to the own data centre and to two nodes of each other one, which pass them on; relays compare digests, and tables that differ exchange their records.
- While a rollout was open each node sent its counters to all of its data centre.
It now sends them to two relays; the first one sends sums.
New relays get all counters again.

A member that left: its own node refuses calls from its acknowledgement on, whatever others know, so a slower spread costs a hop and no rule.

--- a/trefoilwind/distribution/topology.py
+++ b/trefoilwind/distribution/topology.py
@@ -41,11 +41,22 @@
     return tuple(ranked[:count])
 
 
+def ranked_relays(data_centre: str, nodes: Iterable[str]) -> tuple[str, ...]:
+    """Return nodes of a data centre in the order in which they are relays.
+
+    Args:
+        data_centre: The data centre.
+        nodes: Ids of the nodes to rank.
+    """
+    ids = tuple(nodes)
+    return rendezvous(_relay_key(data_centre), ids, len(ids))
+
+
 def relays(
     members: directory.Snapshot, data_centre: str, count: int
 ) -> tuple[str, ...]:
     """Return the relays of a data centre, highest rank first."""
-    key = f"relay/{data_centre}"
+    key = _relay_key(data_centre)
     return _ranked(members, key, lambda m: m.data_centre == data_centre)[:count]
 
 
@@ -107,6 +118,10 @@
     return own_id in chosen + gateways(members, own.region, GATEWAYS_PER_REGION)
 
 
+def _relay_key(data_centre: str) -> str:
+    return f"relay/{data_centre}"
+
+
 def _ranked(
     members: directory.Snapshot, key: str, condition
 ) -> tuple[str, ...]:
--- a/trefoilwind/gateway/control_messages.py
+++ b/trefoilwind/gateway/control_messages.py
@@ -16,6 +16,40 @@
     member: members.Member
 
 
+@codec.message("mesh.members_digest")
+@dataclasses.dataclass(frozen=True)
+class MembersDigest:
+    """Digest of the sender's member table; equal tables have equal digests."""
+
+    digest: str
+
+
+@codec.message("mesh.members_wanted")
+@dataclasses.dataclass(frozen=True)
+class MembersWanted:
+    """Request for all member records of the receiver."""
+
+
+@codec.message("mesh.members")
+@dataclasses.dataclass(frozen=True)
+class MembersShared:
+    """Member records that the receiver may lack.
+
+    Attributes:
+        members: The records.
+        is_complete: True if they are all that the sender has.
+    """
+
+    members: tuple[members.Member, ...]
+    is_complete: bool
+
+
+@codec.message("mesh.store_restored")
+@dataclasses.dataclass(frozen=True)
+class StoreRestored:
+    """Notice that the store was restored from a copy and may lack records."""
+
+
 @codec.message("mesh.server_notice")
 @dataclasses.dataclass(frozen=True)
 class ServerNoticeSeen:
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import logging
 import random
@@ -55,7 +56,7 @@
         self,
         store: keyed.KeyedStore,
         topic: str,
-        on_record: Callable[[keyed.KeyedRecord], None],
+        on_records: Callable[[Sequence[keyed.KeyedRecord]], None],
         plan: Callable[[], ReadPlan],
         rng: random.Random,
         counts: counts_lib.MeshCounts,
@@ -71,7 +72,8 @@
         Args:
             store: The store.
             topic: Name of the topic.
-            on_record: Called with the newest record of each key.
+            on_records: Called with the newest record of each key that a read
+                returned.
             plan: Returns the parameters of the next read.
             rng: Source of random numbers.
             counts: Counters of the node.
@@ -84,7 +86,7 @@
         """
         self._store = store
         self._topic = topic
-        self._on_record = on_record
+        self._on_records = on_records
         self._plan = plan
         self._random = rng
         self._counts = counts
@@ -140,7 +142,7 @@
         """Read until cancelled."""
         while True:
             plan = self._plan()
-            if not plan.is_due:
+            if not plan.is_due and not self._read_soon_requested.is_set():
                 await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
                 continue
             problem = await self._read_once(plan)
@@ -179,8 +181,7 @@
         self._succeeded()
         newest = newest_by_key(page.records)
         self._report_read(page, len(newest), offset, elapsed_s)
-        for record in newest:
-            self._on_record(record)
+        self._on_records(newest)
         written = 0 if offset is None else page.next_offset - offset
         # After one record in each of two reads, the next may return several.
         self._has_backlog = written > 1 or (written > 0 and self._was_written)
--- a/trefoilwind/gateway/member_table.py
+++ b/trefoilwind/gateway/member_table.py
@@ -4,6 +4,8 @@
 import dataclasses
 import logging
 
+import xxhash
+
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.membership import directory
 from trefoilwind.model import members as members_lib
@@ -21,6 +23,7 @@
         self._members = {own.node_id: own}
         # Precedence of the members at whose address another node answered.
         self._displaced: dict[str, tuple[int, int]] = {}
+        self._digest = ""
         self._publish_snapshot()
 
     @property
@@ -29,13 +32,20 @@
         return self._own
 
     @property
-    def dialable(self) -> dict[str, members_lib.Member]:
-        """Other nodes with a backend server, by node id."""
-        return {
-            member.node_id: member
-            for member in self._current_members()
-            if member.node_id != self._own.node_id and member.service
-        }
+    def records(self) -> tuple[members_lib.Member, ...]:
+        """Newest record of each node, whether it is a current member or not."""
+        return tuple(self._members.values())
+
+    @property
+    def digest(self) -> str:
+        """Digest of all records; equal tables have equal digests."""
+        if not self._digest:
+            precedences = sorted(
+                (each.node_id, *each.precedence) for each in self.records
+            )
+            text = repr(precedences).encode()
+            self._digest = xxhash.xxh3_64_hexdigest(text)
+        return self._digest
 
     def set_server(self, server: mesh.BackendServer | None) -> bool:
         """Set the backend server of this node; return True if it changed."""
@@ -59,12 +69,24 @@
         self._replace_own(dataclasses.replace(self._own, leaving=True))
 
     def merge(self, member: members_lib.Member) -> bool:
-        """Merge a member record; return True if the table changed.
+        """Merge a member record; return True if the table changed."""
+        return bool(self.merge_all((member,)))
+
+    def merge_all(
+        self, members: Iterable[members_lib.Member]
+    ) -> tuple[members_lib.Member, ...]:
+        """Merge member records; return those that changed the table.
 
         A record of this node from before its start, or one with a greater
         incarnation (the wall clock was set back), is superseded by a newer
-        one.
+        one. The snapshot is published once for all records.
         """
+        changed = tuple(each for each in members if self._merge_one(each))
+        if changed:
+            self._publish_snapshot()
+        return changed
+
+    def _merge_one(self, member: members_lib.Member) -> bool:
         if member.node_id == self._own.node_id:
             return self._supersede(member)
         known = self._members.get(member.node_id)
@@ -78,7 +100,6 @@
             member.version,
             ", leaving" if member.leaving else "",
         )
-        self._publish_snapshot()
         return True
 
     def displace(self, node_id: str) -> None:
@@ -106,6 +127,7 @@
         self._publish_snapshot()
 
     def _publish_snapshot(self) -> None:
+        self._digest = ""
         self._publish(directory.snapshot(self._current_members()))
 
     def _current_members(self) -> Iterable[members_lib.Member]:
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import logging
 import random
 import time
+from typing import Any
 
 from trefoilwind import codec
 from trefoilwind import errors
@@ -18,6 +20,7 @@
 from trefoilwind.gateway import follower as follower_lib
 from trefoilwind.gateway import http_server
 from trefoilwind.gateway import http_types
+from trefoilwind.gateway import member_repair
 from trefoilwind.gateway import member_table
 from trefoilwind.gateway import metrics_page
 from trefoilwind.gateway import node_settings
@@ -28,6 +31,7 @@
 from trefoilwind.gateway import rollout_manager
 from trefoilwind.gateway import rollouts as rollouts_lib
 from trefoilwind.gateway import server_notices
+from trefoilwind.gateway import spreading as spreading_lib
 from trefoilwind.gateway import stream_calls
 from trefoilwind.gateway import streams
 from trefoilwind.gateway import suspect_table
@@ -36,6 +40,7 @@
 from trefoilwind.logs import decisions
 from trefoilwind.model import members as members_lib
 from trefoilwind.model import mesh
+from trefoilwind.model import positions
 from trefoilwind.rollout import messages as evidence_messages
 from trefoilwind.routing import host_routes
 from trefoilwind.routing import shared_budget
@@ -48,9 +53,6 @@
 # Seconds between two reads of the mesh topic; its updates are sent over peer
 # streams as well.
 MESH_READ_INTERVAL_S = 1.0
-# Seconds added to the read interval for each node: the number of records
-# grows with the number of nodes, and every node reads every record.
-MESH_READ_INTERVAL_PER_NODE_S = 0.05
 CALLER_BACKLOG = 1024
 # Seconds from a stop request until callers are no longer directed to the node.
 STOP_NOTICE_S = 2.6
@@ -65,6 +67,10 @@
 RESTART_DELAY_S = 0.5
 
 
+_ROLLOUT_RECORDS = (
+    control_messages.StableVersion,
+    control_messages.RolloutDecision,
+)
 _ANSWER_FRAMES = (
     frames.AnswerHead,
     frames.AnswerBody,
@@ -144,6 +150,16 @@
             ),
             self._random,
         )
+        self._spreading = spreading_lib.Spreading(
+            settings.node_id, settings.data_centre, self._board, self._peers
+        )
+        self._member_repair = member_repair.MemberRepair(
+            self._members,
+            self._spreading,
+            lambda: self._spreading.is_relay,
+            self._merge_members,
+            self._loop.time,
+        )
         self._picker = picker_lib.Picker(
             own,
             self._board,
@@ -182,7 +198,7 @@
         self._mesh_follower = follower_lib.Follower(
             store,
             node_settings.MESH_TOPIC,
-            self._handle_mesh_record,
+            self._handle_mesh_records,
             self._plan_mesh_read,
             self._random,
             self._counts,
@@ -192,14 +208,17 @@
             settings,
             f"{settings.node_id}@{own.incarnation}",
             self._board,
-            self._peers,
+            self._spreading,
             store,
             self._mesh_follower,
             operator.status,
             self._random,
         )
         self._tasks: list[asyncio.Task] = []
+        self._peer_update: asyncio.Handle | None = None
         self._last_request_at = 0.0
+        # Era of the store at the last read of all records of the mesh topic.
+        self._era = 0
 
     @property
     def board(self) -> board_lib.MeshBoard:
@@ -247,10 +266,16 @@
         """Stable version of each service, as recorded in the store."""
         return self._rollouts.control.stable
 
+    @property
+    def peers_connected(self) -> tuple[str, ...]:
+        """Ids of the nodes with a stream for calls."""
+        return tuple(stream.peer for stream in self._peers.connected)
+
     def is_connected(self, node_id: str) -> bool:
-        """Return True if a node has an open and responsive stream."""
+        """Return True if a node has a stream that is responsive and stays."""
         stream = self._peers.dialed(node_id)
-        return stream is not None and not stream.is_unresponsive
+        is_open = stream is not None and not stream.is_unresponsive
+        return is_open and self._peers.is_maintained(node_id)
 
     def _may_call(self, node_id: str) -> bool:
         """Return True if a call may be sent to a node."""
@@ -313,6 +338,8 @@
         self._rollouts.close()
         for task in self._tasks:
             task.cancel()
+        if self._peer_update is not None:
+            self._peer_update.cancel()
         self._peers.close()
 
     def update(self, settings: node_settings.MeshSettings) -> None:
@@ -415,9 +442,7 @@
 
     def _displaced(self, node_id: str) -> None:
         self._members.displace(node_id)
-        # Deferred, as the update cancels the dialer task whose stream reports
-        # this.
-        self._loop.call_soon(self._update_peers)
+        self._update_peers_soon()
 
     def _received(self, stream: streams.Stream, frame: frames.Frame) -> None:
         if isinstance(frame, _ANSWER_FRAMES):
@@ -434,11 +459,22 @@
         if isinstance(message, errors.Error):
             logger.warning("peers: %s", message)
         elif isinstance(message, control_messages.MemberChanged):
-            self._merge_member(message.member)
+            if self._merge_members((message.member,)):
+                self._spreading.pass_on(stream, message)
+        elif isinstance(message, member_repair.Message):
+            self._member_repair.handle_message(stream, message)
         elif isinstance(message, evidence_messages.EvidenceUpdate):
-            self._rollouts.control.merge_evidence(message)
+            is_remote = self._spreading.is_remote(stream)
+            self._rollouts.control.merge_evidence(message, is_remote)
+        elif isinstance(message, _ROLLOUT_RECORDS):
+            self._handle_rollout_record(message)
+            self._spreading.pass_on(stream, message)
         elif isinstance(message, suspect_messages.SuspectUpdate):
             self._suspects.merge(message)
+            self._spreading.pass_on(stream, message)
+        elif isinstance(message, control_messages.StoreRestored):
+            self._mesh_follower.read_soon()
+            self._spreading.pass_on(stream, message)
         elif isinstance(message, control_messages.ServerNoticeSeen):
             self._target.apply_notice_of_peer(
                 (message.instance_id, message.started_ms), message.notice
@@ -447,13 +483,16 @@
             self._operator_records.handle_message(stream, message)
 
     def _plan_mesh_read(self) -> follower_lib.ReadPlan:
-        nodes = len(self._board.members.value.members)
-        return follower_lib.ReadPlan(
-            MESH_READ_INTERVAL_S + MESH_READ_INTERVAL_PER_NODE_S * nodes
-        )
+        """Return the parameters of the next read of the mesh topic.
+
+        One node of each data centre reads it; the others hear of changes from
+        their peers and read it once, at their start.
+        """
+        is_due = not self._mesh_follower.has_read or self._spreading.is_relay
+        return follower_lib.ReadPlan(MESH_READ_INTERVAL_S, is_due=is_due)
 
     def _send_suspects(self, update: suspect_messages.SuspectUpdate) -> None:
-        self._peers.send_all(peers_lib.control_frame(update))
+        self._spreading.send_all(update)
 
     # Rollouts.
 
@@ -467,20 +506,25 @@
             accepts_calls = self._target.accepts_calls
             self._rollouts.tick(self._target.server if accepts_calls else None)
             self._operator_records.tick()
+            self._member_repair.tick()
+            self._peers.close_unused()
 
     # Members.
 
-    def _merge_member(self, member: members_lib.Member) -> None:
-        is_own = member.node_id == self._settings.node_id
-        if is_own and self._target.server is None:
-            self._restore_server(member)
-        if member.has_left:
-            self._notices.record_left(member)
-        if not self._members.merge(member):
-            return
-        if is_own:
+    def _merge_members(self, members: Sequence[members_lib.Member]) -> bool:
+        """Merge member records; return True if the table changed."""
+        own_id = self._settings.node_id
+        for member in members:
+            if member.node_id == own_id and self._target.server is None:
+                self._restore_server(member)
+            if member.has_left:
+                self._notices.record_left(member)
+        changed = self._members.merge_all(members)
+        if any(member.node_id == own_id for member in changed):
             self._announce_own_member()
-        self._update_peers()
+        if changed:
+            self._update_peers_soon()
+        return bool(changed)
 
     def _restore_server(self, previous: members_lib.Member) -> None:
         """Restore the backend server known before this process started.
@@ -506,16 +550,22 @@
         if self._members.set_server(self._target.server):
             self._announce_own_member()
 
+    def _update_peers_soon(self) -> None:
+        """Update the streams once for all changes of this loop iteration."""
+        if self._peer_update is None:
+            self._peer_update = self._loop.call_soon(self._update_peers)
+
     def _update_peers(self) -> None:
-        dialable = self._members.dialable
-        self._peers.set_peers({n: m.peer_address for n, m in dialable.items()})
+        self._peer_update = None
+        selected = self._picker.selection.peers
+        self._peers.set_peers({n: m.peer_address for n, m in selected.items()})
         known = self._board.members.value.by_node
         self._picker.evict(known.__contains__)
         self._notices.evict(known.__contains__)
 
     def _announce_own_member(self) -> None:
         own = self._members.own
-        self._peers.send_all(self._member_frame(own))
+        self._spreading.send_all(control_messages.MemberChanged(own))
         self._publisher.put(*self._own_record())
 
     def _own_record(self) -> tuple[str, bytes]:
@@ -542,17 +592,38 @@
             logger.info("store: own member record is missing; writing it again")
             self._publisher.put(key, value)
         self._rollouts.write_lost_records(r.key for r in records)
+        self._announce_restore()
 
-    def _handle_mesh_record(self, record: keyed.KeyedRecord) -> None:
-        if not record.value:
-            return
-        self._rollouts.note_stored(record.key)
-        message = codec.decode(record.value, "store.mesh", record.key)
-        if isinstance(message, errors.Error):
-            logger.warning("store: %s", message)
-        elif isinstance(message, control_messages.MemberChanged):
-            self._merge_member(message.member)
-        elif isinstance(message, control_messages.StableVersion):
+    def _announce_restore(self) -> None:
+        """Make the nodes that do not read the store write what it has lost."""
+        era = positions.era(self._mesh_follower.offset or 0)
+        if era > self._era and self._spreading.is_relay:
+            self._spreading.send_all(control_messages.StoreRestored())
+        self._era = era
+
+    def _handle_mesh_records(
+        self, records: Sequence[keyed.KeyedRecord]
+    ) -> None:
+        members = []
+        others = []
+        for record in records:
+            if not record.value:
+                continue
+            self._rollouts.note_stored(record.key)
+            message = codec.decode(record.value, "store.mesh", record.key)
+            if isinstance(message, errors.Error):
+                logger.warning("store: %s", message)
+            elif isinstance(message, control_messages.MemberChanged):
+                members.append(message.member)
+            else:
+                others.append(message)
+        # Who reports a decision depends on the members.
+        self._merge_members(members)
+        for message in others:
+            self._handle_rollout_record(message)
+
+    def _handle_rollout_record(self, message: Any) -> None:
+        if isinstance(message, control_messages.StableVersion):
             self._rollouts.control.apply_stable(message)
         elif isinstance(message, control_messages.RolloutDecision):
             self._rollouts.apply_decision(message)
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -81,7 +81,7 @@
         self._follower = follower_lib.Follower(
             store,
             settings.operator_topic,
-            self._sharing.add,
+            self._add_records,
             self._plan,
             rng,
             counts,
@@ -155,6 +155,10 @@
         else:
             self._handle_records(stream, message)
 
+    def _add_records(self, records: Iterable[keyed.KeyedRecord]) -> None:
+        for record in records:
+            self._sharing.add(record)
+
     def _plan(self) -> follower_lib.ReadPlan:
         now = self._loop.time()
         local_peers = self._local_peers()
--- a/trefoilwind/gateway/peers.py
+++ b/trefoilwind/gateway/peers.py
@@ -99,7 +99,10 @@
         )
 
     def set_peers(self, peer_addresses: dict[str, addresses.Address]) -> None:
-        """Maintain streams to these nodes and close all other dialed ones.
+        """Maintain streams to these nodes.
+
+        Streams to other nodes are closed once no call waits for an answer on
+        them; see `close_unused`.
 
         Args:
             peer_addresses: Addresses by node id.
@@ -108,19 +111,22 @@
         for node_id in list(self._dialers):
             if node_id not in peer_addresses:
                 self._dialers.pop(node_id).cancel()
-                stream = self._dialed.get(node_id)
-                if stream is not None:
-                    stream.close()
         for node_id in peer_addresses:
             if node_id not in self._dialers:
                 self._dialers[node_id] = self._loop.create_task(
                     self._maintain_stream(node_id)
                 )
+        self.close_unused()
+
+    def is_maintained(self, node_id: str) -> bool:
+        """Return True if a stream to a node is to be kept open."""
+        return node_id in self._dialers
 
-    def send_all(self, frame: frames.Frame) -> None:
-        """Send a frame on each dialed stream."""
-        for stream in self._dialed.values():
-            stream.send(frame)
+    def close_unused(self) -> None:
+        """Close the dialed streams that are neither maintained nor in use."""
+        for node_id, stream in list(self._dialed.items()):
+            if node_id not in self._dialers and not stream.pending_answers:
+                stream.close()
 
     def close(self) -> None:
         """Close all streams and stop listening."""
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Callable
 from collections.abc import Container
+from collections.abc import Iterator
+from collections.abc import Sequence
 import dataclasses
 
 from trefoilwind import errors
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import calls
+from trefoilwind.gateway import peer_selection
+from trefoilwind.membership import directory
 from trefoilwind.model import members as members_lib
 from trefoilwind.routing import failures
 from trefoilwind.routing import placement
@@ -94,6 +98,18 @@
         self._draw = draw
         self._states: dict[str, _BackendState] = {}
         self._typical_s = INITIAL_SERVICE_S
+        # Snapshot of the members from which the selection was made.
+        self._selected_from: directory.Snapshot | None = None
+        self._selection = peer_selection.Selection({}, {})
+
+    @property
+    def selection(self) -> peer_selection.Selection:
+        """Nodes to which calls may be sent and streams are kept."""
+        members = self._board.members.value
+        if members is not self._selected_from:
+            self._selected_from = members
+            self._selection = peer_selection.select(members, self._own)
+        return self._selection
 
     def choose_version(self, service: str) -> str:
         """Return the version for a call; empty if any version may run it."""
@@ -127,12 +143,9 @@
             node_id = member.node_id
             return node_id not in tried and self._is_available(node_id, now)
 
-        groups: dict[placement.Distance, list[members_lib.Member]] = {}
-        for member in self._serving(call.service, call.version):
-            groups.setdefault(self._distance(member), []).append(member)
         candidates = [
-            self._candidate(member, now)
-            for group in groups.values()
+            self._candidate(member, distance, now)
+            for distance, group in self._groups(call.service, call.version)
             for member in placement.sample(group, is_available, self._draw)
         ]
         choose = placement.choose
@@ -205,40 +218,42 @@
             return False
         return node_id == self._own.node_id or self._is_reachable(node_id)
 
-    def _serving(
+    def _groups(
         self, service: str, version: str
-    ) -> tuple[members_lib.Member, ...]:
-        members = self._board.members.value
+    ) -> Iterator[tuple[placement.Distance, Sequence[members_lib.Member]]]:
+        """Yield the candidates for a call by distance, nearest first."""
+        candidates = self.selection.candidates
         if version:
-            return members.serving(service, version)
-        plan = self._board.versions.value.by_service.get(service)
-        banned = plan.banned if plan else frozenset()
-        return tuple(
-            member
-            for (name, each), group in members.by_version.items()
-            if name == service and each not in banned
-            for member in group
-        )
+            versions = [version]
+        else:
+            plan = self._board.versions.value.by_service.get(service)
+            banned = plan.banned if plan else frozenset()
+            versions = [
+                each
+                for name, each in candidates
+                if name == service and each not in banned
+            ]
+        found = [candidates.get((service, each), {}) for each in versions]
+        for distance in placement.Distance:
+            group = [
+                member for each in found for member in each.get(distance, ())
+            ]
+            if group:
+                yield distance, group
 
     def _candidate(
-        self, member: members_lib.Member, now: float
+        self,
+        member: members_lib.Member,
+        distance: placement.Distance,
+        now: float,
     ) -> placement.Candidate:
         state = self._state(member.node_id)
         is_own = member.node_id == self._own.node_id
         return placement.Candidate(
             member.node_id,
-            self._distance(member),
+            distance,
             member.slots,
             self._own_occupied() if is_own else state.estimated_occupied(now),
             state.mean_time.estimate_s(self._typical_s, now),
             state.failure_share(now),
         )
-
-    def _distance(self, member: members_lib.Member) -> placement.Distance:
-        if member.node_id == self._own.node_id:
-            return placement.Distance.OWN
-        if member.data_centre == self._own.data_centre:
-            return placement.Distance.DATA_CENTRE
-        if member.region == self._own.region:
-            return placement.Distance.REGION
-        return placement.Distance.OTHER_REGION
--- a/trefoilwind/gateway/rollout_manager.py
+++ b/trefoilwind/gateway/rollout_manager.py
@@ -13,12 +13,11 @@
 from trefoilwind.gateway import control_messages
 from trefoilwind.gateway import follower as follower_lib
 from trefoilwind.gateway import node_settings
-from trefoilwind.gateway import peers as peers_lib
 from trefoilwind.gateway import publisher as publisher_lib
 from trefoilwind.gateway import rollouts as rollouts_lib
+from trefoilwind.gateway import spreading as spreading_lib
 from trefoilwind.log import keyed
 from trefoilwind.model import mesh
-from trefoilwind.rollout import messages as evidence_messages
 
 logger = logging.getLogger(__name__)
 
@@ -32,6 +31,9 @@
 # Seconds between the reports of a decision by successive nodes.
 REPORT_DELAY_S = 1.5
 REPORTING_NODES = 2
+# Relays that get the evidence of each node of their data centre; the first one
+# sends the sums, the other one replaces it if it fails.
+EVIDENCE_RELAYS = 2
 
 
 class RolloutManager:
@@ -42,7 +44,7 @@
         settings: node_settings.MeshSettings,
         entry: str,
         board: board_lib.MeshBoard,
-        peers: peers_lib.Peers,
+        spreading: spreading_lib.Spreading,
         store: keyed.KeyedStore,
         follower: follower_lib.Follower,
         encode_status: Callable[[mesh.RolloutStatus], keyed.KeyedRecord],
@@ -54,7 +56,7 @@
             settings: Settings of the node.
             entry: Id of this node and its incarnation, as used in evidence.
             board: Snapshots of the node's components.
-            peers: Streams to other nodes.
+            spreading: Sends messages to other nodes.
             store: The platform's keyed topics.
             follower: Follower of the mesh topic, which holds the decisions.
             encode_status: Returns the record that reports a rollout.
@@ -62,7 +64,7 @@
         """
         self._settings = settings
         self._board = board
-        self._peers = peers
+        self._spreading = spreading
         self._follower = follower
         self._encode_status = encode_status
         self._loop = asyncio.get_running_loop()
@@ -80,13 +82,15 @@
             rng,
         )
         self._control = rollouts_lib.RolloutControl(
+            settings.node_id,
             entry,
             settings.data_centre,
             board,
             rollouts_lib.EvidenceSenders(
-                lambda update: self._send_evidence(update, True),
-                lambda update: self._send_evidence(update, False),
-                self._is_evidence_relay,
+                spreading.send_to,
+                spreading.send_local,
+                spreading.send_remote,
+                lambda: spreading.local_relays(EVIDENCE_RELAYS),
             ),
             self._propose_decision,
             self._loop.time,
@@ -153,39 +157,6 @@
         if server is not None:
             self._propose_stable(server)
 
-    def _send_evidence(
-        self, update: evidence_messages.EvidenceUpdate, is_local: bool
-    ) -> None:
-        """Send evidence to peers.
-
-        Args:
-            update: The evidence.
-            is_local: True for the peers of the own data centre, False for
-                all others.
-        """
-        frame = peers_lib.control_frame(update)
-        members = self._board.members.value.by_node
-        for stream in self._peers.connected:
-            member = members.get(stream.peer)
-            if member is None:
-                continue
-            is_same = member.data_centre == self._settings.data_centre
-            if is_same == is_local:
-                stream.send(frame)
-
-    def _is_evidence_relay(self) -> bool:
-        """Return True if this node sends its data centre's aggregates."""
-        own = self._settings
-        nodes = [
-            node_id
-            for node_id in self._board.members.value.in_data_centre(
-                own.data_centre
-            )
-            if node_id == own.node_id or self._peers.dialed(node_id)
-        ]
-        key = f"evidence/{own.data_centre}"
-        return topology.rendezvous(key, nodes, 1) == (own.node_id,)
-
     def _propose_stable(self, server: mesh.BackendServer) -> None:
         """Record the stable version of a service unless it has a record."""
         service = server.service
@@ -199,9 +170,15 @@
             control_messages.StableVersion(service, server.version),
             self._rank(key, service) * RANK_DELAY_S,
             lambda: service in self._control.stable,
-            lambda message: None,
+            self._handle_stored_stable,
         )
 
+    def _handle_stored_stable(
+        self, stable: control_messages.StableVersion
+    ) -> None:
+        self._control.apply_stable(stable)
+        self._spreading.send_all(stable)
+
     def _propose_decision(
         self, decision: control_messages.RolloutDecision
     ) -> None:
@@ -219,6 +196,7 @@
     ) -> None:
         """Apply a decision that this node has stored, before it is read."""
         self._control.apply_decision(decision)
+        self._spreading.send_all(decision)
         self._report_decision(decision)
 
     def _rank(self, key: str, service: str = "") -> int:
--- a/trefoilwind/gateway/rollouts.py
+++ b/trefoilwind/gateway/rollouts.py
@@ -39,6 +39,7 @@
         verdict: Result of the last evaluation; None before the first.
         brake: Evidence that the version is faulty, or None.
         sent_revision: Revision of the ledger last sent to peers.
+        relays: Relays of the data centre to which it was sent.
     """
 
     order: mesh.RolloutOrder
@@ -48,6 +49,7 @@
     verdict: verdicts.Verdict | None = None
     brake: evidence.Brake | None = None
     sent_revision: int = 0
+    relays: tuple[str, ...] = ()
 
     @property
     def move_id(self) -> str:
@@ -60,15 +62,19 @@
     """Functions that send evidence to other nodes.
 
     Attributes:
+        send_to_relays: Sends to the relays of the own data centre, given
+            their ids.
         send_local: Sends to the nodes of the own data centre.
-        send_remote: Sends to all other nodes.
-        is_relay: Returns True if this node sends the aggregates of its data
-            centre.
+        send_remote: Sends to a node of each other data centre.
+        relays: Returns the relays of the own data centre; the first one sends
+            its aggregates.
     """
 
+    send_to_relays: Callable[[tuple[str, ...], messages.EvidenceUpdate], None]
+
     send_local: Callable[[messages.EvidenceUpdate], None]
     send_remote: Callable[[messages.EvidenceUpdate], None]
-    is_relay: Callable[[], bool]
+    relays: Callable[[], tuple[str, ...]]
 
 
 class RolloutControl:
@@ -76,6 +82,7 @@
 
     def __init__(
         self,
+        node_id: str,
         entry: str,
         data_centre: str,
         board: board_lib.MeshBoard,
@@ -86,6 +93,7 @@
         """Initialize the control without open rollouts.
 
         Args:
+            node_id: Id of this node.
             entry: Id of this node and its incarnation, as used in evidence.
             data_centre: Data centre of the node.
             board: Snapshots; the version table is published here.
@@ -93,6 +101,7 @@
             propose_decision: Proposes a decision on a rollout.
             clock: Returns the monotonic time in seconds.
         """
+        self._node_id = node_id
         self._entry = entry
         self._data_centre = data_centre
         self._board = board
@@ -101,6 +110,8 @@
         self._propose_decision = propose_decision
         self._clock = clock
         self._ledger = evidence.Ledger()
+        # Sums received from other data centres since the last tick.
+        self._received_sums: set[evidence.Key] = set()
         self._open: dict[str, _OpenRollout] = {}
         self._stable: dict[str, str] = {}
         self._decisions: dict[int, control_messages.RolloutDecision] = {}
@@ -150,6 +161,12 @@
         """Orders that have no decision yet."""
         return tuple(rollout.order for rollout in self._open.values())
 
+    def evidence_of(
+        self, rollout_id: str
+    ) -> dict[evidence.Key, evidence.Counter]:
+        """Return the counters of a rollout by cell."""
+        return self._ledger.view(rollout_id)
+
     def handle_order(self, order: mesh.RolloutOrder) -> bool:
         """Open a rollout for an order; return True if the order is new.
 
@@ -235,18 +252,31 @@
         self._publish_table()
         return True
 
-    def merge_evidence(self, update: messages.EvidenceUpdate) -> None:
-        """Merge a peer's counters and brakes."""
+    def merge_evidence(
+        self, update: messages.EvidenceUpdate, is_remote: bool = False
+    ) -> None:
+        """Merge a peer's counters and brakes.
+
+        Args:
+            update: Counters and brakes.
+            is_remote: True if the peer is in another data centre; they are
+                sent on in the own one.
+        """
         open_ids = {rollout.move_id for rollout in self._open.values()}
-        self._ledger.merge(
+        entries = [
             entry
             for entry in messages.unpack(update)
             if entry.key.move_id in open_ids
-        )
+        ]
+        self._ledger.merge(entries)
+        if is_remote:
+            self._received_sums.update(entry.key for entry in entries)
         for brake in update.brakes:
             for rollout in self._open.values():
                 if rollout.move_id == brake.move_id and not rollout.brake:
                     self._set_brake(rollout, brake)
+                    if is_remote:
+                        self._senders.send_local(messages.pack((), (brake,)))
 
     def observe(
         self, node_id: str, call: calls.Call, outcome: calls.Outcome
@@ -289,7 +319,7 @@
     def _evaluate(self, rollout: _OpenRollout) -> ramp.Progress:
         now = self._clock()
         order = rollout.order
-        counters = self._ledger.view(rollout.move_id)
+        counters = self.evidence_of(rollout.move_id)
         servers = len(
             self._board.members.value.serving(order.service, order.version)
         )
@@ -348,25 +378,54 @@
         )
 
     def _send_evidence(self, rollout: _OpenRollout) -> None:
-        """Send own counters to the data centre and aggregates to all others.
+        """Send own counters to the relays, and sums if this is the first one.
 
-        Aggregates merge by maximum like counters, so it is harmless if two
-        nodes send them for a while.
+        The first relay of a data centre sends its sums to all its nodes and to
+        a node of each other data centre, which sends them on in its own. Sums
+        merge by maximum like counters, so it is harmless if two nodes send
+        them for a while. Relays that are new get all own counters.
         """
-        is_relay = self._senders.is_relay()
+        relays = self._senders.relays()
+        is_relay = relays[:1] == (self._node_id,)
         if is_relay:
             self._ledger.aggregate(self._data_centre)
         changed = self._ledger.changed_since(rollout.sent_revision)
+        if relays != rollout.relays:
+            rollout.relays = relays
+            own = self._own_entries(self._ledger.changed_since(0))
+        else:
+            own = self._own_entries(changed)
         rollout.sent_revision = self._ledger.revision
         brakes = (rollout.brake,) if rollout.brake else ()
-        own = [entry for entry in changed if entry.key.entry == self._entry]
         if own or brakes:
-            self._senders.send_local(messages.pack(own, brakes))
-        aggregates = [
-            entry for entry in changed if self._is_own_aggregate(entry.key)
+            self._senders.send_to_relays(relays, messages.pack(own, brakes))
+        self._send_sums(changed, brakes, is_relay)
+
+    def _send_sums(
+        self,
+        changed: list[evidence.Entry],
+        brakes: tuple[evidence.Brake, ...],
+        is_relay: bool,
+    ) -> None:
+        sums = [
+            entry
+            for entry in changed
+            if entry.key in self._received_sums
+            or (is_relay and self._is_own_aggregate(entry.key))
+        ]
+        self._received_sums.clear()
+        if sums or (is_relay and brakes):
+            self._senders.send_local(messages.pack(sums, brakes))
+        own_sums = [
+            entry for entry in sums if self._is_own_aggregate(entry.key)
         ]
-        if is_relay and (aggregates or brakes):
-            self._senders.send_remote(messages.pack(aggregates, brakes))
+        if is_relay and (own_sums or brakes):
+            self._senders.send_remote(messages.pack(own_sums, brakes))
+
+    def _own_entries(
+        self, entries: list[evidence.Entry]
+    ) -> list[evidence.Entry]:
+        return [entry for entry in entries if entry.key.entry == self._entry]
 
     def _is_own_aggregate(self, key: evidence.Key) -> bool:
         return not key.entry and key.data_centre == self._data_centre
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -89,6 +89,7 @@
         self._decoder = frames.Decoder()
         self._transport: asyncio.Transport | None = None
         self._peer: str = ""
+        self._peer_data_centre: str = ""
         self._unsent: list[bytes] = []
         self._last_received = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
@@ -104,6 +105,11 @@
         """Id of the peer; empty until it has identified itself."""
         return self._peer
 
+    @property
+    def peer_data_centre(self) -> str:
+        """Data centre of the peer; empty until it has identified itself."""
+        return self._peer_data_centre
+
     @property
     def is_dialed(self) -> bool:
         """True if this side opened the stream."""
@@ -114,16 +120,16 @@
         """True once the stream is closed."""
         return self._is_closed
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes that wait to be sent, without those in the kernel."""
-        return self._transport.get_write_buffer_size()
-
     @property
     def pending_answers(self) -> int:
         """Number of calls sent to the peer that have no answer yet."""
         return self._pending_answers
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait to be sent, without those in the kernel."""
+        return self._transport.get_write_buffer_size()
+
     @property
     def is_congested(self) -> bool:
         """True if new calls would wait too long behind unsent bytes."""
@@ -255,6 +261,7 @@
             self.abort()
             return
         self._peer = hello.node_id
+        self._peer_data_centre = hello.data_centre
         self._events.opened(self)
 
     def _flush(self) -> None:
