Keep dialing a node after a malformed address; supervise the settings' watcher

Report of other operators: one malformed message or error ends a process. Here it ended a task: the address in a member record of another writer went to the event loop as it was, and one whose host cannot be encoded raised past the dialer, which then never dialed that node again, also once its record was right. The task that watches the settings file ended with any exception as well.

--- a/tests/test_gateway/test_gateway_peers.py
+++ b/tests/test_gateway/test_gateway_peers.py
@@ -3,12 +3,16 @@
 import asyncio
 import random
 
+import pytest
 import uvloop
 
+from tests import virtual_time
 from tests.test_gateway import fakes
 from trefoilwind.distribution import frames
 from trefoilwind.gateway import peers as peers_lib
 from trefoilwind.gateway import streams
+from trefoilwind.gateway import supervision
+from trefoilwind.model import addresses
 
 _TIMES = streams.StreamTimes(1.0, 3.0)
 _PEER_HELLO = frames.encode(frames.Hello(frames.PROTOCOL_VERSION, "n2", "d"))
@@ -94,3 +98,49 @@
             peers.close()
 
     uvloop.run(run())
+
+
+@pytest.mark.parametrize(
+    "malformed",
+    [
+        addresses.Address("127.0.0.1", 70_000),
+        addresses.Address("127.0.0.1", -1),
+        addresses.Address("no address\0", 1),
+        addresses.Address("x" * 70, 1),
+    ],
+)
+def test_node_with_a_malformed_address_is_dialed_once_that_is_corrected(
+    malformed: addresses.Address,
+):
+    """Guards against a dialing task that one malformed record ends."""
+
+    async def run() -> None:
+        async with fakes.RawServer(_greet) as server:
+            peers = _peers()
+            peers.set_peers({"n2": malformed})
+            await asyncio.sleep(0.1)
+            peers.set_peers({"n2": server.address})
+            await _until(lambda: peers.dialed("n2"))
+            peers.close()
+
+    uvloop.run(run())
+
+
+def test_component_is_restarted_after_an_exception():
+    runs = []
+
+    async def component() -> None:
+        runs.append(len(runs))
+        if len(runs) == 1:
+            raise RuntimeError("unexpected")
+        await asyncio.Event().wait()
+
+    async def run() -> None:
+        task = asyncio.ensure_future(supervision.supervise(component))
+        await asyncio.sleep(0)
+        await asyncio.sleep(2 * supervision.RESTART_DELAY_S)
+        assert not task.done()
+        task.cancel()
+
+    virtual_time.run(run())
+    assert runs == [0, 1]
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -1,7 +1,6 @@
 """A node on the event loop: connects the components and owns their tasks."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
@@ -34,6 +33,7 @@
 from trefoilwind.gateway import spreading as spreading_lib
 from trefoilwind.gateway import stream_calls
 from trefoilwind.gateway import streams
+from trefoilwind.gateway import supervision
 from trefoilwind.gateway import suspect_table
 from trefoilwind.gateway import target as target_lib
 from trefoilwind.log import keyed
@@ -63,8 +63,6 @@
 # 2 s.
 STOP_LISTEN_FRACTION = 0.54
 _STOP_CHECK_INTERVAL_S = 0.05
-# Seconds until a component is restarted after an unexpected exception.
-RESTART_DELAY_S = 0.5
 
 
 _ROLLOUT_RECORDS = (
@@ -308,7 +306,9 @@
         )
         runs = [component.run for component in components] + [self._tick]
         for run in runs:
-            self._tasks.append(self._loop.create_task(_supervise(run)))
+            self._tasks.append(
+                self._loop.create_task(supervision.supervise(run))
+            )
         logger.info("node: %s started", settings.node_id)
         return None
 
@@ -651,15 +651,3 @@
             len(configuration.routes),
             current.version,
         )
-
-
-async def _supervise(run: Callable[[], Awaitable[None]]) -> None:
-    """Run a component; restart it after an unexpected exception."""
-    while True:
-        try:
-            await run()
-        except Exception:
-            logger.exception(
-                "node: unexpected exception in a component; restarting it"
-            )
-            await asyncio.sleep(RESTART_DELAY_S)
--- a/trefoilwind/gateway/peers.py
+++ b/trefoilwind/gateway/peers.py
@@ -171,7 +171,8 @@
                     address.host,
                     address.port,
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The address comes from another node and may be malformed.
             logger.debug("peers: connecting to %s failed; %s", address, error)
             return None
         return stream
--- a/trefoilwind/platform/program.py
+++ b/trefoilwind/platform/program.py
@@ -10,6 +10,7 @@
 from trefoilwind.gateway import node as node_lib
 from trefoilwind.gateway import node_settings
 from trefoilwind.gateway import streams
+from trefoilwind.gateway import supervision
 from trefoilwind.model import mesh
 from trefoilwind.platform import documents
 from trefoilwind.platform import endpoints
@@ -89,7 +90,7 @@
         host = settings_lib.address(settings.network.listen.outbound).host
         await _serve_metrics(node, host, metrics_port)
     loop.add_signal_handler(signal.SIGHUP, lambda: _reload(node))
-    watcher = loop.create_task(_watch_file(node))
+    watcher = loop.create_task(supervision.supervise(lambda: _watch_file(node)))
     await stopped.wait()
     watcher.cancel()
     logger.info("node: received SIGTERM; stopping")
