Expect calls to take twice as long on servers that have just joined

Cause: a server that joins is idle, so every entry node prefers it, and it runs calls at half speed for 3 s; its reports come with its first answers, when the calls of all entry nodes are under way there. Now the typical time of a call is doubled for a process that appeared less than 4 s ago, until its node reports a mean time. Processes known at the start of a node are not new to it.

--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
+import math
 
 from trefoilwind import errors
 from trefoilwind.gateway import board as board_lib
@@ -12,6 +13,7 @@
 from trefoilwind.gateway import peer_selection
 from trefoilwind.membership import directory
 from trefoilwind.model import members as members_lib
+from trefoilwind.routing import cold_start
 from trefoilwind.routing import failures
 from trefoilwind.routing import placement
 from trefoilwind.routing import service_time
@@ -98,6 +100,10 @@
         self._draw = draw
         self._states: dict[str, _BackendState] = {}
         self._typical_s = INITIAL_SERVICE_S
+        # Backend servers of the members, by node id, and the snapshot from
+        # which they were noted.
+        self._appearances: dict[str, cold_start.Appearance] = {}
+        self._noted_from: directory.Snapshot | None = None
         # Snapshot of the members from which the selection was made.
         self._selected_from: directory.Snapshot | None = None
         self._selection = peer_selection.Selection({}, {})
@@ -138,6 +144,7 @@
             now: Event loop time in seconds.
             was_refused: True if the last of them refused it for overload.
         """
+        self._note_appearances(now)
 
         def is_available(member: members_lib.Member) -> bool:
             node_id = member.node_id
@@ -154,6 +161,21 @@
         chosen = choose(candidates, len(call.body))
         return chosen.node_id if chosen else ""
 
+    def _note_appearances(self, now: float) -> None:
+        """Note which backend servers are new since the previous call."""
+        members = self._board.members.value
+        if members is self._noted_from:
+            return
+        seen_at = -math.inf if self._noted_from is None else now
+        self._noted_from = members
+        known = self._appearances
+        self._appearances = {}
+        for member in members.members:
+            appearance = known.get(member.node_id)
+            if appearance is None or appearance.process != member.process:
+                appearance = cold_start.Appearance(member.process, seen_at)
+            self._appearances[member.node_id] = appearance
+
     def started(self, node_id: str) -> None:
         """Record the start of an attempt."""
         self._state(node_id).in_flight += 1
@@ -254,6 +276,13 @@
             distance,
             member.slots,
             self._own_occupied() if is_own else state.estimated_occupied(now),
-            state.mean_time.estimate_s(self._typical_s, now),
+            state.mean_time.estimate_s(
+                cold_start.expected_time_s(
+                    self._typical_s,
+                    self._appearances[member.node_id].seen_at,
+                    now,
+                ),
+                now,
+            ),
             state.failure_share(now),
         )
--- a/trefoilwind/gateway/rollouts.py
+++ b/trefoilwind/gateway/rollouts.py
@@ -14,6 +14,7 @@
 from trefoilwind.rollout import messages
 from trefoilwind.rollout import ramp
 from trefoilwind.rollout import verdicts
+from trefoilwind.routing import cold_start
 
 logger = logging.getLogger(__name__)
 
@@ -21,10 +22,6 @@
 EVALUATION_INTERVAL_S = 0.25
 # Seconds per block of the evidence history.
 HISTORY_BLOCK_S = 0.5
-# Seconds for which the latency of a backend server is ignored after its first
-# call from this node; the sites' backend servers are slow for 3 s after their
-# start.
-COLD_START_S = 4.0
 
 
 @dataclasses.dataclass
@@ -441,7 +438,7 @@
             return evidence.failure()
         now = self._clock()
         first = self._first_seen.setdefault(node_id, now)
-        is_cold = now - first < COLD_START_S or outcome.served_s < 0
+        is_cold = now - first < cold_start.COLD_START_S or outcome.served_s < 0
         return evidence.success(max(0.0, outcome.served_s), is_cold)
 
     def _publish_table(self) -> None:
