--- a/tests/test_gateway/test_gateway_member_repair.py
+++ b/tests/test_gateway/test_gateway_state_repair.py
@@ -1,4 +1,4 @@
-"""Tests of the repair of member tables over lossy streams."""
+"""Tests of the repair of members and decisions over lossy streams."""
 
 import random
 
@@ -8,8 +8,9 @@
 
 from trefoilwind import codec
 from trefoilwind.gateway import board as board_lib
-from trefoilwind.gateway import member_repair
+from trefoilwind.gateway import control_messages
 from trefoilwind.gateway import member_table
+from trefoilwind.gateway import state_repair
 from trefoilwind.model import addresses
 from trefoilwind.model import members
 from trefoilwind.model import mesh as mesh_lib
@@ -79,14 +80,24 @@
         self._random = random.Random(seed)
         self.nodes = {f"n{number}": None for number in range(size)}
         self.tables = {}
+        # Services whose stable version a node knows, by node.
+        self.decided: dict[str, set[str]] = {}
         for node in self.nodes:
             table = member_table.MemberTable(
                 _member(node), board_lib.MeshBoard()
             )
             self.tables[node] = table
+            known = self.decided[node] = set()
             number = int(node[1:])
-            self.nodes[node] = member_repair.MemberRepair(
+            self.nodes[node] = state_repair.StateRepair(
                 table,
+                state_repair.RolloutState(
+                    lambda known=known: repr(sorted(known)),
+                    lambda known=known: [
+                        control_messages.StableVersion(each, "v1")
+                        for each in sorted(known)
+                    ],
+                ),
                 _Spreading(self, node),
                 lambda is_relay=number < _DATA_CENTRES: is_relay,
                 table.merge_all,
@@ -122,6 +133,9 @@
                 if self._random.random() < self.loss:
                     continue
                 message = codec.decode(payload, "test", source)
+                if isinstance(message, control_messages.StableVersion):
+                    self.decided[target].add(message.service)
+                    continue
                 self.nodes[target].handle_message(
                     _Stream(self, target, source), message
                 )
@@ -129,7 +143,9 @@
     @property
     def is_converged(self) -> bool:
         """True if all tables hold the same records."""
-        return len({table.digest for table in self.tables.values()}) == 1
+        tables = {table.digest for table in self.tables.values()}
+        decided = {frozenset(each) for each in self.decided.values()}
+        return len(tables) == len(decided) == 1
 
 
 def _member(node: str) -> members.Member:
@@ -154,6 +170,18 @@
     assert len(mesh.tables["n0"].records) == size
 
 
+def test_decision_that_one_node_missed_reaches_it_without_a_change():
+    """Guards against a node that was cut off while a decision spread."""
+    mesh = _Mesh(30, 1)
+    mesh.run(_MAX_ROUNDS)
+    for node in mesh.nodes:
+        if node not in ("n7", "n0"):
+            mesh.decided[node].add("s")
+    mesh.run(_MAX_ROUNDS)
+    assert mesh.is_converged
+    assert mesh.decided["n7"] == {"s"}
+
+
 def test_equal_tables_exchange_nothing_but_digests():
     mesh = _Mesh(30, 1)
     mesh.run(_MAX_ROUNDS)
--- a/trefoilwind/gateway/control_messages.py
+++ b/trefoilwind/gateway/control_messages.py
@@ -16,18 +16,24 @@
     member: members.Member
 
 
-@codec.message("mesh.members_digest")
+@codec.message("mesh.state_digest")
 @dataclasses.dataclass(frozen=True)
-class MembersDigest:
-    """Digest of the sender's member table; equal tables have equal digests."""
+class StateDigest:
+    """Digests of what the sender knows; equal state has equal digests.
 
-    digest: str
+    Attributes:
+        members: Digest of the member table.
+        rollouts: Digest of stable versions and decisions.
+    """
+
+    members: str
+    rollouts: str
 
 
-@codec.message("mesh.members_wanted")
+@codec.message("mesh.state_wanted")
 @dataclasses.dataclass(frozen=True)
-class MembersWanted:
-    """Request for all member records of the receiver."""
+class StateWanted:
+    """Request for all members, stable versions and decisions."""
 
 
 @codec.message("mesh.members")
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -19,7 +19,6 @@
 from trefoilwind.gateway import follower as follower_lib
 from trefoilwind.gateway import http_server
 from trefoilwind.gateway import http_types
-from trefoilwind.gateway import member_repair
 from trefoilwind.gateway import member_table
 from trefoilwind.gateway import metrics_page
 from trefoilwind.gateway import node_settings
@@ -31,6 +30,7 @@
 from trefoilwind.gateway import rollouts as rollouts_lib
 from trefoilwind.gateway import server_notices
 from trefoilwind.gateway import spreading as spreading_lib
+from trefoilwind.gateway import state_repair
 from trefoilwind.gateway import stream_calls
 from trefoilwind.gateway import streams
 from trefoilwind.gateway import supervision
@@ -151,13 +151,6 @@
         self._spreading = spreading_lib.Spreading(
             settings.node_id, settings.data_centre, self._board, self._peers
         )
-        self._member_repair = member_repair.MemberRepair(
-            self._members,
-            self._spreading,
-            lambda: self._spreading.is_relay,
-            self._merge_members,
-            self._loop.time,
-        )
         self._picker = picker_lib.Picker(
             own,
             self._board,
@@ -212,6 +205,17 @@
             operator.status,
             self._random,
         )
+        control = self._rollouts.control
+        self._state_repair = state_repair.StateRepair(
+            self._members,
+            state_repair.RolloutState(
+                lambda: control.digest, lambda: control.records
+            ),
+            self._spreading,
+            lambda: self._spreading.is_relay,
+            self._merge_members,
+            self._loop.time,
+        )
         self._tasks: list[asyncio.Task] = []
         self._peer_update: asyncio.Handle | None = None
         self._last_request_at = 0.0
@@ -461,8 +465,8 @@
         elif isinstance(message, control_messages.MemberChanged):
             if self._merge_members((message.member,)):
                 self._spreading.pass_on(stream, message)
-        elif isinstance(message, member_repair.Message):
-            self._member_repair.handle_message(stream, message)
+        elif isinstance(message, state_repair.Message):
+            self._state_repair.handle_message(stream, message)
         elif isinstance(message, evidence_messages.EvidenceUpdate):
             is_remote = self._spreading.is_remote(stream)
             self._rollouts.control.merge_evidence(message, is_remote)
@@ -506,7 +510,7 @@
             accepts_calls = self._target.accepts_calls
             self._rollouts.tick(self._target.server if accepts_calls else None)
             self._operator_records.tick()
-            self._member_repair.tick()
+            self._state_repair.tick()
             self._peers.close_unused()
 
     # Members.
--- a/trefoilwind/gateway/rollouts.py
+++ b/trefoilwind/gateway/rollouts.py
@@ -4,6 +4,8 @@
 import dataclasses
 import logging
 
+import xxhash
+
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import control_messages
@@ -153,6 +155,29 @@
         }
         return tuple(newest.values())
 
+    @property
+    def records(
+        self,
+    ) -> tuple[
+        control_messages.StableVersion | control_messages.RolloutDecision, ...
+    ]:
+        """Stable versions and the newest decisions, for other nodes."""
+        stable = (
+            control_messages.StableVersion(service, version)
+            for service, version in sorted(self._stable.items())
+        )
+        return (*stable, *self.final_decisions)
+
+    @property
+    def digest(self) -> str:
+        """Digest of stable versions and decisions, without their positions."""
+        decided = sorted(
+            (each.service, each.version, each.is_done)
+            for each in self.final_decisions
+        )
+        text = repr((sorted(self._stable.items()), decided))
+        return xxhash.xxh3_64_hexdigest(text.encode())
+
     @property
     def open_orders(self) -> tuple[mesh.RolloutOrder, ...]:
         """Orders that have no decision yet."""
--- a/trefoilwind/gateway/spreading.py
+++ b/trefoilwind/gateway/spreading.py
@@ -4,7 +4,7 @@
 to a few nodes of each other one, which pass it on in theirs. So each node sends
 and receives a number of copies that depends on the size of its data centre,
 not on that of the mesh. Messages are idempotent; a lost one is repaired by the
-comparison of digests (`member_digests`) or by the next read of the store.
+comparison of digests (`state_repair`) or by the next read of the store.
 """
 
 from collections.abc import Iterable
