Report what was on its way when a stream is closed for silence

The line about silence did not tell a dead peer from a path that is full of the sender's own bytes. It is a decision now: calls that wait, unsent bytes and bytes sent since the last received one. The target node reports calls interrupted by a closed stream, and how long ago it received bytes of it.

--- /dev/null
+++ b/tests/test_gateway/test_gateway_slow_paths.py
@@ -0,0 +1,146 @@
+"""Tests of calls over paths that are slow or full, but not silent."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from tests import virtual_time
+from tests.test_gateway import fakes
+from trefoilwind.distribution import frames
+from trefoilwind.gateway import calls
+from trefoilwind.gateway import http_types
+from trefoilwind.gateway import stream_calls
+from trefoilwind.gateway import streams
+from trefoilwind.logs import json_lines
+
+_TIMES = streams.StreamTimes(1.0, 3.0)
+_PACKET_BYTES = 1500
+_ANSWER = http_types.HttpAnswer(200, (), b"done")
+_DEADLINE_S = 30.0
+
+Run = Callable[[calls.Call], Awaitable[calls.Outcome]]
+
+
+class _Link(asyncio.Transport):
+    """One direction of a connection; sends packets at a limited rate."""
+
+    def __init__(self, bytes_per_s: float):
+        super().__init__()
+        self._bytes_per_s = bytes_per_s
+        self._loop = asyncio.get_running_loop()
+        self._free_at = 0.0
+        self._unsent = 0
+        self._is_cut = False
+        self.receiver: streams.Stream | None = None
+        self.sender: streams.Stream | None = None
+
+    def cut(self) -> None:
+        """Lose all packets from now on."""
+        self._is_cut = True
+
+    def stall(self, seconds: float) -> None:
+        """Send nothing for some seconds."""
+        now = self._loop.time()
+        self._free_at = max(now, self._free_at) + seconds
+
+    def get_extra_info(self, name, default=None):
+        """Return nothing."""
+        return default
+
+    def get_write_buffer_size(self) -> int:
+        """Return the bytes that wait to be sent."""
+        return self._unsent
+
+    def is_closing(self) -> bool:
+        """Return True once the sender's stream is closed."""
+        return self.sender.is_closed
+
+    def write(self, data) -> None:
+        """Send bytes, one packet after the other."""
+        for start in range(0, len(data), _PACKET_BYTES):
+            packet = bytes(data[start : start + _PACKET_BYTES])
+            start_at = max(self._loop.time(), self._free_at)
+            self._free_at = start_at + len(packet) / self._bytes_per_s
+            self._unsent += len(packet)
+            self._loop.call_at(self._free_at, self._deliver, packet)
+
+    def close(self) -> None:
+        """Close the connection at both ends."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Close the connection; the peer learns it after the sent bytes."""
+        if not self.sender.is_closed:
+            self._loop.call_soon(self.sender.connection_lost, None)
+            self._loop.call_at(
+                max(self._loop.time(), self._free_at), self._end_receiver
+            )
+
+    def _deliver(self, packet: bytes) -> None:
+        self._unsent -= len(packet)
+        if not self._is_cut and not self.receiver.is_closed:
+            self.receiver.data_received(packet)
+
+    def _end_receiver(self) -> None:
+        if not self._is_cut and not self.receiver.is_closed:
+            self.receiver.connection_lost(None)
+
+
+class _Pair:
+    """An entry node's and a target node's stream over a pair of links."""
+
+    def __init__(self, run: Run, bytes_per_s: float, answer_bytes_per_s: float):
+        self.remote = stream_calls.RemoteCalls()
+        self.incoming = stream_calls.IncomingCalls(run, lambda: 1 << 30)
+        self.entry = self._stream("entry", "target", self.remote)
+        self.target = self._stream("target", "", self.incoming)
+        self.forward = _Link(bytes_per_s)
+        self.backward = _Link(answer_bytes_per_s)
+        self.forward.sender, self.forward.receiver = self.entry, self.target
+        self.backward.sender, self.backward.receiver = self.target, self.entry
+        self.entry.connection_made(self.forward)
+        self.target.connection_made(self.backward)
+
+    def _stream(self, name: str, expected: str, handler) -> streams.Stream:
+        hello = frames.Hello(frames.PROTOCOL_VERSION, name, "d")
+        events = streams.StreamEvents(
+            lambda stream: None,
+            handler.handle_frame,
+            handler.closed,
+            lambda node_id: None,
+        )
+        return streams.Stream(hello, _TIMES, events, expected)
+
+    async def call(self, size: int, **changes) -> calls.Outcome:
+        """Run a call with a body of some bytes; return its outcome."""
+        await asyncio.sleep(0.1)
+        deadline = asyncio.get_running_loop().time() + _DEADLINE_S
+        call = fakes.call(body=b"x" * size, deadline=deadline, **changes)
+        return await self.remote.run(self.entry, call)
+
+
+async def _run_at_once(call: calls.Call) -> calls.Outcome:
+    return calls.Outcome(_ANSWER)
+
+
+def test_closed_silent_stream_is_reported_with_the_bytes_on_their_way(caplog):
+    async def scenario() -> None:
+        pair = _Pair(_run_at_once, 1e6, 1e6)
+        await asyncio.sleep(0.1)
+        pair.forward.cut()
+        pair.backward.cut()
+        await pair.call(300_000)
+        await pair.entry.wait_closed()
+
+    with caplog.at_level("INFO"):
+        virtual_time.run(scenario())
+    fields = [getattr(r, json_lines.FIELDS, {}) for r in caplog.records]
+    silent = {
+        each["peer"]: each
+        for each in fields
+        if each.get("kind") == "stream_silent"
+    }
+    assert silent["target"]["dialed"]
+    assert silent["target"]["pending_answers"] == 1
+    assert silent["target"]["sent_bytes"] >= 300_000
+    assert not silent["entry"]["dialed"]
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -11,6 +11,7 @@
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import streams
+from trefoilwind.logs import decisions
 
 logger = logging.getLogger(__name__)
 
@@ -195,8 +196,19 @@
 
     def closed(self, stream: streams.Stream) -> None:
         """Cancel the calls of a closed stream, as no answer can be sent."""
-        self._partial_calls.pop(stream, None)
-        for task in list(self._tasks.pop(stream, {}).values()):
+        partial_calls = self._partial_calls.pop(stream, {})
+        tasks = self._tasks.pop(stream, {})
+        if partial_calls or tasks:
+            decisions.failure(
+                logger,
+                "calls_interrupted",
+                "target: stream of unanswered calls closed",
+                peer=stream.peer,
+                accepted=len(tasks),
+                incomplete=len(partial_calls),
+                silence_ms=round(stream.silence_s * 1000),
+            )
+        for task in list(tasks.values()):
             task.cancel()
 
     def _handle_body(
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -8,6 +8,7 @@
 
 from trefoilwind import errors
 from trefoilwind.distribution import frames
+from trefoilwind.logs import decisions
 
 logger = logging.getLogger(__name__)
 
@@ -95,6 +96,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_closed = False
         self._probed_at = 0.0
+        # Bytes sent since the last byte was received.
+        self._sent_since_received = 0
         self._min_latency_s = float("inf")
         # Calls sent to the peer that have no answer yet.
         self._pending_answers = 0
@@ -125,6 +128,11 @@
         """Number of calls sent to the peer that have no answer yet."""
         return self._pending_answers
 
+    @property
+    def silence_s(self) -> float:
+        """Seconds since the last byte of the peer was received."""
+        return self._loop.time() - self._last_received
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that wait to be sent, without those in the kernel."""
@@ -208,6 +216,7 @@
     def data_received(self, data: bytes) -> None:
         """Decode and handle frames."""
         self._last_received = self._loop.time()
+        self._sent_since_received = 0
         received = self._decoder.feed(data)
         if isinstance(received, errors.StreamError):
             logger.warning(
@@ -268,6 +277,7 @@
         if self._unsent and not self._is_closed:
             data = b"".join(self._unsent)
             self._unsent.clear()
+            self._sent_since_received += len(data)
             self._transport.write(data)
 
     def _schedule(self) -> None:
@@ -295,11 +305,7 @@
         self._timer = None
         now = self._loop.time()
         if now - self._last_received >= self._times.silence_s:
-            logger.warning(
-                "stream: no data from peer %s within the silence timeout; "
-                "closing",
-                self._peer,
-            )
+            self._report_silence()
             self.abort()
             return
         if self._needs_probe(now):
@@ -307,6 +313,18 @@
             self.send(_PING)
         self._schedule()
 
+    def _report_silence(self) -> None:
+        decisions.failure(
+            logger,
+            "stream_silent",
+            "stream: no data from the peer within the silence timeout; closing",
+            peer=self._peer,
+            dialed=self.is_dialed,
+            pending_answers=self._pending_answers,
+            unsent_bytes=self.unsent_bytes,
+            sent_bytes=self._sent_since_received,
+        )
+
     @property
     def _probe_after_s(self) -> float:
         """Seconds without a received byte after which the peer is probed."""
