--- a/tests/test_gateway/test_gateway_slow_paths.py
+++ b/tests/test_gateway/test_gateway_slow_paths.py
@@ -123,6 +123,41 @@
     return calls.Outcome(_ANSWER)
 
 
+def test_call_whose_body_arrives_slowly_is_not_given_up():
+    """Guards against probes that wait behind the body they are to judge."""
+
+    async def scenario() -> calls.Outcome:
+        pair = _Pair(_run_at_once, 60_000.0, 1e6)
+        return await pair.call(300_000)
+
+    outcome = virtual_time.run(scenario())
+    assert outcome.result == _ANSWER
+
+
+def test_small_call_behind_a_slow_body_is_not_given_up():
+    async def scenario() -> list[calls.Outcome]:
+        pair = _Pair(_run_at_once, 20_000.0, 1e6)
+        large = asyncio.create_task(pair.call(100_000))
+        await asyncio.sleep(0.2)
+        return [await pair.call(10), await large]
+
+    outcomes = virtual_time.run(scenario())
+    assert [outcome.result for outcome in outcomes] == [_ANSWER, _ANSWER]
+
+
+def test_call_that_may_not_be_repeated_waits_for_a_late_answer():
+    """Guards against giving up a call at which its backend server works."""
+
+    async def scenario() -> calls.Outcome:
+        pair = _Pair(_run_at_once, 1e6, 1e6)
+        await asyncio.sleep(0.1)
+        pair.backward.stall(_TIMES.silence_s + 1.0)
+        return await pair.call(10)
+
+    outcome = virtual_time.run(scenario())
+    assert outcome.result == _ANSWER
+
+
 def test_closed_silent_stream_is_reported_with_the_bytes_on_their_way(caplog):
     async def scenario() -> None:
         pair = _Pair(_run_at_once, 1e6, 1e6)
