Stop counting a call that was cancelled on arrival as running

A call and its cancellation can arrive in one read. The task that is to run the call is then cancelled before its first step, so its finally clause never ran: the call stayed in the table of the stream, and a stopping node with such a call waited until the end of its stop time. The end of the task is now observed from outside. test_call_cancelled_on_arrival_is_no_longer_in_flight: 1 in flight before, 0 now.

--- a/tests/test_gateway/test_gateway_slow_paths.py
+++ b/tests/test_gateway/test_gateway_slow_paths.py
@@ -158,6 +158,22 @@
     assert outcome.result == _ANSWER
 
 
+def test_call_cancelled_on_arrival_is_no_longer_in_flight():
+    """Guards against calls that are counted as running for ever."""
+
+    async def scenario() -> int:
+        pair = _Pair(_run_at_once, 1e6, 1e6)
+        await asyncio.sleep(0.1)
+        call = frames.CallOpen(1, "GET", "/", [], 5.0, "r", 1, "", b"", True)
+        both = frames.encode(call) + frames.encode(frames.Cancel(1))
+        pair.target.data_received(both)
+        assert pair.incoming.in_flight == 1
+        await asyncio.sleep(0.1)
+        return pair.incoming.in_flight
+
+    assert virtual_time.run(scenario()) == 0
+
+
 def test_closed_silent_stream_is_reported_with_the_bytes_on_their_way(caplog):
     async def scenario() -> None:
         pair = _Pair(_run_at_once, 1e6, 1e6)
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -241,6 +241,11 @@
             self._serve(stream, call_open, body, received)
         )
         self._tasks.setdefault(stream, {})[call_open.call_id] = task
+        # A task that is cancelled before its first step runs no code.
+        task.add_done_callback(lambda _: self._ended(stream, call_open.call_id))
+
+    def _ended(self, stream: streams.Stream, call_id: int) -> None:
+        self._tasks.get(stream, {}).pop(call_id, None)
 
     async def _serve(
         self,
@@ -258,8 +263,6 @@
             )
             error = errors.CallError(errors.Reason.INTERNAL, _STEP)
             _send_outcome(stream, call_open.call_id, calls.Outcome(error))
-        finally:
-            self._tasks.get(stream, {}).pop(call_open.call_id, None)
 
 
 def _call(
