Do not take a full path for a dead peer

Cause: a stream probes its peer on the connection that carries the bodies, so a probe waits behind the body that it is to judge, and a receiver sends nothing until a call is complete. Silence also ended calls that nobody could repeat.

Change: a receiver that has sent nothing for a heartbeat interval acknowledges bytes with a pong, which nodes of earlier builds ignore. A silent stream is replaced for new calls; it stays open for the calls in flight, and only those that the entry node may send elsewhere end. A target node does not cut runs for the silence of an entry node. Deadlines end the rest.

--- a/tests/test_gateway/test_gateway_peers.py
+++ b/tests/test_gateway/test_gateway_peers.py
@@ -31,6 +31,7 @@
             lambda stream: None,
             lambda stream, frame: None,
             lambda stream: None,
+            lambda stream: None,
             lambda node_id: None,
         ),
         random.Random(1),
--- a/tests/test_gateway/test_gateway_streams.py
+++ b/tests/test_gateway/test_gateway_streams.py
@@ -28,6 +28,7 @@
         return streams.StreamEvents(
             self.opened.append,
             lambda stream, frame: self.received.append(frame),
+            lambda stream: None,
             lambda stream: self.closed.set(),
             self.displaced.append,
         )
--- a/trefoilwind/gateway/calls.py
+++ b/trefoilwind/gateway/calls.py
@@ -81,6 +81,8 @@
             misses the latency target.
         deadline: Event loop time in seconds by which it must be answered.
         received: Event loop time in seconds at which this node received it.
+        may_repeat: True if the entry node may send it to another node though
+            this attempt may have run it.
     """
 
     method: str
@@ -95,6 +97,7 @@
     target_deadline: float
     deadline: float
     received: float = 0.0
+    may_repeat: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -168,7 +168,9 @@
                     not_run=True,
                     retry_s=NO_BACKEND_RETRY_S,
                 )
-            last = _with_history(await self._attempt(node_id, call), progress)
+            attempt = _next_attempt(call, route, progress)
+            result = await self._attempt(node_id, attempt)
+            last = _with_history(result, progress)
             _record_attempt(last, node_id, progress)
             if not self._may_retry(last, call, route, progress):
                 return last
@@ -286,6 +288,20 @@
     return is_error and result.reason in _CAPACITY_REASONS
 
 
+def _next_attempt(
+    call: calls.Call, route: mesh.HostRoute, progress: _Progress
+) -> calls.Call:
+    """Return the call, marked if another attempt may follow in any case."""
+    may_repeat = (
+        route.is_idempotent
+        and progress.arrivals + 1 < route.max_attempts
+        and len(progress.tried) + 1 < MAX_NODES_TRIED
+    )
+    if not may_repeat:
+        return call
+    return dataclasses.replace(call, may_repeat=True)
+
+
 def _record_attempt(
     result: calls.Result, node_id: str, progress: _Progress
 ) -> None:
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -144,7 +144,11 @@
             ),
             settings.stream_times,
             peers_lib.PeerEvents(
-                self._opened, self._received, self._closed, self._displaced
+                self._opened,
+                self._received,
+                self._remote.end_repeatable,
+                self._closed,
+                self._displaced,
             ),
             self._random,
         )
--- a/trefoilwind/gateway/peers.py
+++ b/trefoilwind/gateway/peers.py
@@ -36,6 +36,8 @@
         opened: Called when the handshake of a stream is complete, in either
             direction.
         received: Called with each frame that a stream does not handle itself.
+        silent: Called with a stream that is replaced because its peer is
+            silent; it is closed when the calls in flight on it have ended.
         closed: Called when a stream closes after its handshake.
         displaced: Called with the id of a node at whose address another node
             answered.
@@ -43,6 +45,7 @@
 
     opened: Callable[[streams_lib.Stream], None]
     received: Callable[[streams_lib.Stream, frames.Frame], None]
+    silent: Callable[[streams_lib.Stream], None]
     closed: Callable[[streams_lib.Stream], None]
     displaced: Callable[[str], None]
 
@@ -63,12 +66,18 @@
         self._random = rng
         self._loop = asyncio.get_running_loop()
         self._events = streams_lib.StreamEvents(
-            self._opened, self._received, self._closed, events.displaced
+            self._opened,
+            self._received,
+            self._silent,
+            self._closed,
+            events.displaced,
         )
         self._peer_addresses: dict[str, addresses.Address] = {}
         self._dialers: dict[str, asyncio.Task] = {}
         self._dialed: dict[str, streams_lib.Stream] = {}
         self._accepted: set[streams_lib.Stream] = set()
+        # Dialed streams that were replaced while calls were in flight on them.
+        self._replaced: set[streams_lib.Stream] = set()
         self._server: asyncio.Server | None = None
 
     @property
@@ -137,7 +146,7 @@
             stream.close()
 
     def _all_streams(self) -> Iterable[streams_lib.Stream]:
-        return (*self._dialed.values(), *self._accepted)
+        return (*self._dialed.values(), *self._accepted, *self._replaced)
 
     def _new_stream(self, expected: str = "") -> streams_lib.Stream:
         return streams_lib.Stream(
@@ -152,7 +161,7 @@
             )
             if stream is not None:
                 started = self._loop.time()
-                await stream.wait_closed()
+                await stream.wait_ended()
                 if self._loop.time() - started > self._times.silence_s:
                     failures = 0
             failures += 1
@@ -189,8 +198,15 @@
     ) -> None:
         self._peer_events.received(stream, frame)
 
+    def _silent(self, stream: streams_lib.Stream) -> None:
+        if self._dialed.get(stream.peer) is stream:
+            del self._dialed[stream.peer]
+            self._replaced.add(stream)
+        self._peer_events.silent(stream)
+
     def _closed(self, stream: streams_lib.Stream) -> None:
         self._accepted.discard(stream)
+        self._replaced.discard(stream)
         if self._dialed.get(stream.peer) is stream:
             del self._dialed[stream.peer]
         if stream.peer:
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -31,6 +31,8 @@
         self._pending: dict[
             streams.Stream, dict[int, asyncio.Future[calls.Outcome]]
         ] = {}
+        # Ids of the pending calls that other nodes may run as well.
+        self._repeatable: set[int] = set()
         self._partial_answers: dict[
             int, tuple[frames.AnswerHead, list[bytes]]
         ] = {}
@@ -39,13 +41,15 @@
         self, stream: streams.Stream, call: calls.Call
     ) -> calls.Outcome:
         """Run a call at the peer of a stream and return its outcome."""
-        if stream.is_closed or stream.is_congested:
+        if stream.is_closed or stream.is_silent or stream.is_congested:
             reason = errors.Reason.PEER_UNREACHABLE
             return calls.Outcome(_error(stream, reason, not_run=True))
         call_id = next(self._ids)
         waiter = self._loop.create_future()
         pending = self._pending.setdefault(stream, {})
         pending[call_id] = waiter
+        if call.may_repeat:
+            self._repeatable.add(call_id)
         stream.begin_call()
         now = self._loop.time()
         self._send(stream, call_id, call, now)
@@ -60,8 +64,9 @@
             stream.send(frames.Cancel(call_id))
             raise
         finally:
-            stream.end_call()
             pending.pop(call_id, None)
+            self._repeatable.discard(call_id)
+            stream.end_call()
             self._partial_answers.pop(call_id, None)
 
     def handle_frame(self, stream: streams.Stream, frame: frames.Frame) -> None:
@@ -87,12 +92,25 @@
                 )
             )
 
+    def end_repeatable(self, stream: streams.Stream) -> None:
+        """End the calls on a silent stream that another node may run as well.
+
+        The others wait: their peer may be running them, and their callers
+        gain nothing from an earlier failure.
+        """
+        for call_id, waiter in self._pending.get(stream, {}).items():
+            if call_id in self._repeatable:
+                self._fail(stream, waiter)
+
     def closed(self, stream: streams.Stream) -> None:
         """Fail the pending calls of a closed stream; they may have run."""
         for waiter in self._pending.pop(stream, {}).values():
-            if not waiter.done():
-                reason = errors.Reason.PEER_UNREACHABLE
-                waiter.set_result(calls.Outcome(_error(stream, reason)))
+            self._fail(stream, waiter)
+
+    def _fail(self, stream: streams.Stream, waiter: asyncio.Future) -> None:
+        if not waiter.done():
+            reason = errors.Reason.PEER_UNREACHABLE
+            waiter.set_result(calls.Outcome(_error(stream, reason)))
 
     def _send(
         self, stream: streams.Stream, call_id: int, call: calls.Call, now: float
@@ -241,11 +259,13 @@
             self._serve(stream, call_open, body, received)
         )
         self._tasks.setdefault(stream, {})[call_open.call_id] = task
+        stream.begin_run()
         # A task that is cancelled before its first step runs no code.
         task.add_done_callback(lambda _: self._ended(stream, call_open.call_id))
 
     def _ended(self, stream: streams.Stream, call_id: int) -> None:
         self._tasks.get(stream, {}).pop(call_id, None)
+        stream.end_run()
 
     async def _serve(
         self,
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -27,7 +27,7 @@
     Attributes:
         heartbeat_s: Seconds between heartbeats on an idle stream.
         silence_s: Seconds without a received byte after which a stream is
-            closed.
+            replaced, and closed unless calls are in flight on it.
         probe_s: Seconds without a received byte after which a peer with
             pending answers is probed.
         probe_timeout_s: Seconds without an answer to a probe after which a
@@ -48,6 +48,8 @@
         opened: Called when the peer has identified itself.
         received: Called with each frame that the stream does not handle
             itself.
+        silent: Called when nothing was received within the silence timeout
+            while calls are in flight; the stream is not to be used for others.
         closed: Called when the stream is closed.
         displaced: Called with the id of the expected node if another node
             answered at its address.
@@ -55,6 +57,7 @@
 
     opened: Callable[["Stream"], None]
     received: Callable[["Stream", frames.Frame], None]
+    silent: Callable[["Stream"], None]
     closed: Callable[["Stream"], None]
     displaced: Callable[[str], None]
 
@@ -93,15 +96,20 @@
         self._peer_data_centre: str = ""
         self._unsent: list[bytes] = []
         self._last_received = self._loop.time()
+        self._last_sent = self._last_received
         self._timer: asyncio.TimerHandle | None = None
         self._is_closed = False
+        self._is_silent = False
         self._probed_at = 0.0
         # Bytes sent since the last byte was received.
         self._sent_since_received = 0
         self._min_latency_s = float("inf")
         # Calls sent to the peer that have no answer yet.
         self._pending_answers = 0
-        self._closed = self._loop.create_future()
+        # Calls of the peer that run here.
+        self._running_calls = 0
+        # Done once the stream is silent or closed.
+        self._ended = self._loop.create_future()
 
     @property
     def peer(self) -> str:
@@ -123,6 +131,11 @@
         """True once the stream is closed."""
         return self._is_closed
 
+    @property
+    def is_silent(self) -> bool:
+        """True if the stream only stays open for the calls in flight on it."""
+        return self._is_silent
+
     @property
     def pending_answers(self) -> int:
         """Number of calls sent to the peer that have no answer yet."""
@@ -165,9 +178,9 @@
         self._min_latency_s = min(self._min_latency_s, latency_s)
         return latency_s - self._min_latency_s
 
-    async def wait_closed(self) -> None:
-        """Wait until the stream is closed."""
-        await asyncio.shield(self._closed)
+    async def wait_ended(self) -> None:
+        """Wait until the stream is closed or must not be used any more."""
+        await asyncio.shield(self._ended)
 
     def begin_call(self) -> None:
         """Count a call sent to the peer; its answer is awaited.
@@ -181,6 +194,16 @@
     def end_call(self) -> None:
         """Count the end of a call sent to the peer."""
         self._pending_answers -= 1
+        self._close_if_unused()
+
+    def begin_run(self) -> None:
+        """Count a call of the peer that runs here."""
+        self._running_calls += 1
+
+    def end_run(self) -> None:
+        """Count the end of a call of the peer."""
+        self._running_calls -= 1
+        self._close_if_unused()
 
     def send(self, frame: frames.Frame) -> None:
         """Send a frame at the end of this iteration of the event loop."""
@@ -228,6 +251,8 @@
             return
         for frame in received:
             self._handle_frame(frame)
+        if self._owes_receipt(received):
+            self.send(_PONG)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Report that the stream is closed."""
@@ -236,8 +261,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if not self._closed.done():
-            self._closed.set_result(None)
+        self._end()
         self._events.closed(self)
 
     def _handle_frame(self, frame: frames.Frame) -> None:
@@ -277,6 +301,7 @@
         if self._unsent and not self._is_closed:
             data = b"".join(self._unsent)
             self._unsent.clear()
+            self._last_sent = self._loop.time()
             self._sent_since_received += len(data)
             self._transport.write(data)
 
@@ -305,22 +330,57 @@
         self._timer = None
         now = self._loop.time()
         if now - self._last_received >= self._times.silence_s:
-            self._report_silence()
-            self.abort()
+            self._handle_silence()
             return
         if self._needs_probe(now):
             self._probed_at = now
             self.send(_PING)
         self._schedule()
 
+    def _owes_receipt(self, received: list[frames.Frame]) -> bool:
+        """Return True if the peer has to be told that its bytes arrive.
+
+        Its probes wait behind the body of a call, which may take longer than
+        the silence timeout.
+        """
+        if self._unsent or self._is_closed:
+            return False
+        if received and all(isinstance(f, frames.Pong) for f in received):
+            return False
+        return self._loop.time() - self._last_sent >= self._times.heartbeat_s
+
+    def _handle_silence(self) -> None:
+        """Replace the stream; calls in flight may still be answered on it."""
+        self._report_silence()
+        if not self._in_flight:
+            self.abort()
+            return
+        self._is_silent = True
+        self._end()
+        self._events.silent(self)
+        self._close_if_unused()
+
+    @property
+    def _in_flight(self) -> int:
+        return self._pending_answers + self._running_calls
+
+    def _close_if_unused(self) -> None:
+        if self._is_silent and not self._in_flight:
+            self.abort()
+
+    def _end(self) -> None:
+        if not self._ended.done():
+            self._ended.set_result(None)
+
     def _report_silence(self) -> None:
         decisions.failure(
             logger,
             "stream_silent",
-            "stream: no data from the peer within the silence timeout; closing",
+            "stream: no data from the peer within the silence timeout",
             peer=self._peer,
             dialed=self.is_dialed,
             pending_answers=self._pending_answers,
+            running_calls=self._running_calls,
             unsent_bytes=self.unsent_bytes,
             sent_bytes=self._sent_since_received,
         )
