Test that the pause of a process does not end its streams

Possible place of the cause of LOST: a silence that the process itself made. It does not happen, as bytes that wait are read before the timer; passes before and after.

--- a/tests/test_gateway/test_gateway_streams.py
+++ b/tests/test_gateway/test_gateway_streams.py
@@ -1,6 +1,10 @@
 """Tests of peer streams: heartbeats, unresponsive peers, order of frames."""
 
 import asyncio
+import contextlib
+import socket
+import threading
+import time
 
 import uvloop
 
@@ -189,6 +193,43 @@
     assert virtual_time.run(run()) <= 0.1 + 0.2 + 0.1
 
 
+def test_stream_is_not_closed_for_the_pause_of_its_own_process():
+    """Guards against a verdict on a peer whose bytes were not read."""
+    times = streams.StreamTimes(0.1, 0.4)
+
+    async def run() -> None:
+        events = _Events()
+        with socket.create_server((fakes.HOST, 0)) as server:
+            address, port = server.getsockname()
+            peer = threading.Thread(target=_send_pongs, args=(server, 1.5))
+            peer.start()
+            _, stream = await asyncio.get_running_loop().create_connection(
+                lambda: streams.Stream(_HELLO, times, events.port(), "n2"),
+                address,
+                port,
+            )
+            await _until(lambda: events.opened)
+            # Blocks the event loop, as a suspended process would be.
+            time.sleep(1.0)
+            await asyncio.sleep(0.2)
+            assert not stream.is_closed
+            stream.abort()
+            await asyncio.to_thread(peer.join)
+
+    uvloop.run(run())
+
+
+def _send_pongs(server: socket.socket, seconds: float) -> None:
+    """Accept a connection and send a frame every 20 ms."""
+    end = time.monotonic() + seconds
+    connection, _ = server.accept()
+    with connection, contextlib.suppress(OSError):
+        connection.sendall(_PEER_HELLO)
+        while time.monotonic() < end:
+            connection.sendall(frames.encode(frames.Pong()))
+            time.sleep(0.02)
+
+
 class _Transport(asyncio.Transport):
     """Transport that discards all bytes."""
 
