Send the bodies of calls in turn, so that other calls do not wait behind them

Callers whose small calls shared a stream with an upload were answered late or not at all, and a link went on carrying bodies of calls that had been given up.

Cause: all chunks of a body were written to the connection at once. Now other frames go first, bodies take turns by chunk, a chunk is written when the kernel has taken the previous one, and the rest of a body is discarded when its call ends. Only calls with chunks are refused for unsent bodies.

Two tests fail before: the small call is refused behind 300 kB (it arrives within two chunks now), and 600 kB are sent for a call cancelled after one second (at most three chunks now).

--- a/tests/test_gateway/test_gateway_slow_paths.py
+++ b/tests/test_gateway/test_gateway_slow_paths.py
@@ -31,6 +31,9 @@
         self._loop = asyncio.get_running_loop()
         self._free_at = 0.0
         self._unsent = 0
+        # Bytes written so far.
+        self.bytes = 0
+        self._is_paused = False
         self._is_cut = False
         self.receiver: streams.Stream | None = None
         self.sender: streams.Stream | None = None
@@ -48,6 +51,9 @@
         """Return nothing."""
         return default
 
+    def set_write_buffer_limits(self, high=None, low=None) -> None:
+        """Ignore the limits; both are 0."""
+
     def get_write_buffer_size(self) -> int:
         """Return the bytes that wait to be sent."""
         return self._unsent
@@ -63,7 +69,11 @@
             start_at = max(self._loop.time(), self._free_at)
             self._free_at = start_at + len(packet) / self._bytes_per_s
             self._unsent += len(packet)
+            self.bytes += len(packet)
             self._loop.call_at(self._free_at, self._deliver, packet)
+        if self._unsent and not self._is_paused:
+            self._is_paused = True
+            self.sender.pause_writing()
 
     def close(self) -> None:
         """Close the connection at both ends."""
@@ -79,6 +89,9 @@
 
     def _deliver(self, packet: bytes) -> None:
         self._unsent -= len(packet)
+        if not self._unsent and not self.sender.is_closed:
+            self._is_paused = False
+            self.sender.resume_writing()
         if not self._is_cut and not self.receiver.is_closed:
             self.receiver.data_received(packet)
 
@@ -147,6 +160,41 @@
     assert [outcome.result for outcome in outcomes] == [_ANSWER, _ANSWER]
 
 
+def test_small_call_does_not_wait_behind_a_large_body():
+    """Guards against calls that are late because others send large bodies."""
+
+    async def scenario() -> tuple[calls.Outcome, float]:
+        pair = _Pair(_run_at_once, 60_000.0, 1e6)
+        large = asyncio.create_task(pair.call(300_000))
+        await asyncio.sleep(0.2)
+        started = asyncio.get_running_loop().time()
+        outcome = await pair.call(10)
+        elapsed_s = asyncio.get_running_loop().time() - started
+        assert (await large).result == _ANSWER
+        return outcome, elapsed_s
+
+    outcome, elapsed_s = virtual_time.run(scenario())
+    assert outcome.result == _ANSWER
+    # The rest of two chunks, of which one is in the kernel.
+    assert elapsed_s <= 2 * frames.MAX_CHUNK_BYTES / 60_000.0 + 0.2
+
+
+def test_body_of_a_call_that_was_given_up_is_not_sent_to_its_end():
+    """Guards against links that are filled with bodies nobody waits for."""
+
+    async def scenario() -> int:
+        pair = _Pair(_run_at_once, 60_000.0, 1e6)
+        large = asyncio.create_task(pair.call(600_000))
+        await asyncio.sleep(1.0)
+        large.cancel()
+        await asyncio.sleep(20.0)
+        assert pair.incoming.in_flight == 0
+        assert pair.entry.unsent_bytes == 0
+        return pair.forward.bytes
+
+    assert virtual_time.run(scenario()) <= 3 * frames.MAX_CHUNK_BYTES
+
+
 def test_call_that_may_not_be_repeated_waits_for_a_late_answer():
     """Guards against giving up a call at which its backend server works."""
 
--- a/tests/test_gateway/test_gateway_streams.py
+++ b/tests/test_gateway/test_gateway_streams.py
@@ -237,6 +237,9 @@
         """Return nothing."""
         return default
 
+    def set_write_buffer_limits(self, high=None, low=None) -> None:
+        """Ignore the limits."""
+
     def write(self, data) -> None:
         """Discard bytes."""
 
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -41,7 +41,10 @@
         self, stream: streams.Stream, call: calls.Call
     ) -> calls.Outcome:
         """Run a call at the peer of a stream and return its outcome."""
-        if stream.is_closed or stream.is_silent or stream.is_congested:
+        is_unusable = stream.is_closed or stream.is_silent
+        if is_unusable or stream.is_congested(
+            len(call.body) > frames.MAX_CHUNK_BYTES
+        ):
             reason = errors.Reason.PEER_UNREACHABLE
             return calls.Outcome(_error(stream, reason, not_run=True))
         call_id = next(self._ids)
@@ -66,6 +69,7 @@
         finally:
             pending.pop(call_id, None)
             self._repeatable.discard(call_id)
+            stream.discard_body(call_id)
             stream.end_call()
             self._partial_answers.pop(call_id, None)
 
@@ -208,6 +212,7 @@
             self._handle_body(stream, frame)
         elif isinstance(frame, frames.Cancel):
             self._partial_calls.get(stream, {}).pop(frame.call_id, None)
+            stream.discard_body(frame.call_id)
             task = self._tasks.get(stream, {}).get(frame.call_id)
             if task is not None:
                 task.cancel()
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -1,6 +1,7 @@
 """Peer streams on the event loop, carrying frames of `distribution.frames`."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import dataclasses
 import logging
@@ -14,6 +15,7 @@
 
 _PING = frames.Ping()
 _PONG = frames.Pong()
+_BODY_FRAMES = (frames.CallBody, frames.AnswerBody)
 # Unsent bytes, without those in the kernel, above which a stream accepts no new
 # calls: on a congested link between regions, more bytes would take longer than
 # callers wait.
@@ -66,6 +68,8 @@
     """A connection to a peer.
 
     Frames sent within one iteration of the event loop are written together.
+    Bodies are written in turn, one chunk at a time, whenever all earlier bytes
+    are in the kernel, so that other frames do not wait behind them.
     """
 
     def __init__(
@@ -95,6 +99,12 @@
         self._peer: str = ""
         self._peer_data_centre: str = ""
         self._unsent: list[bytes] = []
+        # Unsent chunks of bodies by call id; the first call is next.
+        self._bodies: collections.OrderedDict[int, collections.deque[bytes]] = (
+            collections.OrderedDict()
+        )
+        self._body_bytes = 0
+        self._is_write_paused = False
         self._last_received = self._loop.time()
         self._last_sent = self._last_received
         self._timer: asyncio.TimerHandle | None = None
@@ -149,12 +159,19 @@
     @property
     def unsent_bytes(self) -> int:
         """Bytes that wait to be sent, without those in the kernel."""
-        return self._transport.get_write_buffer_size()
+        return self._transport.get_write_buffer_size() + self._body_bytes
 
-    @property
-    def is_congested(self) -> bool:
-        """True if new calls would wait too long behind unsent bytes."""
-        return self.unsent_bytes > MAX_UNSENT_BYTES
+    def is_congested(self, has_chunks: bool) -> bool:
+        """Return True if a new call would wait too long behind unsent bytes.
+
+        Args:
+            has_chunks: True if its body is sent in chunks, in turn with those
+                of other calls.
+        """
+        waiting = self._transport.get_write_buffer_size()
+        if has_chunks:
+            waiting += self._body_bytes
+        return waiting > MAX_UNSENT_BYTES
 
     @property
     def is_unresponsive(self) -> bool:
@@ -209,13 +226,25 @@
         """Send a frame at the end of this iteration of the event loop."""
         if self._is_closed:
             return
-        if not self._unsent:
+        if not self._unsent and not self._bodies:
             self._loop.call_soon(self._flush)
+        if isinstance(frame, _BODY_FRAMES):
+            chunk = frames.encode(frame)
+            chunks = self._bodies.setdefault(frame.call_id, collections.deque())
+            chunks.append(chunk)
+            self._body_bytes += len(chunk)
+            return
         self._unsent.append(frames.encode(frame))
 
+    def discard_body(self, call_id: int) -> None:
+        """Do not send the rest of the body of a call that has ended."""
+        for chunk in self._bodies.pop(call_id, ()):
+            self._body_bytes -= len(chunk)
+
     def close(self) -> None:
         """Send the unsent frames and close the stream."""
         if self._transport is not None and not self._is_closed:
+            self._is_write_paused = False
             self._flush()
             self._transport.close()
 
@@ -229,6 +258,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the hello frame and start the liveness checks."""
         self._transport = transport
+        # Reports each time that the kernel has taken all bytes.
+        transport.set_write_buffer_limits(high=0)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -236,6 +267,15 @@
         self._last_received = self._loop.time()
         self._schedule()
 
+    def pause_writing(self) -> None:
+        """Send no bodies until the kernel has taken all bytes."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Send bodies again."""
+        self._is_write_paused = False
+        self._flush()
+
     def data_received(self, data: bytes) -> None:
         """Decode and handle frames."""
         self._last_received = self._loop.time()
@@ -258,6 +298,8 @@
         """Report that the stream is closed."""
         self._is_closed = True
         self._unsent.clear()
+        self._bodies.clear()
+        self._body_bytes = 0
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -298,12 +340,30 @@
         self._events.opened(self)
 
     def _flush(self) -> None:
-        if self._unsent and not self._is_closed:
-            data = b"".join(self._unsent)
+        """Write all frames except bodies, then bodies while they are taken."""
+        if self._is_closed:
+            return
+        if self._unsent:
+            self._write(b"".join(self._unsent))
             self._unsent.clear()
-            self._last_sent = self._loop.time()
-            self._sent_since_received += len(data)
-            self._transport.write(data)
+        while self._bodies and not self._is_write_paused:
+            self._write(self._next_chunk())
+
+    def _write(self, data: bytes) -> None:
+        self._last_sent = self._loop.time()
+        self._sent_since_received += len(data)
+        self._transport.write(data)
+
+    def _next_chunk(self) -> bytes:
+        """Remove a chunk of the next body; the bodies take turns."""
+        call_id, chunks = next(iter(self._bodies.items()))
+        chunk = chunks.popleft()
+        self._body_bytes -= len(chunk)
+        if chunks:
+            self._bodies.move_to_end(call_id)
+        else:
+            del self._bodies[call_id]
+        return chunk
 
     def _schedule(self) -> None:
         """Set the timer to the time at which the peer may have to be probed.
