Count calls whose bodies arrive as load of their target node

The load that a node tells now includes the calls whose bodies are not complete, so placement compares what is on its way as well. test_bodies_on_their_way_count_as_load and test_reported_load_counts_calls_whose_bodies_arrive; neither number existed before.

--- a/tests/test_gateway/test_gateway_slow_paths.py
+++ b/tests/test_gateway/test_gateway_slow_paths.py
@@ -179,6 +179,21 @@
     assert elapsed_s <= 2 * frames.MAX_CHUNK_BYTES / 60_000.0 + 0.2
 
 
+def test_bodies_on_their_way_count_as_load():
+    """Guards against a node that looks idle while its path is full."""
+
+    async def scenario() -> tuple[int, int]:
+        pair = _Pair(_run_at_once, 60_000.0, 1e6)
+        sizes = (90_000, 100_000)
+        pending = [asyncio.create_task(pair.call(size)) for size in sizes]
+        await asyncio.sleep(2.5)
+        arriving = pair.incoming.arriving
+        await asyncio.gather(*pending)
+        return arriving, pair.incoming.arriving
+
+    assert virtual_time.run(scenario()) == (2, 0)
+
+
 def test_body_of_a_call_that_was_given_up_is_not_sent_to_its_end():
     """Guards against links that are filled with bodies nobody waits for."""
 
--- a/tests/test_gateway/test_gateway_target.py
+++ b/tests/test_gateway/test_gateway_target.py
@@ -346,3 +346,18 @@
     """Return a call that is late after a tenth of a second."""
     late_at = asyncio.get_running_loop().time() + 0.1
     return fakes.call(target_deadline=late_at)
+
+
+def test_reported_load_counts_calls_whose_bodies_arrive():
+    async def scenario() -> int:
+        loop = asyncio.get_running_loop()
+        target = target_lib.Target(
+            "n1",
+            fakes.header_port(),
+            suspect_table.SuspectTable(loop.time, lambda update: None),
+            counts_lib.MeshCounts(),
+            arriving=lambda: 3,
+        )
+        return (await target.run(fakes.call())).occupied
+
+    assert uvloop.run(scenario()) == 3
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -131,6 +131,7 @@
             self._suspects,
             self._counts,
             self.withdraw,
+            lambda: self._incoming.arriving,
         )
         self._headers = headers
         self._notices = server_notices.ServerNotices()
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -196,6 +196,11 @@
         """Number of calls of peers that are in flight."""
         return sum(len(tasks) for tasks in self._tasks.values())
 
+    @property
+    def arriving(self) -> int:
+        """Number of calls of peers whose bodies are not complete."""
+        return sum(len(each) for each in self._partial_calls.values())
+
     def handle_frame(self, stream: streams.Stream, frame: frames.Frame) -> None:
         """Handle a frame of a call."""
         if isinstance(frame, frames.CallOpen):
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -50,6 +50,7 @@
         suspects: suspect_table.SuspectTable,
         counts: counts_lib.MeshCounts,
         on_leaving: Callable[[], None] = lambda: None,
+        arriving: Callable[[], int] = lambda: 0,
     ):
         """Initialize the target node's part without a backend server.
 
@@ -60,8 +61,10 @@
             counts: Counters of the node.
             on_leaving: Called when the backend server says in an answer that
                 it is leaving.
+            arriving: Returns the number of calls whose bodies are arriving.
         """
         self._node_id = node_id
+        self._arriving = arriving
         self._on_leaving = on_leaving
         self._headers = headers
         self._suspects = suspects
@@ -127,8 +130,12 @@
 
     @property
     def load(self) -> int:
-        """Calls that run or wait; more while a limit delays calls longer."""
-        return self._queue.load
+        """Calls that run, wait or arrive; more while a limit delays calls.
+
+        Those whose bodies arrive count, as they delay others on the path and
+        then in the queue.
+        """
+        return self._queue.load + self._arriving()
 
     def is_running(self, request_id: bytes) -> bool:
         """Return True if a request with this id runs at the backend server."""
