Send the bodies on a stream one after the other

Other frames still go first; bodies keep their order. test_bodies_on_one_stream_arrive_one_after_the_other: of two bodies of 190 kB over 60 kB/s the first ended too late with turns (above 4.8 s), and ends in time now.

--- a/tests/test_gateway/test_gateway_slow_paths.py
+++ b/tests/test_gateway/test_gateway_slow_paths.py
@@ -179,6 +179,26 @@
     assert elapsed_s <= 2 * frames.MAX_CHUNK_BYTES / 60_000.0 + 0.2
 
 
+def test_bodies_on_one_stream_arrive_one_after_the_other():
+    """Guards against bodies that share a full path until all are late."""
+
+    async def scenario() -> tuple[float, float]:
+        pair = _Pair(_run_at_once, 60_000.0, 1e6)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        ends = []
+        for _ in range(2):
+            call = asyncio.create_task(pair.call(190_000))
+            call.add_done_callback(lambda _: ends.append(loop.time()))
+        await asyncio.sleep(10.0)
+        return ends[0] - started, ends[1] - started
+
+    first_s, second_s = virtual_time.run(scenario())
+    # A chunk of each body travels with the head of its call.
+    assert first_s <= (190_000 + frames.MAX_CHUNK_BYTES) / 60_000.0 + 0.5
+    assert second_s <= 380_000 / 60_000.0 + 0.5
+
+
 def test_bodies_on_their_way_count_as_load():
     """Guards against a node that looks idle while its path is full."""
 
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -68,8 +68,8 @@
     """A connection to a peer.
 
     Frames sent within one iteration of the event loop are written together.
-    Bodies are written in turn, one chunk at a time, whenever all earlier bytes
-    are in the kernel, so that other frames do not wait behind them.
+    Bodies are written one after the other, by chunks, whenever all earlier
+    bytes are in the kernel, so that other frames do not wait behind them.
     """
 
     def __init__(
@@ -99,10 +99,8 @@
         self._peer: str = ""
         self._peer_data_centre: str = ""
         self._unsent: list[bytes] = []
-        # Unsent chunks of bodies by call id; the first call is next.
-        self._bodies: collections.OrderedDict[int, collections.deque[bytes]] = (
-            collections.OrderedDict()
-        )
+        # Unsent chunks of bodies by call id, the next body first.
+        self._bodies: dict[int, collections.deque[bytes]] = {}
         self._body_bytes = 0
         self._is_write_paused = False
         self._last_received = self._loop.time()
@@ -165,8 +163,8 @@
         """Return True if a new call would wait too long behind unsent bytes.
 
         Args:
-            has_chunks: True if its body is sent in chunks, in turn with those
-                of other calls.
+            has_chunks: True if its body is sent in chunks, after the bodies of
+                other calls.
         """
         waiting = self._transport.get_write_buffer_size()
         if has_chunks:
@@ -355,13 +353,14 @@
         self._transport.write(data)
 
     def _next_chunk(self) -> bytes:
-        """Remove a chunk of the next body; the bodies take turns."""
+        """Remove a chunk of the next body.
+
+        Bodies that took turns would all arrive late on a full path.
+        """
         call_id, chunks = next(iter(self._bodies.items()))
         chunk = chunks.popleft()
         self._body_bytes -= len(chunk)
-        if chunks:
-            self._bodies.move_to_end(call_id)
-        else:
+        if not chunks:
             del self._bodies[call_id]
         return chunk
 
