Keep what is in flight on a silent stream, at both of its ends

Arriving calls count as in flight now, until their deadline; - it closed a stream whose peer spoke again when an older run ended. Only the side that sends the calls replaces a stream; - it discarded the rest of the last answer (3,866,624 of 16,000,000 bytes). The silence timeout starts again when a run ends, and a stream with unsent bytes is closed after them; - a call that ended early was not cancelled at its target (2 in flight, 1 expected); - a call of an idempotent route ended with 502 though the budget allowed no other attempt. It is marked as repeatable only while the budget has room.

--- a/tests/test_gateway/test_gateway_peers.py
+++ b/tests/test_gateway/test_gateway_peers.py
@@ -23,10 +23,10 @@
     await reader.read()
 
 
-def _peers() -> peers_lib.Peers:
+def _peers(times: streams.StreamTimes = _TIMES) -> peers_lib.Peers:
     return peers_lib.Peers(
         frames.Hello(frames.PROTOCOL_VERSION, "n1", "d"),
-        _TIMES,
+        times,
         peers_lib.PeerEvents(
             lambda stream: None,
             lambda stream, frame: None,
@@ -145,3 +145,23 @@
 
     virtual_time.run(run())
     assert runs == [0, 1]
+
+
+def test_silent_stream_with_a_call_is_replaced_and_closed_at_the_stop():
+    """Guards against calls that are sent on a silent stream."""
+    times = streams.StreamTimes(0.1, 0.3)
+
+    async def run() -> None:
+        async with fakes.RawServer(_greet) as server:
+            peers = _peers(times)
+            peers.set_peers({"n2": server.address})
+            await _until(lambda: peers.dialed("n2"))
+            silent = peers.dialed("n2")
+            silent.begin_call()
+            await _until(lambda: peers.dialed("n2") not in (None, silent))
+            assert silent.is_silent
+            assert not silent.is_closed
+            peers.close()
+            await _until(lambda: silent.is_closed)
+
+    uvloop.run(run())
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -168,7 +168,7 @@
                     not_run=True,
                     retry_s=NO_BACKEND_RETRY_S,
                 )
-            attempt = _next_attempt(call, route, progress)
+            attempt = self._next_attempt(call, route, progress)
             result = await self._attempt(node_id, attempt)
             last = _with_history(result, progress)
             _record_attempt(last, node_id, progress)
@@ -205,8 +205,29 @@
             return True
         if progress.arrivals >= route.max_attempts:
             return False
-        nodes = len(self._board.members.value.members)
-        return self._budget.grant(call.service, nodes, self._loop.time())
+        return self._budget.grant(
+            call.service, self._node_count, self._loop.time()
+        )
+
+    @property
+    def _node_count(self) -> int:
+        return len(self._board.members.value.members)
+
+    def _next_attempt(
+        self, call: calls.Call, route: mesh.HostRoute, progress: _Progress
+    ) -> calls.Call:
+        """Return the call, marked if another attempt may follow in any case."""
+        may_repeat = (
+            route.is_idempotent
+            and progress.arrivals + 1 < route.max_attempts
+            and len(progress.tried) + 1 < MAX_NODES_TRIED
+            and self._budget.has_room(
+                call.service, self._node_count, self._loop.time()
+            )
+        )
+        if not may_repeat:
+            return call
+        return dataclasses.replace(call, may_repeat=True)
 
     def _log_result(
         self,
@@ -288,20 +309,6 @@
     return is_error and result.reason in _CAPACITY_REASONS
 
 
-def _next_attempt(
-    call: calls.Call, route: mesh.HostRoute, progress: _Progress
-) -> calls.Call:
-    """Return the call, marked if another attempt may follow in any case."""
-    may_repeat = (
-        route.is_idempotent
-        and progress.arrivals + 1 < route.max_attempts
-        and len(progress.tried) + 1 < MAX_NODES_TRIED
-    )
-    if not may_repeat:
-        return call
-    return dataclasses.replace(call, may_repeat=True)
-
-
 def _record_attempt(
     result: calls.Result, node_id: str, progress: _Progress
 ) -> None:
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import itertools
 import logging
 
@@ -104,6 +105,7 @@
         """
         for call_id, waiter in self._pending.get(stream, {}).items():
             if call_id in self._repeatable:
+                stream.send(frames.Cancel(call_id))
                 self._fail(stream, waiter)
 
     def closed(self, stream: streams.Stream) -> None:
@@ -174,6 +176,24 @@
                 waiter.set_result(calls.Outcome(error))
 
 
+@dataclasses.dataclass(frozen=True)
+class _Arrival:
+    """A call of a peer whose body is arriving.
+
+    Attributes:
+        call_open: First frame of the call.
+        chunks: Chunks of the body so far.
+        received: Event loop time in seconds at which the call was sent, by the
+            clock of this node.
+        expiry: Timer that discards the call at its deadline.
+    """
+
+    call_open: frames.CallOpen
+    chunks: list[bytes]
+    received: float
+    expiry: asyncio.TimerHandle
+
+
 class IncomingCalls:
     """Receives calls from peers and runs them on this node."""
 
@@ -185,10 +205,7 @@
         self._run = run
         self._max_body_bytes = max_body_bytes
         self._loop = asyncio.get_running_loop()
-        self._partial_calls: dict[
-            streams.Stream,
-            dict[int, tuple[frames.CallOpen, list[bytes], float]],
-        ] = {}
+        self._arrivals: dict[streams.Stream, dict[int, _Arrival]] = {}
         self._tasks: dict[streams.Stream, dict[int, asyncio.Task]] = {}
 
     @property
@@ -199,7 +216,7 @@
     @property
     def arriving(self) -> int:
         """Number of calls of peers whose bodies are not complete."""
-        return sum(len(each) for each in self._partial_calls.values())
+        return sum(len(each) for each in self._arrivals.values())
 
     def handle_frame(self, stream: streams.Stream, frame: frames.Frame) -> None:
         """Handle a frame of a call."""
@@ -211,12 +228,11 @@
             if frame.is_last:
                 self._start(stream, frame, frame.body, received)
             else:
-                partial_calls = self._partial_calls.setdefault(stream, {})
-                partial_calls[frame.call_id] = (frame, [frame.body], received)
+                self._await_body(stream, frame, received)
         elif isinstance(frame, frames.CallBody):
             self._handle_body(stream, frame)
         elif isinstance(frame, frames.Cancel):
-            self._partial_calls.get(stream, {}).pop(frame.call_id, None)
+            self._discard(stream, frame.call_id)
             stream.discard_body(frame.call_id)
             task = self._tasks.get(stream, {}).get(frame.call_id)
             if task is not None:
@@ -224,30 +240,53 @@
 
     def closed(self, stream: streams.Stream) -> None:
         """Cancel the calls of a closed stream, as no answer can be sent."""
-        partial_calls = self._partial_calls.pop(stream, {})
+        arrivals = self._arrivals.get(stream, {})
         tasks = self._tasks.pop(stream, {})
-        if partial_calls or tasks:
+        if arrivals or tasks:
             decisions.failure(
                 logger,
                 "calls_interrupted",
                 "target: stream of unanswered calls closed",
                 peer=stream.peer,
                 accepted=len(tasks),
-                incomplete=len(partial_calls),
+                incomplete=len(arrivals),
                 silence_ms=round(stream.silence_s * 1000),
             )
+        for call_id in list(arrivals):
+            self._discard(stream, call_id)
         for task in list(tasks.values()):
             task.cancel()
 
+    def _await_body(
+        self, stream: streams.Stream, frame: frames.CallOpen, received: float
+    ) -> None:
+        expiry = self._loop.call_at(
+            received + frame.remaining_s, self._discard, stream, frame.call_id
+        )
+        arrival = _Arrival(frame, [frame.body], received, expiry)
+        self._discard(stream, frame.call_id)
+        self._arrivals.setdefault(stream, {})[frame.call_id] = arrival
+        stream.begin_run()
+
+    def _discard(self, stream: streams.Stream, call_id: int) -> _Arrival | None:
+        """Remove and return a call whose body is arriving; None if unknown."""
+        arrivals = self._arrivals.get(stream, {})
+        arrival = arrivals.pop(call_id, None)
+        if not arrivals:
+            self._arrivals.pop(stream, None)
+        if arrival is not None:
+            arrival.expiry.cancel()
+            stream.end_run()
+        return arrival
+
     def _handle_body(
         self, stream: streams.Stream, frame: frames.CallBody
     ) -> None:
-        partial = self._partial_calls.get(stream, {}).get(frame.call_id)
-        if partial is None:
+        arrival = self._arrivals.get(stream, {}).get(frame.call_id)
+        if arrival is None:
             return
-        call_open, chunks, received = partial
-        chunks.append(frame.chunk)
-        if sum(map(len, chunks)) > self._max_body_bytes():
+        arrival.chunks.append(frame.chunk)
+        if sum(map(len, arrival.chunks)) > self._max_body_bytes():
             logger.warning(
                 "target: body of a call from peer %s is too large; "
                 "closing the stream",
@@ -255,8 +294,13 @@
             )
             stream.abort()
         elif frame.is_last:
-            del self._partial_calls[stream][frame.call_id]
-            self._start(stream, call_open, b"".join(chunks), received)
+            self._discard(stream, frame.call_id)
+            self._start(
+                stream,
+                arrival.call_open,
+                b"".join(arrival.chunks),
+                arrival.received,
+            )
 
     def _start(
         self,
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -114,8 +114,10 @@
         self._min_latency_s = float("inf")
         # Calls sent to the peer that have no answer yet.
         self._pending_answers = 0
-        # Calls of the peer that run here.
+        # Calls of the peer that arrive or run here; end of the last one.
         self._running_calls = 0
+        self._run_ended = self._last_received
+        self._is_silence_reported = False
         # Done once the stream is silent or closed.
         self._ended = self._loop.create_future()
 
@@ -212,13 +214,13 @@
         self._close_if_unused()
 
     def begin_run(self) -> None:
-        """Count a call of the peer that runs here."""
+        """Count a call of the peer that arrives or runs here."""
         self._running_calls += 1
 
     def end_run(self) -> None:
         """Count the end of a call of the peer."""
         self._running_calls -= 1
-        self._close_if_unused()
+        self._run_ended = self._loop.time()
 
     def send(self, frame: frames.Frame) -> None:
         """Send a frame at the end of this iteration of the event loop."""
@@ -242,8 +244,9 @@
     def close(self) -> None:
         """Send the unsent frames and close the stream."""
         if self._transport is not None and not self._is_closed:
-            self._is_write_paused = False
             self._flush()
+            while self._bodies:
+                self._write(self._next_chunk())
             self._transport.close()
 
     def abort(self) -> None:
@@ -278,6 +281,7 @@
         """Decode and handle frames."""
         self._last_received = self._loop.time()
         self._sent_since_received = 0
+        self._is_silence_reported = False
         received = self._decoder.feed(data)
         if isinstance(received, errors.StreamError):
             logger.warning(
@@ -389,7 +393,7 @@
         self._timer = None
         now = self._loop.time()
         if now - self._last_received >= self._times.silence_s:
-            self._handle_silence()
+            self._handle_silence(now)
             return
         if self._needs_probe(now):
             self._probed_at = now
@@ -408,23 +412,34 @@
             return False
         return self._loop.time() - self._last_sent >= self._times.heartbeat_s
 
-    def _handle_silence(self) -> None:
+    def _handle_silence(self, now: float) -> None:
         """Replace the stream; calls in flight may still be answered on it."""
-        self._report_silence()
-        if not self._in_flight:
+        if not self._is_silence_reported:
+            self._is_silence_reported = True
+            self._report_silence()
+        if self._pending_answers:
+            self._is_silent = True
+            self._end()
+            self._events.silent(self)
+            self._close_if_unused()
+        elif self._running_calls or now - self._run_ended < (
+            self._times.silence_s
+        ):
+            # The peer may still wait for their answers.
+            self._timer = self._loop.call_later(
+                self._times.heartbeat_s, self._check_liveness
+            )
+        elif self.unsent_bytes and not self._transport.is_closing():
+            # The rest of an answer; the peer may only be slow to read.
+            self.close()
+            self._timer = self._loop.call_later(
+                self._times.silence_s, self.abort
+            )
+        else:
             self.abort()
-            return
-        self._is_silent = True
-        self._end()
-        self._events.silent(self)
-        self._close_if_unused()
-
-    @property
-    def _in_flight(self) -> int:
-        return self._pending_answers + self._running_calls
 
     def _close_if_unused(self) -> None:
-        if self._is_silent and not self._in_flight:
+        if self._is_silent and not self._pending_answers:
             self.abort()
 
     def _end(self) -> None:
--- a/trefoilwind/routing/shared_budget.py
+++ b/trefoilwind/routing/shared_budget.py
@@ -52,14 +52,18 @@
             node_count: Number of nodes that share the budget.
             now: Monotonic time in seconds.
         """
+        if not self.has_room(service, node_count, now):
+            return False
+        self._recent(self._retries, service, now).append(now)
+        return True
+
+    def has_room(self, service: str, node_count: int, now: float) -> bool:
+        """Return True if a retry may be sent; see `grant`."""
         firsts = len(self._recent(self._firsts, service, now))
         retries = self._recent(self._retries, service, now)
         extra_share = self._terms.extra / max(1, node_count)
         allowed = GRANTED_SHARE * (self._terms.ratio * firsts + extra_share)
-        if len(retries) + 1 > allowed:
-            return False
-        retries.append(now)
-        return True
+        return len(retries) + 1 <= allowed
 
     def _recent(
         self,
