Bound the numbers and names of the platform's documents

A deeply nested document, or a number that no float holds, raised from decoders that promise not to raise: each such entry ended the component that follows the operator's topic, which was restarted 0.5 s later. A heartbeat with an integer of more than 64 bits was accepted and then raised in the encoding of the member record; with a huge time of start ("born") it also superseded all good heartbeats after it, which were acknowledged but never announced.

Cause: the decoders did not expect RecursionError; integers were unbounded, so was the length of names, and halves of surrogate pairs, which JSON can hold, cannot be encoded again.

Integers and numbers now have at most 53 bits, times of start lie before the year 2109, slots are at most the ports of an address, and names that become parts of keys are printable and have at most 200 bytes (model/bounds.py).

--- a/trefoilwind/platform/documents.py
+++ b/trefoilwind/platform/documents.py
@@ -6,6 +6,7 @@
 from trefoilwind import errors
 from trefoilwind.log import keyed
 from trefoilwind.model import addresses
+from trefoilwind.model import bounds
 from trefoilwind.model import mesh
 from trefoilwind.platform import settings as settings_lib
 from trefoilwind.routing import host_routes
@@ -24,13 +25,15 @@
     mesh.RolloutState.UNDONE: "rolled_back",
 }
 
-# Exceptions that decoding a malformed document of another writer may raise.
+# Exceptions that decoding a malformed document of another writer may raise; the
+# last one is that of a deeply nested document.
 _MALFORMED_ERRORS = (
     KeyError,
     TypeError,
     ValueError,
     AttributeError,
     IndexError,
+    RecursionError,
 )
 
 
@@ -136,8 +139,8 @@
 def _decode_rollout_order(document: Any, offset: int) -> mesh.RolloutOrder:
     return mesh.RolloutOrder(
         order_id=offset,
-        service=_require_text(document["service"]),
-        version=_require_text(document["target_version"]),
+        service=_require_name(document["service"]),
+        version=_require_name(document["target_version"]),
         duration_s=_require_number(document["duration_s"]),
     )
 
@@ -177,19 +180,22 @@
     if state not in _STATES:
         raise ValueError("unknown state of the backend server")
     address = settings_lib.address(_require_text(document["address"]))
-    if address is None or not instance_id:
-        raise ValueError("instance id and address expected")
+    if address is None:
+        raise ValueError("address expected")
     slots = _require_integer(info["slots"])
-    if slots <= 0:
-        raise ValueError("slots must be positive")
+    if not 0 < slots <= bounds.MAX_SLOTS:
+        raise ValueError("slots out of range")
+    started_ms = _require_integer(document.get("born", 0))
+    if not bounds.is_time_ms(started_ms):
+        raise ValueError("time of the start out of range")
     return mesh.BackendServer(
-        instance_id=instance_id,
-        service=_require_text(info["service"]),
-        version=_require_text(info["version"]),
+        instance_id=_require_name(instance_id),
+        service=_require_name(info["service"]),
+        version=_require_name(info["version"]),
         address=addresses.Address(address.host, address.port),
         slots=slots,
         is_leaving=state == _LEAVING_STATE,
-        started_ms=_require_integer(document.get("born", 0)),
+        started_ms=started_ms,
         sequence=_require_integer(status["seq"]),
         cold_s=_require_number(status.get("cold_left_s", 0)),
     )
@@ -198,16 +204,26 @@
 def _require_text(value: Any) -> str:
     if type(value) is not str or not value:
         raise TypeError("non-empty string expected")
+    # JSON can hold halves of surrogate pairs, which cannot be encoded.
+    value.encode()
     return value
 
 
+def _require_name(value: Any) -> str:
+    text = _require_text(value)
+    if not bounds.is_name(text):
+        raise ValueError("short printable name expected")
+    return text
+
+
 def _require_integer(value: Any) -> int:
-    if type(value) is not int or value < 0:
-        raise TypeError("non-negative integer expected")
+    if type(value) is not int or not bounds.is_count(value):
+        raise TypeError("non-negative integer of at most 53 bits expected")
     return value
 
 
 def _require_number(value: Any) -> float:
-    if type(value) not in (int, float) or not 0 <= value < float("inf"):
-        raise TypeError("non-negative finite number expected")
+    is_number = type(value) in (int, float)
+    if not is_number or not 0 <= value <= bounds.MAX_COUNT:
+        raise TypeError("non-negative number of at most 53 bits expected")
     return float(value)
