Leave out member records and decisions with odd values

An entry "member/<node>" with an incarnation near 2**64 kept that node from announcing itself: it supersedes such a record by the next greater one, which has no encoding. A node that restarted took the backend server of its stored record whatever its values were; with a huge time of start no heartbeat would replace it. A decision with a huge order id ended all later rollouts of its service, and one on a service with a name of 300 bytes was reported under a key that the platform's store cannot hold.

Cause: the messages between nodes are checked for types only.

Evidence: before (and with `usable` as a function that keeps all records): test_node_announces_itself_after_an_odd_record_of_it, incarnation 2**64 - 1: OverflowError: Integer value out of range, then TimeoutError.

Records of other writers are checked where they are merged: ports from 1 to 65535, hosts that are IP addresses, and the bounds of model/bounds.py. The odd one is left out with one line, also of several in one message. At the greatest incarnation a node supersedes by its sequence, so that its own record stays within the bounds.

--- a/tests/test_gateway/test_gateway_member_table.py
+++ b/tests/test_gateway/test_gateway_member_table.py
@@ -1,10 +1,14 @@
 """Tests of merging member records."""
 
 import dataclasses
+import logging
+
+import pytest
 
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import member_table
 from trefoilwind.model import addresses
+from trefoilwind.model import bounds
 from trefoilwind.model import members
 
 _OWN = members.Member(
@@ -103,3 +107,51 @@
     )
     table.merge(previous)
     assert set(board.members.value.by_node) == {"n0"}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"incarnation": 2**64 - 1},
+        {"incarnation": -1},
+        {"sequence": 2**64 - 1},
+        {"sequence": -1},
+        {"started_ms": 2**63},
+        {"slots": -1},
+        {"slots": 2**40},
+        {"peer_address": addresses.Address("10.0.0.9", 0)},
+        {"peer_address": addresses.Address("10.0.0.9", 65536)},
+        {"peer_address": addresses.Address("10.0.0.9", -1)},
+        {"peer_address": addresses.Address("a.example", 1)},
+        {"peer_address": addresses.Address("", 1)},
+        {"node_id": ""},
+        {"node_id": "x" * 300},
+        {"node_id": "a\nb"},
+        {"data_centre": ""},
+        {"instance_id": "a\r\nb: c"},
+        {"version": "v" * 100_000},
+    ],
+    ids=lambda change: repr(change)[:40],
+)
+def test_record_with_an_odd_value_is_left_out_and_the_others_hold(
+    change: dict, caplog: pytest.LogCaptureFixture
+):
+    odd = dataclasses.replace(_OTHER, **({"node_id": "odd"} | change))
+    with caplog.at_level(logging.WARNING):
+        assert member_table.usable((_OWN, odd, _OTHER)) == (_OWN, _OTHER)
+    (line,) = [record.getMessage() for record in caplog.records]
+    assert "\n" not in line
+    assert len(line) < 200
+
+
+def test_record_that_supersedes_one_with_the_largest_values_is_usable():
+    table, _ = _table()
+    last = dataclasses.replace(
+        _OWN, incarnation=bounds.MAX_TIME_MS, sequence=7, slots=1
+    )
+    for _ in range(3):
+        assert member_table.usable((last,))
+        table.merge(last)
+        assert table.own.precedence > last.precedence
+        assert member_table.usable((table.own,))
+        last = dataclasses.replace(table.own, slots=1)
--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -4,7 +4,9 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import logging
 
+import pytest
 import uvloop
 
 from tests.test_gateway import fakes
@@ -18,6 +20,7 @@
 from trefoilwind.gateway import streams
 from trefoilwind.log import keyed
 from trefoilwind.model import addresses
+from trefoilwind.model import members
 from trefoilwind.model import mesh
 from trefoilwind.routing import shared_budget
 from trefoilwind.standins import keyed_store
@@ -450,6 +453,113 @@
     _run(scenario)
 
 
+_ODD_CHANGES = (
+    {"incarnation": 2**64 - 1},
+    {"incarnation": 2**63, "sequence": 2**64 - 1},
+    {"started_ms": 2**64 - 1, "instance_id": "i"},
+    {"peer_address": addresses.Address("127.0.0.1", 70000)},
+)
+
+
+@pytest.mark.parametrize("change", _ODD_CHANGES, ids=str)
+def test_node_announces_itself_after_an_odd_record_of_it(
+    change: dict, caplog: pytest.LogCaptureFixture
+):
+    async def scenario(cluster: _Cluster) -> None:
+        await cluster.write("config", "config 3")
+        node = await cluster.add("n1")
+        await _until(lambda: node.is_ready and _has_members(node, 1))
+        own = node.board.members.value.by_node["n1"]
+        odd = dataclasses.replace(
+            own, **({"incarnation": own.incarnation + 1} | change)
+        )
+        await _put_member(cluster, odd)
+        good = dataclasses.replace(own, node_id="n9", service="t")
+        good = dataclasses.replace(
+            good, peer_address=addresses.Address("127.0.0.1", 9)
+        )
+        await _put_member(cluster, good)
+        await _until(lambda: "n9" in node.board.members.value.by_node)
+        announce(node, cluster.backends[0], "v2")
+        await _until(lambda: "v2" in _stored_versions(cluster, "n1"))
+        other = await cluster.add("n2")
+        await _until(lambda: _version_of(other, "n1") == "v2")
+        await _until(lambda: node.is_connected("n2"))
+
+    with caplog.at_level(logging.WARNING):
+        _run(scenario)
+    assert not [r for r in caplog.records if r.exc_info]
+
+
+async def _put_member(cluster: _Cluster, member: members.Member) -> None:
+    message = control_messages.MemberChanged(member)
+    await cluster.store.put(
+        node_settings.MESH_TOPIC,
+        f"member/{member.node_id}",
+        codec.encode(message),
+    )
+
+
+def _stored_versions(cluster: _Cluster, node_id: str) -> list[str]:
+    return [
+        codec.decode(record.value, "test").member.version
+        for record in cluster.store.records(node_settings.MESH_TOPIC)
+        if record.key == f"member/{node_id}"
+    ]
+
+
+def _version_of(node: node_lib.MeshNode, node_id: str) -> str:
+    member = node.board.members.value.by_node.get(node_id)
+    return member.version if member else ""
+
+
+def test_restarted_node_takes_no_odd_record_for_its_backend_server():
+    async def scenario(cluster: _Cluster) -> None:
+        await cluster.write("config", "config 3")
+        node = await cluster.add("n1")
+        own = node.board.members.value.by_node["n1"]
+        odd = dataclasses.replace(
+            own, started_ms=2**62, instance_id="i", slots=2**40
+        )
+        node.abort()
+        await _put_member(cluster, odd)
+        again = await cluster.start_node("n1", cluster.backends[0])
+        await _until(lambda: again.is_ready)
+        assert again.server is None
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        control_messages.RolloutDecision(900, "x" * 300, "v1", True, "r"),
+        control_messages.RolloutDecision(2**64 - 1, "s", "v1", False, "r"),
+    ],
+    ids=lambda odd: repr(odd)[:40],
+)
+def test_rollout_is_reported_after_an_odd_decision(odd):
+    async def scenario(cluster: _Cluster) -> None:
+        await cluster.write("config", "config 3")
+        await cluster.store.put(
+            node_settings.MESH_TOPIC, "decision/odd", codec.encode(odd)
+        )
+        first = await cluster.add("n1", "v1")
+        await _until(lambda: first.is_ready)
+        # The report of an odd decision would be written by now.
+        await asyncio.sleep(2.0)
+        await cluster.write("rollout", "order 30")
+        await _until(
+            lambda: any(
+                record.value == b"v2 running"
+                for record in cluster.store.records(_STATUS)
+            )
+        )
+        assert {r.key for r in cluster.store.records(_STATUS)} == {"s"}
+
+    _run(scenario)
+
+
 def test_store_is_read_again_after_its_history_expired():
     async def scenario(cluster: _Cluster) -> None:
         node = await cluster.add("n1")
--- a/trefoilwind/gateway/control_messages.py
+++ b/trefoilwind/gateway/control_messages.py
@@ -4,9 +4,15 @@
 import math
 
 from trefoilwind import codec
+from trefoilwind import errors
+from trefoilwind.model import bounds
 from trefoilwind.model import members
 from trefoilwind.model import mesh
 
+_STEP = "rollout.check"
+# Characters of an odd name that a log line shows.
+_SHOWN = 40
+
 
 @codec.message("mesh.member")
 @dataclasses.dataclass(frozen=True)
@@ -113,6 +119,27 @@
     reason: str
 
 
+def check(
+    message: StableVersion | RolloutDecision,
+) -> errors.RecordError | None:
+    """Return an error if a message of another writer has odd values.
+
+    The names are parts of the keys under which it is reported.
+    """
+    is_valid = bounds.is_name(message.service) and bounds.is_name(
+        message.version
+    )
+    if isinstance(message, RolloutDecision):
+        is_valid = is_valid and bounds.is_count(message.order_id)
+    if is_valid:
+        return None
+    return errors.RecordError(
+        errors.Reason.OUT_OF_RANGE,
+        _STEP,
+        detail=f"{message.service[:_SHOWN]!a} {message.version[:_SHOWN]!a}",
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class SharedRecord:
     """A record of the operator's topic as stored."""
--- a/trefoilwind/gateway/member_table.py
+++ b/trefoilwind/gateway/member_table.py
@@ -8,12 +8,27 @@
 
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.membership import directory
+from trefoilwind.model import bounds
 from trefoilwind.model import members as members_lib
 from trefoilwind.model import mesh
 
 logger = logging.getLogger(__name__)
 
 
+def usable(
+    members: Iterable[members_lib.Member],
+) -> tuple[members_lib.Member, ...]:
+    """Return the records of other writers without those with odd values."""
+    found = []
+    for member in members:
+        problem = members_lib.check(member)
+        if problem is None:
+            found.append(member)
+        else:
+            logger.warning("members: record left out; %s", problem)
+    return tuple(found)
+
+
 class MemberTable:
     """Merges member records and publishes a snapshot of them."""
 
@@ -115,9 +130,17 @@
     def _supersede(self, member: members_lib.Member) -> bool:
         if member == self._own or member.precedence < self._own.precedence:
             return False
-        incarnation = max(self._own.incarnation, member.incarnation) + 1
+        incarnation = max(self._own.incarnation, member.incarnation)
+        sequence = self._own.sequence
+        if incarnation < bounds.MAX_TIME_MS:
+            incarnation += 1
+        else:
+            # A greater incarnation would be left out by all other nodes.
+            sequence = max(sequence, member.sequence)
         self._replace_own(
-            dataclasses.replace(self._own, incarnation=incarnation)
+            dataclasses.replace(
+                self._own, incarnation=incarnation, sequence=sequence
+            )
         )
         return True
 
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -471,8 +471,8 @@
             is_remote = self._spreading.is_remote(stream)
             self._rollouts.control.merge_evidence(message, is_remote)
         elif isinstance(message, _ROLLOUT_RECORDS):
-            self._handle_rollout_record(message)
-            self._spreading.pass_on(stream, message)
+            if self._handle_rollout_record(message):
+                self._spreading.pass_on(stream, message)
         elif isinstance(message, suspect_messages.SuspectUpdate):
             self._suspects.merge(message)
             self._spreading.pass_on(stream, message)
@@ -518,6 +518,7 @@
     def _merge_members(self, members: Sequence[members_lib.Member]) -> bool:
         """Merge member records; return True if the table changed."""
         own_id = self._settings.node_id
+        members = member_table.usable(members)
         for member in members:
             if member.node_id == own_id and self._target.server is None:
                 self._restore_server(member)
@@ -626,11 +627,19 @@
         for message in others:
             self._handle_rollout_record(message)
 
-    def _handle_rollout_record(self, message: Any) -> None:
+    def _handle_rollout_record(self, message: Any) -> bool:
+        """Apply a stable version or decision; return False if it is odd."""
+        if not isinstance(message, _ROLLOUT_RECORDS):
+            return False
+        problem = control_messages.check(message)
+        if problem is not None:
+            logger.warning("rollout: record left out; %s", problem)
+            return False
         if isinstance(message, control_messages.StableVersion):
             self._rollouts.control.apply_stable(message)
-        elif isinstance(message, control_messages.RolloutDecision):
+        else:
             self._rollouts.apply_decision(message)
+        return True
 
     def _handle_operator_record(self, record: keyed.KeyedRecord) -> None:
         decoded = self._operator.decode(record)
--- a/trefoilwind/gateway/state_repair.py
+++ b/trefoilwind/gateway/state_repair.py
@@ -129,13 +129,14 @@
         stream: streams.Stream,
         message: control_messages.MembersShared,
     ) -> None:
-        known = {each.node_id: each.precedence for each in message.members}
+        received = member_table.usable(message.members)
+        known = {each.node_id: each.precedence for each in received}
         newer = [
             member
             for member in self._table.records
             if member.precedence > known.get(member.node_id, (-1, -1))
         ]
-        self._merge(message.members)
+        self._merge(received)
         if message.is_complete:
             self._send_state(stream, newer, is_complete=False)
 
--- a/trefoilwind/model/addresses.py
+++ b/trefoilwind/model/addresses.py
@@ -31,3 +31,9 @@
         return ipaddress.ip_address(text)
     except ValueError:
         return None
+
+
+def can_connect(address: Address) -> bool:
+    """Return True if another node may listen on an address."""
+    is_port = 0 < address.port <= MAX_PORT
+    return is_port and parse_ip_address(address.host) is not None
--- a/trefoilwind/model/members.py
+++ b/trefoilwind/model/members.py
@@ -2,9 +2,15 @@
 
 import dataclasses
 
+from trefoilwind import errors
 from trefoilwind.model import addresses
+from trefoilwind.model import bounds
 from trefoilwind.model import configuration as configuration_lib
 
+_STEP = "members.check"
+# Characters of an odd name that a log line shows.
+_SHOWN = 40
+
 
 @dataclasses.dataclass(frozen=True, order=True)
 class Label:
@@ -82,3 +88,34 @@
             return True
         key, _, value = rule.label.partition("=")
         return Label(key, value) in self.labels
+
+
+def check(member: Member) -> errors.RecordError | None:
+    """Return an error if a record of another writer has odd values."""
+    optional_names = (
+        member.service,
+        member.version,
+        member.region,
+        member.instance_id,
+    )
+    is_valid = {
+        "node_id": bounds.is_name(member.node_id),
+        "data_centre": bounds.is_name(member.data_centre),
+        "names": all(
+            not each or bounds.is_name(each) for each in optional_names
+        ),
+        "incarnation": bounds.is_time_ms(member.incarnation),
+        "sequence": bounds.is_count(member.sequence),
+        "started_ms": bounds.is_time_ms(member.started_ms),
+        "slots": 0 <= member.slots <= bounds.MAX_SLOTS,
+        "peer_address": addresses.can_connect(member.peer_address),
+    }
+    odd = [name for name, is_good in is_valid.items() if not is_good]
+    if not odd:
+        return None
+    return errors.RecordError(
+        errors.Reason.OUT_OF_RANGE,
+        _STEP,
+        ascii(member.node_id[:_SHOWN]),
+        ", ".join(odd),
+    )
