Leave out records with odd keys instead of the whole page

One record whose key is not UTF-8 made every page that holds it undecodable. A follower that reads by offset, as that of the mesh topic, failed from then on: no later member record or decision reached its node from the store. That of the operator's topic read the newest records instead, once for each such failure; there a key with an unpaired surrogate that ends a page raised in the next call.

Cause: the keys of a page were decoded together with it; other writers may write any bytes as a key.

The odd record is left out with one line and its offset is counted. Fields that the store itself writes are still checked for the page as a whole.

A key that no store accepts is an error of `put`, which raised.

--- a/tests/test_platform/test_platform_odd_entries.py
+++ b/tests/test_platform/test_platform_odd_entries.py
@@ -6,15 +6,18 @@
 import json
 import logging
 import math
+import random
 
 import hypothesis
 from hypothesis import strategies
 import pytest
 import uvloop
 
+from tests.test_platform import fakes
 from trefoilwind import codec
 from trefoilwind import errors
 from trefoilwind.gateway import control_messages
+from trefoilwind.gateway import follower as follower_lib
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import node as node_lib
 from trefoilwind.gateway import node_settings
@@ -30,6 +33,7 @@
 from trefoilwind.routing import host_routes
 from trefoilwind.routing import shared_budget
 from trefoilwind.standins import keyed_store
+from trefoilwind.telemetry import counts as counts_lib
 
 _HOST = "127.0.0.1"
 _SERVER = addresses.Address(_HOST, 8080)
@@ -369,3 +373,39 @@
         _run(scenario)
     assert statuses == [400]
     assert _unexpected(caplog) == []
+
+
+@pytest.mark.parametrize("is_first", [True, False])
+@pytest.mark.parametrize("skips_superseded", [True, False])
+def test_records_after_one_with_an_odd_key_are_followed(
+    is_first: bool, skips_superseded: bool
+):
+    async def scenario() -> list[str]:
+        server = fakes.StoreServer()
+        store = store_lib.PlatformStore(await server.start())
+        keys = []
+        follower = follower_lib.Follower(
+            store,
+            "t",
+            lambda records: keys.extend(record.key for record in records),
+            lambda: follower_lib.ReadPlan(0.02, 0.2),
+            random.Random(1),
+            counts_lib.MeshCounts(),
+            skips_superseded=skips_superseded,
+        )
+        if is_first:
+            server.append(b"odd\xff", b"v")
+        task = asyncio.create_task(follower.run())
+        while not follower.has_read and not follower.is_unavailable:
+            await asyncio.sleep(0.01)
+        server.append(b"odd\xff", b"v")
+        server.append(b"good", b"v")
+        try:
+            async with asyncio.timeout(5.0):
+                while "good" not in keys:
+                    await asyncio.sleep(0.01)
+        finally:
+            task.cancel()
+        return keys
+
+    assert asyncio.run(scenario()) == ["good"]
--- a/trefoilwind/platform/store.py
+++ b/trefoilwind/platform/store.py
@@ -33,6 +33,19 @@
 _PAGE_HEADER = struct.Struct(">QQ")
 _MS_PER_S = 1000
 _OK = 200
+# The length of a key is one byte.
+_MAX_KEY_BYTES = 255
+# Exceptions that decoding a malformed answer may raise.
+_MALFORMED_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+    struct.error,
+)
 
 _REASON_BY_STATUS = {
     409: errors.Reason.STALE_EPOCH,
@@ -87,9 +100,9 @@
             # was made are read again.
             if first_end is None:
                 first_end = page.end_offset
-            if not page.has_more or not page.records:
+            if not page.has_more or page.last_key in ("", after):
                 return keyed.KeyedPage(tuple(records), first_end)
-            after = page.records[-1].key
+            after = page.last_key
 
     async def read(
         self, topic: str, offset: int, wait_s: float
@@ -142,6 +155,8 @@
                 return _restored(errors.Reason.STALE_BASE, "log-append")
             query["at"] = str(positions.offset(at))
         body = _encode_record(key, value)
+        if isinstance(body, errors.LogError):
+            return body
         answer = await self._call("POST", "/-/log-append", query, body)
         if isinstance(answer, errors.LogError):
             return answer
@@ -152,7 +167,7 @@
         try:
             offset = int(json.loads(answer.body)["offset"])
             return positions.position(era, offset)
-        except (ValueError, KeyError, TypeError) as error:
+        except _MALFORMED_ERRORS as error:
             return _undecodable(error)
 
     async def _call(
@@ -164,7 +179,9 @@
         wait_s: float = 0.0,
     ) -> http_types.HttpAnswer | errors.LogError:
         self._calls += 1
-        target = f"{path}?{urllib.parse.urlencode(query)}"
+        # The key of another writer need not be valid UTF-8.
+        fields = urllib.parse.urlencode(query, errors="surrogatepass")
+        target = f"{path}?{fields}"
         head = b"%b %b HTTP/1.1\r\nHost: %b\r\n" % (
             method.encode(),
             target.encode(),
@@ -220,14 +237,16 @@
     """A page of the newest records.
 
     Attributes:
-        records: Newest records of some keys.
+        records: Newest records of some keys, without those with odd keys.
         end_offset: End of the topic when the page was made.
         has_more: True if further keys follow.
+        last_key: Key after which they follow; empty if unknown.
     """
 
     records: tuple[keyed.KeyedRecord, ...]
     end_offset: int
     has_more: bool
+    last_key: str
 
 
 def _era(answer: http_types.HttpAnswer) -> int:
@@ -236,8 +255,12 @@
     return int(text) if text.isdigit() else 0
 
 
-def _encode_record(key: str, value: bytes) -> bytes:
-    name = key.encode()
+def _encode_record(key: str, value: bytes) -> bytes | errors.LogError:
+    name = key.encode(errors="replace")
+    if not _is_key(key) or len(name) > _MAX_KEY_BYTES:
+        return errors.LogError(
+            errors.Reason.OUT_OF_RANGE, "store.encode", detail="odd key"
+        )
     content = bytes((len(name),)) + name + value
     return _RECORD_LENGTH.pack(len(content)) + content
 
@@ -252,27 +275,41 @@
     )
 
 
+def _is_key(text: str) -> bool:
+    """Return True if a text can be sent back to the store and be logged.
+
+    The store accepts any bytes as a key, also of other writers.
+    """
+    return text.isprintable()
+
+
 def _decode_newest(body: bytes, era: int = 0) -> _NewestPage | errors.LogError:
+    records = []
+    last_key = ""
     try:
         plain: Any = json.loads(body)
-        records = tuple(
-            keyed.KeyedRecord(
-                item["key"],
-                base64.b64decode(item.get("value") or ""),
-                positions.position(era, int(item["offset"])),
-            )
-            for item in plain["items"]
-        )
+        for item in plain["items"]:
+            key = item["key"]
+            value = base64.b64decode(item.get("value") or "")
+            offset = positions.position(era, int(item["offset"]))
+            if _is_key(key):
+                records.append(keyed.KeyedRecord(key, value, offset))
+            else:
+                last_key = key
+                _report_odd(offset, key)
+        if records:
+            last_key = records[-1].key
         end = positions.position(era, int(plain["end_offset"]))
-        return _NewestPage(records, end, bool(plain.get("has_more")))
-    except (ValueError, KeyError, TypeError) as error:
+        has_more = bool(plain.get("has_more"))
+    except _MALFORMED_ERRORS as error:
         return _undecodable(error)
+    return _NewestPage(tuple(records), end, has_more, last_key)
 
 
 def _decode_page(body: bytes, offset: int) -> keyed.KeyedPage | errors.LogError:
+    records = []
     try:
         _PAGE_HEADER.unpack_from(body)
-        records = []
         position = _PAGE_HEADER.size
         while position < len(body):
             (length,) = _RECORD_LENGTH.unpack_from(body, position)
@@ -280,19 +317,33 @@
             content = body[position : position + length]
             if len(content) != length:
                 raise ValueError("truncated record")
-            records.append(_decode_record(content, offset + len(records)))
+            record = _decode_record(content, offset)
+            if record is not None:
+                records.append(record)
             position += length
-    except (struct.error, ValueError, IndexError) as error:
+            offset += 1
+    except _MALFORMED_ERRORS as error:
         return _undecodable(error)
-    return keyed.KeyedPage(tuple(records), offset + len(records))
+    return keyed.KeyedPage(tuple(records), offset)
 
 
-def _decode_record(content: bytes, offset: int) -> keyed.KeyedRecord:
-    end = 1 + content[0]
-    key = content[1:end].decode()
+def _decode_record(content: bytes, offset: int) -> keyed.KeyedRecord | None:
+    """Return a record, or None if another writer gave it an odd key."""
+    end = 1 + content[0] if content else 1
+    name = content[1:end]
+    key = name.decode(errors="surrogateescape")
+    if len(content) < end or not _is_key(key):
+        _report_odd(offset, key)
+        return None
     return keyed.KeyedRecord(key, content[end:], offset)
 
 
+def _report_odd(offset: int, key: str) -> None:
+    logger.warning(
+        "store: record left out; odd key %a at offset %d", key, offset
+    )
+
+
 def _undecodable(error: Exception) -> errors.LogError:
     return errors.LogError(
         errors.Reason.UNDECODABLE,
