Write the records of other keys while one is refused

A record that the store never accepts kept the publisher from writing those of all other keys, such as the statuses of the other rollouts.

Cause: the publisher retried the first pending key until it was stored.

Evidence: before, test_records_of_other_keys_do_not_wait_for_a_refused_one failed with a TimeoutError after 5 s.

A key whose write failed goes behind the others; the number of calls and the delays between them are unchanged.

--- a/trefoilwind/gateway/publisher.py
+++ b/trefoilwind/gateway/publisher.py
@@ -38,6 +38,8 @@
             key, value = next(iter(self._pending.items()))
             result = await self._store.put(self._topic, key, value)
             if isinstance(result, errors.LogError):
+                # The records of other keys do not wait for this one.
+                self._pending[key] = self._pending.pop(key)
                 if not failures:
                     logger.warning(
                         "store: writing %s failed; retrying; %s", key, result
