Hand over records one by one if they fail together

An unexpected exception while a record was handled ended the follower, which read the same page again after its restart, and so on.

Cause: the offset moves on only after all records of a page are handled. The operator's records are noted before they are applied, so there the second read passed over the odd one; those of the mesh topic are not.

Evidence: before, test_record_that_cannot_be_handled_is_left_out_and_the_others_hold: the follower's task is done (assert not True).

The records are handed over again one by one, which is harmless as they are read again after each restart anyway; one that fails alone is left out with one line, after one report of the exception.

--- a/tests/test_gateway/test_gateway_follower.py
+++ b/tests/test_gateway/test_gateway_follower.py
@@ -272,3 +272,43 @@
     has_read, reader = uvloop.run(scenario())
     assert has_read
     assert not reader.records
+
+
+def test_record_that_cannot_be_handled_is_left_out_and_the_others_hold(caplog):
+    async def scenario():
+        store = keyed_store.MemoryStore()
+        handled = []
+
+        def handle(records):
+            for record in records:
+                if record.key == "odd":
+                    raise RuntimeError("unexpected")
+                handled.append(record.key)
+
+        follower = follower_lib.Follower(
+            store,
+            _TOPIC,
+            handle,
+            _plan(),
+            random.Random(1),
+            counts_lib.MeshCounts(),
+        )
+        task = asyncio.ensure_future(follower.run())
+        while not follower.has_read:
+            await asyncio.sleep(0.005)
+        for key in ("a", "odd", "b"):
+            await store.put(_TOPIC, key, b"1")
+        async with asyncio.timeout(5.0):
+            while follower.offset != 3 and not task.done():
+                await asyncio.sleep(0.005)
+        await store.put(_TOPIC, "c", b"1")
+        async with asyncio.timeout(5.0):
+            while "c" not in handled and not task.done():
+                await asyncio.sleep(0.005)
+        assert not task.done()
+        task.cancel()
+        return handled
+
+    assert set(uvloop.run(scenario())) == {"a", "b", "c"}
+    lines = [r for r in caplog.records if "record odd at" in r.getMessage()]
+    assert len(lines) == 1
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -73,7 +73,7 @@
             store: The store.
             topic: Name of the topic.
             on_records: Called with the newest record of each key that a read
-                returned.
+                returned; again with each one of them if it raised.
             plan: Returns the parameters of the next read.
             rng: Source of random numbers.
             counts: Counters of the node.
@@ -181,7 +181,7 @@
         self._succeeded()
         newest = newest_by_key(page.records)
         self._report_read(page, len(newest), offset, elapsed_s)
-        self._on_records(newest)
+        self._hand_over(newest)
         written = 0 if offset is None else page.next_offset - offset
         # After one record in each of two reads, the next may return several.
         self._has_backlog = written > 1 or (written > 0 and self._was_written)
@@ -193,6 +193,30 @@
             self._on_read_again(page.records)
         return None
 
+    def _hand_over(self, records: Sequence[keyed.KeyedRecord]) -> None:
+        """Hand over records; one that cannot be handled is left out.
+
+        It would be read again for ever otherwise, and no other one after it.
+        """
+        try:
+            self._on_records(records)
+            return
+        except Exception:
+            logger.exception(
+                "store: records of %s not handled together", self._topic
+            )
+        for record in records:
+            try:
+                self._on_records((record,))
+            except Exception as error:
+                logger.error(
+                    "store: record %s at offset %d of %s left out; %s",
+                    record.key,
+                    record.offset,
+                    self._topic,
+                    type(error).__name__,
+                )
+
     def _reads_newest(self, plan: ReadPlan, now: float) -> bool:
         """Return True if the records since the last read may be many.
 
