Report odd values of the settings file as errors

A value that is nested too deeply, or a number of more than 4300 digits, raised from the parser of the settings file, which promises not to raise. At the start that ended the program with a traceback; a reload was abandoned with one.

Evidence: before, three of five cases of test_odd_value_is_an_error_or_ignored: RecursionError: maximum recursion depth exceeded (twice), ValueError: Exceeds the limit (4300 digits) for integer string conversion.

--- a/tests/test_platform/test_platform_settings.py
+++ b/tests/test_platform/test_platform_settings.py
@@ -82,6 +82,23 @@
     assert "local.toml" in str(result)
 
 
+@pytest.mark.parametrize(
+    "value",
+    ["[" * 100_000, "{a=" * 100_000, "9" * 5000, "0x" + "f" * 5000, "1e999"],
+    ids=lambda value: value[:6],
+)
+def test_odd_value_is_an_error_or_ignored(value: str):
+    result = settings_lib.parse(f"x = {value}\n{_FILE}", "local.toml")
+    if isinstance(result, errors.SettingsError):
+        assert result.reason is errors.Reason.SYNTAX
+    else:
+        assert result.machine.node == "sidecar-1"
+    changed = _FILE.replace("grace_s = 6", f"grace_s = {value}")
+    result = settings_lib.parse(changed, "local.toml")
+    assert isinstance(result, errors.SettingsError)
+    assert "local.toml" in str(result)
+
+
 class _Node:
     """Records the settings that it is updated with."""
 
--- a/trefoilwind/platform/settings.py
+++ b/trefoilwind/platform/settings.py
@@ -174,7 +174,9 @@
     """
     try:
         plain = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
+        # A number of too many digits, or a value that is nested too deeply,
+        # is no error of its own.
         syntax = errors.Reason.SYNTAX
         return errors.SettingsError(syntax, _STEP, source, str(error))
     if "self" in plain:
