Leave out evidence with numbers too large

Two counters of a peer near 2**64 have a sum that cannot be encoded. Each tick of a node that sends sums then ended with an exception, and with it the evaluation of rollouts and all else that follows in a tick.

Evidence: before, both cases of test_rollouts_are_evaluated_after_evidence_with_a_number_too_large: OverflowError: Integer value out of range.

Rows with counts of more than 53 bits are malformed; the sums over the entry nodes of a data centre stay within 64 bits.

--- a/tests/test_gateway/test_gateway_rollouts.py
+++ b/tests/test_gateway/test_gateway_rollouts.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from trefoilwind import codec
 from trefoilwind import errors
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import calls
@@ -16,6 +17,8 @@
 from trefoilwind.model import members
 from trefoilwind.model import mesh
 from trefoilwind.model import positions
+from trefoilwind.rollout import evidence
+from trefoilwind.rollout import messages
 
 _DURATION_S = 15.0
 _STEP_S = 0.25
@@ -31,6 +34,7 @@
         self.now = 100.0
         self.random = random.Random(seed)
         self.decisions: list[control_messages.RolloutDecision] = []
+        self.sent: list[messages.EvidenceUpdate] = []
         self.new_calls = 0
         self.boards = []
         self.controls = []
@@ -79,6 +83,7 @@
         return control
 
     def _send(self, node_ids, sender: int, update) -> None:
+        self.sent.append(update)
         for index, control in enumerate(self.controls):
             if index != sender and f"n{index}" in node_ids:
                 control.merge_evidence(update)
@@ -227,6 +232,32 @@
     assert simulation.now - started < _DURATION_S
 
 
+@pytest.mark.parametrize("entry", ["n0@1", "n2@1"])
+def test_rollouts_are_evaluated_after_evidence_with_a_number_too_large(
+    entry: str,
+):
+    simulation = _SimulatedMesh(1)
+    counter = evidence.Counter(failures=2**64 - 1)
+    keys = [
+        evidence.Key(
+            _ORDER.rollout_id,
+            evidence.RouteKey("r1", ""),
+            "d0",
+            each,
+            evidence.Arm.OLD,
+            "",
+        )
+        for each in (entry, f"{entry}2")
+    ]
+    odd = messages.pack(evidence.Entry(key, counter) for key in keys)
+    control = simulation.controls[0]
+    control.merge_evidence(codec.decode(codec.encode(odd), "test"))
+    simulation.run(_answers(simulation.random))
+    assert simulation.is_done is True
+    for update in simulation.sent:
+        assert codec.decode(codec.encode(update), "test") == update
+
+
 def test_brake_of_one_node_applies_to_all_nodes():
     simulation = _SimulatedMesh(1)
     simulation.run(
--- a/trefoilwind/rollout/messages.py
+++ b/trefoilwind/rollout/messages.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from trefoilwind import codec
+from trefoilwind.model import bounds
 from trefoilwind.rollout import evidence
 
 
@@ -118,7 +119,7 @@
     length = row.first_bucket + len(row.buckets)
     return (
         all(0 <= index < len(names) for index in indices)
-        and all(count >= 0 for count in counts)
+        and all(bounds.is_count(count) for count in counts)
         and length <= len(evidence.NO_CALLS)
         and row.arm in (evidence.Arm.OLD.value, evidence.Arm.NEW.value)
     )
