Await an answer of the store while its bytes arrive

An answer that has begun is awaited for the same two seconds after its last bytes. test_large_page_that_arrives_slowly_is_read: deadline-exceeded before.

--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests.test_gateway import fakes as gateway_fakes
 from tests.test_platform import fakes
 from trefoilwind import errors
 from trefoilwind.log import keyed
@@ -243,3 +244,23 @@
         assert page.reason is errors.Reason.OFFSET_EXPIRED
 
     _run(scenario)
+
+
+def test_large_page_that_arrives_slowly_is_read(monkeypatch):
+    """Guards against reads that are repeated from the start for ever."""
+    monkeypatch.setattr(store_lib, "CALL_TIMEOUT_S", 0.3)
+
+    async def send_slowly(reader, writer) -> None:
+        await gateway_fakes.read_head(reader)
+        body = b'{"items": [], "end_offset": 7}'.ljust(1000)
+        answer = gateway_fakes.answer(body)
+        for start in range(0, len(answer), 100):
+            writer.write(answer[start : start + 100])
+            await asyncio.sleep(0.05)
+        await reader.read()
+
+    async def run() -> keyed.KeyedPage | errors.LogError:
+        async with gateway_fakes.RawServer(send_slowly) as server:
+            return await store_lib.PlatformStore(server.address).newest("t")
+
+    assert asyncio.run(run()) == keyed.KeyedPage((), 7)
--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -87,6 +87,7 @@
         body: bytes,
         deadline: float,
         match_answer: AnswerMatcher | None = None,
+        progress_s: float = 0.0,
     ) -> Result:
         """Send a request and return its complete answer.
 
@@ -98,6 +99,8 @@
             deadline: Event loop time in seconds by which the answer is due.
             match_answer: Returns whether an answer belongs to this request;
                 other answers are discarded.
+            progress_s: Seconds after its last received bytes for which an
+                answer that has begun is awaited beyond the deadline.
 
         Returns:
             The answer, or an error whose `not_run` is True if no byte was
@@ -109,7 +112,7 @@
         self._in_flight.add(connection)
         try:
             result = await connection.exchange(
-                head, body, deadline, match_answer
+                head, body, deadline, match_answer, progress_s
             )
         except asyncio.CancelledError:
             connection.abort()
@@ -214,6 +217,9 @@
         self._is_broken = False
         self._is_reusable = True
         self._requests = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._progress_s = 0.0
+        self._received_at = 0.0
         self._idle_s = DEFAULT_IDLE_S
         self._idle_until = 0.0
         self._reset_answer()
@@ -278,18 +284,20 @@
         body: bytes,
         deadline: float,
         match_answer: AnswerMatcher | None,
+        progress_s: float = 0.0,
     ) -> Result:
         """Send a request and wait for its answer."""
+        self._progress_s = progress_s
         self._waiter = self._loop.create_future()
         self._match_answer = match_answer
         self._requests += 1
         self._reset_answer()
         self._transport.write(head + body if body else head)
-        timer = self._loop.call_at(deadline, self._time_out)
+        self._timer = self._loop.call_at(deadline, self._time_out)
         try:
             return await self._waiter
         finally:
-            timer.cancel()
+            self._timer.cancel()
             self._waiter = None
 
     # Callbacks of the event loop.
@@ -325,6 +333,7 @@
             self._fail(type(error).__name__)
             return
         self._received_bytes += len(data)
+        self._received_at = self._loop.time()
         overhead = self._received_bytes - self._all_body_bytes
         allowed = MAX_OVERHEAD_PER_BODY_BYTE * self._all_body_bytes
         if overhead > MAX_OVERHEAD_BYTES + allowed:
@@ -422,6 +431,10 @@
         self._finish(self._error(errors.Reason.BACKEND_FAILED, detail))
 
     def _time_out(self) -> None:
+        progress_deadline = self._received_at + self._progress_s
+        if self._received_bytes and self._loop.time() < progress_deadline:
+            self._timer = self._loop.call_at(progress_deadline, self._time_out)
+            return
         self._finish(self._error(errors.Reason.DEADLINE_EXCEEDED))
 
     def _error(
--- a/trefoilwind/platform/store.py
+++ b/trefoilwind/platform/store.py
@@ -23,7 +23,8 @@
 _KEYED_PREFIX = "keyed."
 OPERATOR_TOPIC = "op"
 STATUS_TOPIC = "status"
-# Timeout of an answer in seconds, beyond the wait that the call requests.
+# Timeout of an answer in seconds, beyond the wait that the call requests, and of
+# each further part of an answer that has begun.
 CALL_TIMEOUT_S = 2.0
 # Idle connections kept to the store: one to read each topic, one to write.
 _MAX_IDLE_CONNECTIONS = 4
@@ -190,7 +191,9 @@
         if method == "POST":
             head += b"Content-Length: %d\r\n" % len(body)
         deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S + wait_s
-        answer = await self._client.call(head + b"\r\n", body, deadline)
+        answer = await self._client.call(
+            head + b"\r\n", body, deadline, progress_s=CALL_TIMEOUT_S
+        )
         step = f"store.{path.rpartition('/')[2]}"
         if isinstance(answer, errors.CallError):
             return self._connection_error(answer, step)
