--- a/trefoilwind/platform/store.py
+++ b/trefoilwind/platform/store.py
@@ -23,8 +23,8 @@
 _KEYED_PREFIX = "keyed."
 OPERATOR_TOPIC = "op"
 STATUS_TOPIC = "status"
-# Timeout of an answer in seconds, beyond the wait that the call requests, and of
-# each further part of an answer that has begun.
+# Timeout of an answer in seconds, beyond the wait that the call requests, and
+# of each further part of an answer that has begun.
 CALL_TIMEOUT_S = 2.0
 # Idle connections kept to the store: one to read each topic, one to write.
 _MAX_IDLE_CONNECTIONS = 4
