--- a/tests/test_distribution/test_distribution_stream.py
+++ b/tests/test_distribution/test_distribution_stream.py
@@ -148,3 +148,16 @@
     assert closed.wait(fakes.WAIT_S)
     far.settimeout(fakes.WAIT_S)
     assert far.recv(1) == b""
+
+
+def test_peer_that_reads_a_slow_body_is_not_silent(stream_ends):
+    """Guards against heartbeats that wait behind bytes on their way."""
+    stream, far, clock = stream_ends
+    _fill(stream)
+    stream.ping()
+    for _ in range(4):
+        clock.advance(1.0)
+        queued = stream.queued_bytes
+        while stream.queued_bytes == queued and queued:
+            assert far.recv(65536)
+    assert stream.silence_s(clock.monotonic()) < 3.0
