Receive the body that is arriving when a stopping node stops listening

Callers saw an upload cut in its middle by a planned stop: a connection between the head of a request and the end of its body had no task and was in no head, so it counted as idle. It was closed when listening stopped, and no stop waited for it. Change: a connection remembers that a body is arriving; it isn't closed as idle, and it counts as in flight. Evidence: test_body_that_arrives_when_listening_stops_is_received, before: TimeoutError, as in_flight stayed 0 while half of the body had arrived; it passes with the change, as do the other 11 tests of the file.

--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -123,3 +123,29 @@
         return await reader.read()
 
     assert b"Connection: close" in uvloop.run(run())
+
+
+def test_body_that_arrives_when_listening_stops_is_received():
+    async def run():
+        server = _Server()
+        reader, writer = await server.connect()
+        writer.write(
+            b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab"
+        )
+        await _until(lambda: server.server.in_flight == 1)
+        server.server.close_after_answers()
+        server.server.stop_listening()
+        await asyncio.sleep(0.05)
+        assert server.server.in_flight == 1
+        writer.write(b"cd")
+        return await reader.read()
+
+    answer = uvloop.run(run())
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert answer.endswith(b"Connection: close\r\n\r\nabcd")
+
+
+async def _until(condition) -> None:
+    async with asyncio.timeout(10.0):
+        while not condition():
+            await asyncio.sleep(0.01)
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -62,7 +62,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of connections with a request in flight."""
+        """Number of connections with a request that is received or run."""
         return sum(connection.is_busy for connection in self._connections)
 
     @property
@@ -86,7 +86,10 @@
         self._is_closing = True
 
     def stop_listening(self) -> None:
-        """Stop accepting connections and close the idle ones."""
+        """Stop accepting connections and close the idle ones.
+
+        Requests whose head is complete are still received and run.
+        """
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -115,6 +118,7 @@
         self._pipelined: list[tuple[http_types.HttpRequest, bool]] = []
         self._timer: asyncio.TimerHandle | None = None
         self._is_in_head = False
+        self._is_in_body = False
         self._is_failed = False
         self._has_last_request = False
         self._is_read_paused = False
@@ -123,8 +127,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """True while a request is in flight."""
-        return self._task is not None
+        """True while a request is received or run."""
+        return self._task is not None or self._is_in_body
 
     def _reset_message(self) -> None:
         self._target = b""
@@ -197,6 +201,7 @@
         """Validate the head of the request."""
         self._received = self._loop.time()
         self._is_in_head = False
+        self._is_in_body = True
         self._clear_timer()
         hosts = [1 for name, _ in self._headers if name.lower() == b"host"]
         if len(hosts) != 1 or not self._target.startswith(b"/"):
@@ -219,6 +224,7 @@
 
     def on_message_complete(self) -> None:
         """Run the request, or queue it behind the one in flight."""
+        self._is_in_body = False
         if self._is_failed:
             return
         request = http_types.HttpRequest(
@@ -326,8 +332,9 @@
     # Timers.
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in flight."""
-        if self._is_idle and not self._is_in_head and self._transport:
+        """Close the connection unless a request is received or run."""
+        is_receiving = self._is_in_head or self._is_in_body
+        if self._is_idle and not is_receiving and self._transport:
             self._transport.close()
 
     def _close_idle(self) -> None:
