Measure the timeout of heads only while a head is arriving

Callers saw 408 for an upload whose body took longer than header_timeout_s, and connections that never ended by their idle timeout after such an upload. Cause: bytes on a connection without a running request counted as the begin of a head, also those of a body; the second part of a body started the timeout of heads, and the connection counted as within a head until the next one was complete. A body that stopped within its first part had no timeout at all. Change: no head begins while a body is arriving; a body of which nothing arrives for idle_timeout_s is refused with 408. Evidence, before: test_slow_body_is_received_after_the_timeout_of_heads failed in its writes ("unable to perform operation on <TCPTransport closed=True ...>"), and test_body_that_stops_arriving_times_out with TimeoutError after 10 s for the first request of a connection and with no 408 for a later one. All pass with the change. The tests' reads now end after 10 s, so that a missing timeout fails them instead of holding them up.

--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -51,7 +51,8 @@
         server = _Server(limits)
         reader, writer = await server.connect()
         writer.write(data)
-        received = await reader.read()
+        async with asyncio.timeout(10.0):
+            received = await reader.read()
         return received, server.requests
 
     return uvloop.run(run())
@@ -145,6 +146,34 @@
     assert answer.endswith(b"Connection: close\r\n\r\nabcd")
 
 
+def test_slow_body_is_received_after_the_timeout_of_heads():
+    async def run():
+        limits = mesh.CallerLimits(header_timeout_s=0.05, idle_timeout_s=0.3)
+        server = _Server(limits)
+        reader, writer = await server.connect()
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\n")
+        for _ in range(6):
+            await asyncio.sleep(0.04)
+            writer.write(b"a")
+        # The connection ends by its idle timeout.
+        async with asyncio.timeout(10.0):
+            return await reader.read()
+
+    answer = uvloop.run(run())
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert answer.endswith(b"\r\n\r\naaaaaa")
+
+
+@pytest.mark.parametrize("earlier", [b"", b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"])
+def test_body_that_stops_arriving_times_out(earlier: bytes):
+    limits = mesh.CallerLimits(idle_timeout_s=0.1)
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\nab"
+    received, requests = _exchange(earlier + head, limits)
+    assert len(requests) == bool(earlier)
+    assert received.endswith(b"Connection: close\r\n\r\n")
+    assert received.count(b"HTTP/1.1 408") == 1
+
+
 async def _until(condition) -> None:
     async with asyncio.timeout(10.0):
         while not condition():
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -162,10 +162,10 @@
         """Parse bytes of requests."""
         if self._is_failed or self._has_last_request:
             return
-        if self._is_idle and not self._is_in_head:
+        if self._is_idle and not (self._is_in_head or self._is_in_body):
             self._is_in_head = True
             limit_s = self._server.limits.header_timeout_s
-            self._set_timer(limit_s, self._time_out_head)
+            self._set_timer(limit_s, self._time_out_request)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -174,6 +174,9 @@
             if not self._is_failed:
                 logger.info("callers: request rejected; %s", error)
                 self._reject(_BAD_REQUEST)
+        if self._is_idle and self._is_in_body and not self._is_failed:
+            limit_s = self._server.limits.idle_timeout_s
+            self._set_timer(limit_s, self._time_out_request)
         if (
             self._pipelined_bytes > _MAX_PIPELINED_BYTES
             and not self._is_read_paused
@@ -293,7 +296,10 @@
             self._transport.close()
         elif not self._is_in_head:
             limit_s = self._server.limits.idle_timeout_s
-            self._set_timer(limit_s, self._close_idle)
+            on_timeout = self._close_idle
+            if self._is_in_body:
+                on_timeout = self._time_out_request
+            self._set_timer(limit_s, on_timeout)
         if (
             self._is_read_paused
             and self._pipelined_bytes <= _MAX_PIPELINED_BYTES
@@ -340,7 +346,7 @@
     def _close_idle(self) -> None:
         self._transport.close()
 
-    def _time_out_head(self) -> None:
+    def _time_out_request(self) -> None:
         self._reject(_TIMED_OUT)
 
     def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
