End the calls of a stopping node before its process ends

Callers saw requests that came late in the grace of a planned stop cut without an answer at its end, also ones that may not be repeated and that no backend server had seen: photo uploads sent 0.9 s to 1.8 s after SIGTERM, closed 5.5 s after it. Cause: stop assumed callers that wait for at most 2 s. With deadlines of 5 s to 6 s a request that was taken until 54% of the stop time could still be queued at its target, or be at work, when the node closed its streams and its event loop ended. Change: during a stop the entry node passes calls on, retries too, with a deadline that ends with the stop. The target's queue refuses then, truthfully as not run, what cannot end in time: 503. What is left at the end, at 5.5 s of 6 s, gets 504; that includes calls from before the stop. The entry node ends these calls 20 ms before their deadline by itself, so that they are no evidence against a backend server or a version. stop waits for the answers until half of the last 0.5 s is gone; with a short stop time the calls end at seven eighths of it, no longer before the last sixth. Heads that are complete only after listening has stopped, and bodies that are incomplete at the end, get 503. The real program: test_call_at_work_at_the_end_of_a_stop_is_answered_before_the_process_ends got b'' before, 504 now. All pass, and the tests of nodes and entry nodes too. Now requests are refused from the moment at which listening stops.

--- a/tests/test_gateway/test_gateway_entry.py
+++ b/tests/test_gateway/test_gateway_entry.py
@@ -13,6 +13,7 @@
 from trefoilwind.gateway import entry as entry_lib
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import picker as picker_lib
+from trefoilwind.gateway import stream_calls
 from trefoilwind.membership import directory
 from trefoilwind.model import addresses
 from trefoilwind.model import members
@@ -186,3 +187,113 @@
 def test_call_made_by_a_running_request_is_nested(parent: str):
     _, sent = _serve([_OK], parent=parent)
     assert sent[0].is_nested == (parent == "running")
+
+
+class _SlowEntry(_Entry):
+    """An entry node whose attempts last until the deadline of the call.
+
+    Attributes:
+        failures: Attempts that ended by that deadline.
+    """
+
+    failures = 0
+
+    async def _run(self, node_id: str, call: calls.Call) -> calls.Outcome:
+        self.sent.append(call)
+        end = call.deadline - stream_calls.DEADLINE_MARGIN_S
+        await asyncio.sleep(end - asyncio.get_running_loop().time())
+        self.failures += 1
+        return calls.Outcome(_TIMED_OUT)
+
+
+@pytest.mark.parametrize("is_late", [False, True])
+def test_call_ended_by_a_stop_is_no_failure_of_its_backend_server(
+    is_late: bool,
+):
+    async def run():
+        entry = _SlowEntry([])
+        now = asyncio.get_running_loop().time()
+        if is_late:
+            entry.entry.begin_stop(now + 0.3)
+        serving = asyncio.create_task(entry.serve())
+        await asyncio.sleep(0.05)
+        if not is_late:
+            entry.entry.begin_stop(now + 0.3)
+        answer = await serving
+        assert asyncio.get_running_loop().time() < now + 0.5
+        return answer, entry
+
+    answer, entry = uvloop.run(run())
+    assert answer.status == 504
+    assert len(entry.sent) == 1
+    assert not entry.failures
+
+
+def test_request_that_a_stop_leaves_no_time_is_refused_unsent():
+    async def run():
+        entry = _Entry([_OK])
+        now = asyncio.get_running_loop().time()
+        entry.entry.begin_stop(now + 0.5 * entry_lib.STOP_MARGIN_S)
+        return await entry.serve(), entry.sent
+
+    _assert_refused(*uvloop.run(run()))
+
+
+def test_request_received_after_the_last_one_of_a_stop_is_refused_unsent():
+    async def run():
+        entry = _Entry([_OK])
+        entry.entry.begin_stop(asyncio.get_running_loop().time() + 1.0)
+        entry.entry.refuse_later_requests()
+        await asyncio.sleep(0.01)
+        return await entry.serve(), entry.sent
+
+    _assert_refused(*uvloop.run(run()))
+
+
+def _assert_refused(
+    answer: http_types.HttpAnswer, sent: list[calls.Call]
+) -> None:
+    assert answer.status == 503
+    assert answer.header(b"retry-after")
+    assert not sent
+
+
+def test_call_of_a_stopping_node_is_passed_on_with_the_time_that_is_left():
+    async def run():
+        entry = _Entry([_OK])
+        now = asyncio.get_running_loop().time()
+        entry.entry.begin_stop(now + 1.0)
+        answer = await entry.serve()
+        return answer, entry.sent[0].deadline - now
+
+    answer, remaining_s = uvloop.run(run())
+    assert answer == _OK
+    assert remaining_s == pytest.approx(1.0)
+
+
+class _StoppingEntry(_Entry):
+    """An entry node that begins to stop during its first attempt.
+
+    Attributes:
+        stop_deadline: Event loop time in seconds by which its calls end.
+    """
+
+    stop_deadline = 0.0
+
+    async def _run(self, node_id: str, call: calls.Call) -> calls.Outcome:
+        if not self.sent:
+            now = asyncio.get_running_loop().time()
+            self.stop_deadline = now + 1.0
+            self.entry.begin_stop(self.stop_deadline)
+        return await super()._run(node_id, call)
+
+
+def test_retry_during_a_stop_is_passed_on_with_the_time_that_is_left():
+    async def run():
+        entry = _StoppingEntry([_REFUSED, _OK])
+        return await entry.serve(), entry
+
+    answer, entry = uvloop.run(run())
+    assert answer == _OK
+    assert entry.sent[0].deadline > entry.stop_deadline
+    assert entry.sent[1].deadline == entry.stop_deadline
--- a/tests/test_platform/test_platform_program.py
+++ b/tests/test_platform/test_platform_program.py
@@ -1,6 +1,7 @@
 """Program of the platform as a process, with a stand-in for the store."""
 
 import asyncio
+import json
 import pathlib
 import signal
 import socket
@@ -8,8 +9,10 @@
 
 import uvloop
 
+from tests.test_gateway import fakes as gateway_fakes
 from tests.test_platform import fakes
 from trefoilwind.platform import settings as settings_lib
+from trefoilwind.platform import store as store_lib
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 _FILE = """
@@ -33,9 +36,26 @@
 [platform.platform]
 address = "{store}"
 [terms.bounds]
-grace_s = 2
+grace_s = {grace}
 budget_ratio = 0.2
 """
+# Configuration with one route, which leads to the service "s".
+_CONFIGURATION = {
+    "version": 1,
+    "routes": {
+        "columns": [
+            "name",
+            "host",
+            "path_prefix",
+            "kind",
+            "timeout_s",
+            "target_latency_s",
+            "service",
+        ],
+        "rows": [["r", "n1", "/a/", "unsafe", 9.0, 9.0, "s"]],
+    },
+    "services": {"columns": ["name"], "rows": []},
+}
 _NAMES = ("app", "inbound", "outbound", "ready", "control", "metrics")
 
 
@@ -68,9 +88,11 @@
     return answer
 
 
-async def _start(folder: pathlib.Path, ports: dict[str, int], store: str):
+async def _start(
+    folder: pathlib.Path, ports: dict[str, int], store: str, grace_s: float = 2
+):
     path = folder / "local.toml"
-    path.write_text(_FILE.format(store=store, **ports))
+    path.write_text(_FILE.format(store=store, grace=grace_s, **ports))
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -147,3 +169,107 @@
             assert b"--metrics-port" in error_output
 
     _run(scenario)
+
+
+class _Caller:
+    """A caller of a program whose backend server runs a script.
+
+    Attributes:
+        grace_s: Seconds from SIGTERM until the program would be killed.
+    """
+
+    grace_s = 3.0
+
+    def __init__(self, folder: pathlib.Path, script: gateway_fakes.Script):
+        self._folder = folder
+        self._backend = gateway_fakes.RawServer(script)
+        self._process: asyncio.subprocess.Process | None = None
+        self._stopped = 0.0
+        self._ports: dict[str, int] = {}
+
+    async def start(self) -> None:
+        """Start the program and wait until its backend server is announced."""
+        await self._backend.__aenter__()
+        store = fakes.StoreServer()
+        address = await store.start()
+        await store_lib.PlatformStore(address).put(
+            store_lib.OPERATOR_TOPIC,
+            "config",
+            json.dumps(_CONFIGURATION).encode(),
+        )
+        self._ports = _free_ports() | {"app": self._backend.address.port}
+        self._process = await _start(
+            self._folder, self._ports, str(address), self.grace_s
+        )
+        while not (await self._readiness()).startswith(b"HTTP/1.1 200"):
+            await asyncio.sleep(0.05)
+        assert (await self._announce()).startswith(b"HTTP/1.1 200")
+
+    async def send(self):
+        """Send a request; return the reader and the writer."""
+        reader, writer = await asyncio.open_connection(
+            fakes.HOST, self._ports["outbound"]
+        )
+        writer.write(
+            b"POST /a/1 HTTP/1.1\r\nHost: n1\r\nX-Request-Id: 1\r\n"
+            b"X-Deadline-Ms: 9000\r\nConnection: close\r\n\r\n"
+        )
+        return reader, writer
+
+    def stop(self) -> None:
+        """Send SIGTERM."""
+        self._stopped = asyncio.get_running_loop().time()
+        self._process.send_signal(signal.SIGTERM)
+
+    async def end(self) -> None:
+        """Wait until the program has ended by itself, and in time."""
+        await self._process.communicate()
+        elapsed_s = asyncio.get_running_loop().time() - self._stopped
+        assert self._process.returncode == 0
+        assert elapsed_s < self.grace_s
+
+    async def _readiness(self) -> bytes:
+        return await _until_served(self._ports["ready"], "/-/readiness")
+
+    async def _announce(self) -> bytes:
+        document = {
+            "address": str(self._backend.address),
+            "info": {"service": "s", "version": "v1", "zone": "z", "slots": 2},
+            "status": {"state": "ready", "seq": 1, "cold_left_s": 0},
+        }
+        body = json.dumps(document).encode()
+        reader, writer = await asyncio.open_connection(
+            fakes.HOST, self._ports["control"]
+        )
+        writer.write(
+            b"PUT /-/instances/i1 HTTP/1.1\r\nHost: n1\r\n"
+            b"Connection: close\r\nContent-Length: %d\r\n\r\n%b"
+            % (len(body), body)
+        )
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+
+def test_call_at_work_at_the_end_of_a_stop_is_answered_before_the_process_ends(
+    tmp_path: pathlib.Path,
+):
+    async def scenario() -> None:
+        has_arrived = asyncio.Event()
+
+        async def hold(reader, writer) -> None:
+            await gateway_fakes.read_head(reader)
+            has_arrived.set()
+            await reader.read()
+
+        caller = _Caller(tmp_path, hold)
+        await caller.start()
+        reader, _ = await caller.send()
+        await has_arrived.wait()
+        caller.stop()
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 504"), answer
+        assert answer.endswith(b"\r\n\r\n")
+        await caller.end()
+
+    _run(scenario)
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import math
 import random
 
 from trefoilwind import errors
@@ -29,6 +30,9 @@
 NO_BACKEND_RETRY_S = 0.3
 # Retry time given to callers before the first configuration is in force.
 NO_CONFIGURATION_RETRY_S = 0.5
+# Seconds before the end of a stop at which this node ends its calls: before
+# their deadlines, which would count as failures of the backend servers.
+STOP_MARGIN_S = 0.02
 # Largest random fraction added to the retry time given to callers.
 RETRY_JITTER = 0.5
 _STATUS_NOT_FOUND = 404
@@ -90,11 +94,38 @@
         self._random = rng
         self._weighted_choice = weighted_choice.WeightedChoice(rng.random)
         self._loop = asyncio.get_running_loop()
+        # Event loop times of a stop: after which no request is accepted, and
+        # of the end of the calls.
+        self._last_start = math.inf
+        self._stop_deadline = math.inf
+        # Timeouts of the calls in flight, which end with a stop only.
+        self._timeouts: set[asyncio.Timeout] = set()
+
+    def begin_stop(self, deadline: float) -> None:
+        """End all calls by the end of a stop of this node.
+
+        Args:
+            deadline: Event loop time in seconds by which all requests are
+                answered.
+        """
+        self._stop_deadline = deadline
+        for timeout in self._timeouts:
+            timeout.reschedule(self._timeout_at)
+
+    def refuse_later_requests(self) -> None:
+        """Refuse the requests whose head is received from now on."""
+        self._last_start = self._loop.time()
+
+    def refusal(self) -> http_types.HttpAnswer:
+        """Return the answer to a request that this node cannot run now."""
+        return self._unavailable(NO_BACKEND_RETRY_S)
 
     async def serve(
         self, request: http_types.HttpRequest
     ) -> http_types.HttpAnswer:
         """Return the answer to a request."""
+        if self._is_too_late(request):
+            return self.refusal()
         table = self._board.routes.value
         if not table.version:
             return self._unavailable(NO_CONFIGURATION_RETRY_S)
@@ -108,7 +139,7 @@
             return http_types.HttpAnswer(_STATUS_BAD_GATEWAY, ())
         self._budget.record_first_attempt(call.service, self._loop.time())
         progress = _Progress()
-        result = await self._run_attempts(call, route, progress)
+        result = await self._run_until_stop(call, route, progress)
         is_answer = isinstance(result, http_types.HttpAnswer)
         answer = result if is_answer else self._failure_answer(result)
         self._counts.request_ended(
@@ -120,6 +151,20 @@
         self._log_result(metadata, call, progress, result, answer.status)
         return answer
 
+    @property
+    def _timeout_at(self) -> float | None:
+        """Event loop time in seconds at which a stop ends the calls."""
+        if math.isinf(self._stop_deadline):
+            return None
+        return self._stop_deadline - STOP_MARGIN_S
+
+    def _is_too_late(self, request: http_types.HttpRequest) -> bool:
+        """Return True if a stop leaves no time to run a request."""
+        if request.received > self._last_start:
+            return True
+        timeout_at = self._timeout_at
+        return timeout_at is not None and self._loop.time() >= timeout_at
+
     def _call(
         self,
         request: http_types.HttpRequest,
@@ -150,11 +195,28 @@
             received=request.received,
         )
 
+    async def _run_until_stop(
+        self, call: calls.Call, route: mesh.HostRoute, progress: _Progress
+    ) -> calls.Result:
+        """Run a call; a stop ends it in time, also one that begins later."""
+        timeout = asyncio.timeout_at(self._timeout_at)
+        self._timeouts.add(timeout)
+        try:
+            async with timeout:
+                return await self._run_attempts(call, route, progress)
+        except TimeoutError:
+            return self._error(errors.Reason.DEADLINE_EXCEEDED, not_run=False)
+        finally:
+            self._timeouts.discard(timeout)
+
     async def _run_attempts(
         self, call: calls.Call, route: mesh.HostRoute, progress: _Progress
     ) -> calls.Result:
         last: calls.Result | None = None
         while True:
+            # A stop may have begun during the previous attempt.
+            if call.deadline > self._stop_deadline:
+                call = dataclasses.replace(call, deadline=self._stop_deadline)
             if call.deadline <= self._loop.time():
                 return last or self._error(
                     errors.Reason.DEADLINE_EXCEEDED, not_run=True
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -96,6 +96,15 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def refuse_incomplete(self, answer: http_types.HttpAnswer) -> None:
+        """Answer the requests whose bodies have not arrived completely.
+
+        Args:
+            answer: Their answer; each connection is closed after it.
+        """
+        for connection in list(self._connections):
+            connection.refuse_if_incomplete(answer)
+
     def add(self, connection: "_Connection") -> None:
         """Register a new connection."""
         self._connections_accepted += 1
@@ -343,6 +352,11 @@
         if self._is_idle and not is_receiving and self._transport:
             self._transport.close()
 
+    def refuse_if_incomplete(self, answer: http_types.HttpAnswer) -> None:
+        """Answer a request whose body has not arrived completely."""
+        if self._is_in_body:
+            self._reject(answer)
+
     def _close_idle(self) -> None:
         self._transport.close()
 
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -59,9 +59,13 @@
 # Seconds without a request after which a stopping node stops listening.
 STOP_IDLE_S = 0.3
 # Fraction of the stop time after which no new request is accepted, 3 s of
-# 5.5 s; the rest is for the requests in flight, whose callers wait for at most
-# 2 s.
+# 5.5 s; the rest is for the requests in flight.
 STOP_LISTEN_FRACTION = 0.54
+# Seconds from the end of the last call until the process is killed; half of
+# them are for the answers. The smaller of the two applies, as calls at work may
+# be ended only in the last sixth of the stop time.
+STOP_RESERVE_S = 0.5
+STOP_RESERVE_FRACTION = 1 / 8
 _STOP_CHECK_INTERVAL_S = 0.05
 
 
@@ -317,21 +321,30 @@
         return None
 
     async def stop(self) -> None:
-        """Stop gracefully: serve until callers send no more requests."""
+        """Stop gracefully: serve until callers send no more requests.
+
+        Each request that was received completely is answered. Its deadline
+        ends with the stop, so that target nodes refuse, without running it,
+        what cannot end in time.
+        """
         started = self._loop.time()
-        # Half a second is reserved for the end of the process itself.
-        deadline = started + self._settings.stop_timeout_s - 0.5
+        timeout_s = self._settings.stop_timeout_s
+        reserve_s = min(STOP_RESERVE_S, STOP_RESERVE_FRACTION * timeout_s)
+        deadline = started + timeout_s - reserve_s
+        last_start = started + STOP_LISTEN_FRACTION * (deadline - started)
         self._publish_draining(True)
         self._callers.close_after_answers()
         self._members.mark_leaving()
         self._announce_own_member()
         self._target.drain()
-        notice_end = started + STOP_NOTICE_S
-        last_start = started + STOP_LISTEN_FRACTION * (deadline - started)
-        await self._wait_idle(notice_end, last_start)
+        self._entry.begin_stop(deadline)
+        await self._wait_idle(started + STOP_NOTICE_S, last_start)
+        self._entry.refuse_later_requests()
         self._callers.stop_listening()
-        while self._in_flight and self._loop.time() < deadline:
-            await asyncio.sleep(_STOP_CHECK_INTERVAL_S)
+        await _until(lambda: not self._in_flight, deadline)
+        self._callers.refuse_incomplete(self._entry.refusal())
+        answer_deadline = deadline + reserve_s / 2
+        await _until(lambda: not self._callers.in_flight, answer_deadline)
         self.abort()
         await asyncio.sleep(0)
         logger.info("node: %s stopped", self._settings.node_id)
@@ -394,7 +407,7 @@
             is_idle = now - self._last_request_at > STOP_IDLE_S
             if now >= notice_end and is_idle and not self._in_flight:
                 return
-            await asyncio.sleep(_STOP_CHECK_INTERVAL_S)
+            await asyncio.sleep(min(_STOP_CHECK_INTERVAL_S, deadline - now))
 
     def _limits(self) -> mesh.CallerLimits:
         return self._board.configuration.value.limits
@@ -655,3 +668,10 @@
             len(configuration.routes),
             current.version,
         )
+
+
+async def _until(condition: Callable[[], bool], deadline: float) -> None:
+    """Wait until a condition holds, or until an event loop time."""
+    loop = asyncio.get_running_loop()
+    while not condition() and loop.time() < deadline:
+        await asyncio.sleep(_STOP_CHECK_INTERVAL_S)
