--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -62,7 +62,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of connections with a request in flight."""
+        """Number of connections with a request that is received or run."""
         return sum(connection.is_busy for connection in self._connections)
 
     @property
@@ -86,13 +86,25 @@
         self._is_closing = True
 
     def stop_listening(self) -> None:
-        """Stop accepting connections and close the idle ones."""
+        """Stop accepting connections and close the idle ones.
+
+        Requests whose head is complete are still received and run.
+        """
         if self._server is not None:
             self._server.close()
             self._server = None
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def refuse_incomplete(self, answer: http_types.HttpAnswer) -> None:
+        """Answer the requests whose bodies have not arrived completely.
+
+        Args:
+            answer: Their answer; each connection is closed after it.
+        """
+        for connection in list(self._connections):
+            connection.refuse_if_incomplete(answer)
+
     def add(self, connection: "_Connection") -> None:
         """Register a new connection."""
         self._connections_accepted += 1
@@ -115,6 +127,7 @@
         self._pipelined: list[tuple[http_types.HttpRequest, bool]] = []
         self._timer: asyncio.TimerHandle | None = None
         self._is_in_head = False
+        self._is_in_body = False
         self._is_failed = False
         self._has_last_request = False
         self._is_read_paused = False
@@ -123,8 +136,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """True while a request is in flight."""
-        return self._task is not None
+        """True while a request is received or run."""
+        return self._task is not None or self._is_in_body
 
     def _reset_message(self) -> None:
         self._target = b""
@@ -158,10 +171,10 @@
         """Parse bytes of requests."""
         if self._is_failed or self._has_last_request:
             return
-        if self._is_idle and not self._is_in_head:
+        if self._is_idle and not (self._is_in_head or self._is_in_body):
             self._is_in_head = True
             limit_s = self._server.limits.header_timeout_s
-            self._set_timer(limit_s, self._time_out_head)
+            self._set_timer(limit_s, self._time_out_request)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -170,6 +183,9 @@
             if not self._is_failed:
                 logger.info("callers: request rejected; %s", error)
                 self._reject(_BAD_REQUEST)
+        if self._is_idle and self._is_in_body and not self._is_failed:
+            limit_s = self._server.limits.idle_timeout_s
+            self._set_timer(limit_s, self._time_out_request)
         if (
             self._pipelined_bytes > _MAX_PIPELINED_BYTES
             and not self._is_read_paused
@@ -197,6 +213,7 @@
         """Validate the head of the request."""
         self._received = self._loop.time()
         self._is_in_head = False
+        self._is_in_body = True
         self._clear_timer()
         hosts = [1 for name, _ in self._headers if name.lower() == b"host"]
         if len(hosts) != 1 or not self._target.startswith(b"/"):
@@ -219,6 +236,7 @@
 
     def on_message_complete(self) -> None:
         """Run the request, or queue it behind the one in flight."""
+        self._is_in_body = False
         if self._is_failed:
             return
         request = http_types.HttpRequest(
@@ -287,7 +305,10 @@
             self._transport.close()
         elif not self._is_in_head:
             limit_s = self._server.limits.idle_timeout_s
-            self._set_timer(limit_s, self._close_idle)
+            on_timeout = self._close_idle
+            if self._is_in_body:
+                on_timeout = self._time_out_request
+            self._set_timer(limit_s, on_timeout)
         if (
             self._is_read_paused
             and self._pipelined_bytes <= _MAX_PIPELINED_BYTES
@@ -326,14 +347,20 @@
     # Timers.
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in flight."""
-        if self._is_idle and not self._is_in_head and self._transport:
+        """Close the connection unless a request is received or run."""
+        is_receiving = self._is_in_head or self._is_in_body
+        if self._is_idle and not is_receiving and self._transport:
             self._transport.close()
 
+    def refuse_if_incomplete(self, answer: http_types.HttpAnswer) -> None:
+        """Answer a request whose body has not arrived completely."""
+        if self._is_in_body:
+            self._reject(answer)
+
     def _close_idle(self) -> None:
         self._transport.close()
 
-    def _time_out_head(self) -> None:
+    def _time_out_request(self) -> None:
         self._reject(_TIMED_OUT)
 
     def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
