Refuse a call before its body has crossed the path

A stopping node, or one whose backend server leaves or has been replaced, refused a call only when its body was complete: uploads filled full links to be refused, and a stopping node could end while a body arrived, so that entry nodes answered 502 for calls that surely had not run. The target node now looks at the head; it also waits, within the time of its stop, for arriving bodies and for unsent answers to peers. test_call_that_is_refused_is_told_before_its_body_has_arrived: not built before.

--- a/tests/test_gateway/test_gateway_slow_paths.py
+++ b/tests/test_gateway/test_gateway_slow_paths.py
@@ -103,9 +103,17 @@
 class _Pair:
     """An entry node's and a target node's stream over a pair of links."""
 
-    def __init__(self, run: Run, bytes_per_s: float, answer_bytes_per_s: float):
+    def __init__(
+        self,
+        run: Run,
+        bytes_per_s: float,
+        answer_bytes_per_s: float,
+        refuse: Callable[[calls.Call], calls.Outcome | None] = lambda call: (
+            None
+        ),
+    ):
         self.remote = stream_calls.RemoteCalls()
-        self.incoming = stream_calls.IncomingCalls(run, lambda: 1 << 30)
+        self.incoming = stream_calls.IncomingCalls(run, lambda: 1 << 30, refuse)
         self.entry = self._stream("entry", "target", self.remote)
         self.target = self._stream("target", "", self.incoming)
         self.forward = _Link(bytes_per_s)
@@ -179,6 +187,29 @@
     assert elapsed_s <= 2 * frames.MAX_CHUNK_BYTES / 60_000.0 + 0.2
 
 
+def test_call_that_is_refused_is_told_before_its_body_has_arrived():
+    """Guards against paths that are filled with bodies of refused calls."""
+    refusal = errors.CallError(
+        errors.Reason.DRAINING, "target.admit", "target", not_run=True
+    )
+
+    async def scenario() -> tuple[calls.Outcome, float, int]:
+        pair = _Pair(
+            _run_at_once, 60_000.0, 1e6, lambda call: calls.Outcome(refusal)
+        )
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        outcome = await pair.call(600_000)
+        elapsed_s = loop.time() - started
+        await asyncio.sleep(20.0)
+        return outcome, elapsed_s, pair.forward.bytes
+
+    outcome, elapsed_s, sent = virtual_time.run(scenario())
+    assert outcome.result == refusal
+    assert elapsed_s <= frames.MAX_CHUNK_BYTES / 60_000.0 + 0.2
+    assert sent <= 3 * frames.MAX_CHUNK_BYTES
+
+
 def test_bodies_on_one_stream_arrive_one_after_the_other():
     """Guards against bodies that share a full path until all are late."""
 
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -141,7 +141,9 @@
         self._notices = server_notices.ServerNotices()
         self._remote = stream_calls.RemoteCalls()
         self._incoming = stream_calls.IncomingCalls(
-            self._target.run, lambda: self._limits().max_body_bytes
+            self._target.run,
+            lambda: self._limits().max_body_bytes,
+            self._target.refuse_arrival,
         )
         self._peers = peers_lib.Peers(
             frames.Hello(
@@ -349,7 +351,10 @@
         await _until(lambda: not self._in_flight, deadline)
         self._callers.refuse_incomplete(self._entry.refusal())
         answer_deadline = deadline + reserve_s / 2
-        await _until(lambda: not self._callers.in_flight, answer_deadline)
+        await _until(
+            lambda: not (self._callers.in_flight or self._peers.unsent_bytes),
+            answer_deadline,
+        )
         self.abort()
         await asyncio.sleep(0)
         logger.info("node: %s stopped", self._settings.node_id)
@@ -405,7 +410,8 @@
 
     @property
     def _in_flight(self) -> int:
-        return self._callers.in_flight + self._incoming.in_flight
+        incoming = self._incoming.in_flight + self._incoming.arriving
+        return self._callers.in_flight + incoming
 
     async def _wait_idle(self, notice_end: float, deadline: float) -> None:
         while (now := self._loop.time()) < deadline:
--- a/trefoilwind/gateway/peers.py
+++ b/trefoilwind/gateway/peers.py
@@ -90,6 +90,11 @@
         """Open streams that this node dialed."""
         return tuple(self._dialed.values())
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait to be sent on all streams."""
+        return sum(stream.unsent_bytes for stream in self._all_streams())
+
     def dialed(self, node_id: str) -> streams_lib.Stream | None:
         """Return the open stream for calls to a node, or None."""
         return self._dialed.get(node_id)
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -201,9 +201,21 @@
         self,
         run: Callable[[calls.Call], Awaitable[calls.Outcome]],
         max_body_bytes: Callable[[], int],
+        refuse: Callable[[calls.Call], calls.Outcome | None] = lambda call: (
+            None
+        ),
     ):
+        """Initialize without calls.
+
+        Args:
+            run: Runs a call and returns its outcome.
+            max_body_bytes: Returns the size of the largest body.
+            refuse: Returns the refusal of a call whose body is still to
+                arrive, or None to await it.
+        """
         self._run = run
         self._max_body_bytes = max_body_bytes
+        self._refuse = refuse
         self._loop = asyncio.get_running_loop()
         self._arrivals: dict[streams.Stream, dict[int, _Arrival]] = {}
         self._tasks: dict[streams.Stream, dict[int, asyncio.Task]] = {}
@@ -260,6 +272,10 @@
     def _await_body(
         self, stream: streams.Stream, frame: frames.CallOpen, received: float
     ) -> None:
+        refusal = self._refuse(_call(frame, frame.body, received))
+        if refusal is not None:
+            _send_outcome(stream, frame.call_id, refusal)
+            return
         expiry = self._loop.call_at(
             received + frame.remaining_s, self._discard, stream, frame.call_id
         )
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -210,12 +210,28 @@
     async def run(self, call: calls.Call) -> calls.Outcome:
         """Run a call on the backend server once a slot is free."""
         outcome = await self._run(call)
+        self._report_run(call, outcome)
+        return outcome
+
+    def refuse_arrival(self, call: calls.Call) -> calls.Outcome | None:
+        """Return the refusal of a call whose body is still to arrive, or None.
+
+        Args:
+            call: The call, with the first part of its body.
+        """
+        refusal = self._check_server(call)
+        if refusal is None:
+            return None
+        outcome = calls.Outcome(refusal, occupied=self.load)
+        self._report_run(call, outcome)
+        return outcome
+
+    def _report_run(self, call: calls.Call, outcome: calls.Outcome) -> None:
         result = outcome.result
         is_error = isinstance(result, errors.CallError)
         name = result.reason.value if is_error else "answered"
         self._counts.run_ended(call.service, name)
         self._log_run(call, outcome)
-        return outcome
 
     async def _run(self, call: calls.Call) -> calls.Outcome:
         refusal = self._check_admission(call)
@@ -273,6 +289,12 @@
         )
 
     def _check_admission(self, call: calls.Call) -> errors.CallError | None:
+        refusal = self._check_server(call)
+        if refusal is None and self._suspects.is_refused(call):
+            return self._refusal(errors.Reason.POISON_REQUEST)
+        return refusal
+
+    def _check_server(self, call: calls.Call) -> errors.CallError | None:
         if self._is_draining or self._is_leaving:
             return self._refusal(errors.Reason.DRAINING)
         server = self._server
@@ -282,8 +304,6 @@
             return self._refusal(errors.Reason.NO_BACKEND, server.version)
         if self._loop.time() < self._unreachable_until:
             return self._refusal(errors.Reason.BACKEND_UNREACHABLE)
-        if self._suspects.is_refused(call):
-            return self._refusal(errors.Reason.POISON_REQUEST)
         return None
 
     async def _wait_for_slot(self, ticket: call_queue.Ticket) -> bool:
