Let the stand-in backend server wait for an upload that pauses

Cause: callers of test_an_upload_completes_during_a_stop_of_its_target_node saw BrokenPipeError in send, beside load. The stand-in server took the library's read time-out of 10 s. The test sends the halves of four uploads one after the other, so beside load the first one pauses for longer. The stand-in answered 408, the node passed that on and closed the connection, whose rest of the body was not read. The stop of the node had no part in it. Evidence: without load, a pause of 9.0 s passed and one of 10.6 s ended with BrokenPipeError in finish. Trial with two busy threads in the process: the first half took 16.4 s, the attempt ended with "Answer 408", then BrokenPipeError. With six, all four attempts ended after 30 s, deadline-exceeded, with the same symptom: the calls' time-out was 30 s. No stream was closed as silent (1.2 s at most, 3 s allowed). A call that hangs still fails: each send and receive of the caller is bounded by 10 s. The new test shortens the library's default to 0.25 s and pauses for 1 s; before the change it failed with BrokenPipeError.

--- a/tests/test_node/test_node_process.py
+++ b/tests/test_node/test_node_process.py
@@ -5,13 +5,17 @@
 import json
 import socket
 import threading
+import time
 
+from cheroot import wsgi
 import pytest
 
 from tests.test_node import uploads
 from tests.test_proxy import fakes
 from trefoilwind.proxy import callers
 
+_READ_TIMEOUT_S = 0.25
+
 
 @pytest.fixture(name="mesh")
 def fixture_mesh():
@@ -56,6 +60,24 @@
     assert uploads.get(mesh).status == 200
 
 
+def test_an_upload_whose_caller_pauses_is_not_ended_by_the_backend_server(
+    monkeypatch,
+):
+    """The library's default, 10 s, limits each pause within a request."""
+    initialize = wsgi.Server.__init__
+
+    def initialize_with_short_default(server, *args, **kwargs):
+        initialize(server, *args, **kwargs)
+        server.timeout = _READ_TIMEOUT_S
+
+    monkeypatch.setattr(wsgi.Server, "__init__", initialize_with_short_default)
+    with uploads.started_mesh() as mesh:
+        upload = uploads.Upload(mesh)
+        upload.send(uploads.UPLOAD_BYTES // 2)
+        time.sleep(4 * _READ_TIMEOUT_S)
+        assert upload.finish() == uploads.UPLOAD_BYTES
+
+
 def test_an_upload_completes_during_a_stop_of_its_entry_node(mesh):
     upload = uploads.Upload(mesh)
     upload.send(uploads.UPLOAD_BYTES // 2)
--- a/trefoilwind/standins/backend.py
+++ b/trefoilwind/standins/backend.py
@@ -15,6 +15,9 @@
 
 _READ_BYTES = 64 * 1024
 ANNOUNCE_INTERVAL_S = 1.0
+# Longest pause in a request in seconds: longer than the time-outs of calls, so
+# that the node ends a call whose caller pauses.
+_READ_TIMEOUT_S = 300.0
 
 
 @dataclasses.dataclass
@@ -48,6 +51,7 @@
         self._calls = 0
         self._stopped = threading.Event()
         self._server = wsgi.Server((host, port), self._answer, numthreads=16)
+        self._server.timeout = _READ_TIMEOUT_S
         self._server.prepare()
 
     @property
