Count a peer's call as in flight once it is accepted

Cause: found by reading for the broken pipe of uploads, and not its cause. A node that stops waits until no call is in flight, 50 ms at first. A peer's call counted only when its thread had started, so on a busy node the stop overtook calls that it had accepted, and closed their streams. A caller saw an unknown result, or a further attempt if the class is idempotent and the body was still buffered. Change: the call is registered before its thread is asked for, and removed if there is no thread.

--- a/tests/test_proxy/test_proxy_path.py
+++ b/tests/test_proxy/test_proxy_path.py
@@ -13,6 +13,7 @@
 from trefoilwind import errors
 from trefoilwind.distribution import frames
 from trefoilwind.proxy import calls
+from trefoilwind.proxy import workers
 
 _OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -206,6 +207,30 @@
     assert sent.is_repeatable
 
 
+def test_an_accepted_call_is_in_flight_before_its_thread_runs(
+    connect, monkeypatch
+):
+    accepted = threading.Event()
+    released = threading.Event()
+    run = workers.Workers._run
+
+    def run_late(self):
+        accepted.set()
+        released.wait(fakes.WAIT_S)
+        run(self)
+
+    monkeypatch.setattr(workers.Workers, "_run", run_late)
+    path = connect(fakes.answers(_OK))
+    thread, results = _run_on_thread(path, fakes.request())
+    assert accepted.wait(fakes.WAIT_S)
+    in_flight = path.target.in_flight
+    released.set()
+    thread.join()
+    assert in_flight == 1
+    assert results[0].status == 200
+    fakes.wait_until(lambda: path.target.in_flight == 0)
+
+
 def test_go_away_refuses_new_calls_and_finishes_calls_in_flight(connect):
     started = threading.Semaphore(0)
     released = threading.Event()
--- a/trefoilwind/proxy/target.py
+++ b/trefoilwind/proxy/target.py
@@ -198,16 +198,18 @@
             incoming = _IncomingCall(stream, opened, window_bytes)
             stream_calls = self._incoming.setdefault(stream, {})
             stream_calls[opened.call_id] = incoming
-            task = functools.partial(self._serve, incoming)
+            # Counted before its thread starts, so that a stop waits for it.
+            watched = self._watch.add(incoming.deadline, incoming.cancellation)
+            task = functools.partial(self._serve, incoming, watched)
             if not self._workers.try_run(task):
+                self._watch.remove(watched)
                 del stream_calls[opened.call_id]
                 return self._refusal(errors.Reason.OVERLOADED)
             last = self._last_accepted.get(stream, 0)
             self._last_accepted[stream] = max(last, opened.call_id)
         return None
 
-    def _serve(self, incoming: _IncomingCall) -> None:
-        watched = self._watch.add(incoming.deadline, incoming.cancellation)
+    def _serve(self, incoming: _IncomingCall, watched: int) -> None:
         try:
             result = self.run(_request(incoming))
             if isinstance(result, errors.CallError):
