Count data centres never seen against a majority of keepers

Cause: a keyed order ran twice, and a keyed call that was reported as not run belonged to an order that had run. A node replaced while the regions are cut knows no other node. Its view holds only itself, so it was the only keeper of each key, and 5 s after its start a claim needed its own record only. The other side has its majority with the other two keepers. Nodes that ran before the cut keep the lost nodes in their view; a new one has none to keep. Evidence, in virtual time from start(0, False), four look-ups and a cut, then replace_while_ordering('c', 'c'): c is added at 31.12 s; order-6 runs at e at 32.00 s; at 36.12 s c grants claim c/14, "sets [[c]] granted by [c]", and order-6 runs at c. With (again 'c', node 'b') and then ('c', 'c'): order-7 runs at e at 48.24 s, at 51.22 s c grants itself its claim and ends the call with deadline-exceeded as not run. The two tests failed with "order-6, 2 <= 1" and "1 == 0". Change: the configuration, without which a node routes no call, names the data centres. One of which the node saw no member since its start takes the place of known keepers, the lowest ranks first, and records nothing. What stays are keepers in the sets of all nodes that know more, so majorities still share a keeper. Views that cannot yield a majority granted nothing and are not waited for after a change. A new configuration counts before the first claim under it. A configured data centre without nodes costs availability: one of three makes both other keepers necessary, two of three refuse keyed calls. The nodes of the fake mesh now know a configuration with the data centres of its nodes; it names no region, so that calls go where they went before. Not covered: a node that restarts beyond a cut within the only data centre; see docs/design/at-most-once.md.

--- a/tests/test_routing/fake_mesh.py
+++ b/tests/test_routing/fake_mesh.py
@@ -19,6 +19,7 @@
 from trefoilwind.model import addresses
 from trefoilwind.model import configuration as configuration_lib
 from trefoilwind.model import members as members_lib
+from trefoilwind.model import state as state_lib
 from trefoilwind.proxy import calls
 from trefoilwind.proxy import dispatcher as dispatcher_lib
 from trefoilwind.routing import guard as guard_lib
@@ -124,6 +125,8 @@
         self.backend = FakeBackend(mesh)
         self.publish_members = self.environment.blackboard.members.claim("test")
         self.publish_members(directory.snapshot((self.member,)))
+        self.publish_state = self.environment.blackboard.state.claim("test")
+        self.publish_state(mesh.state)
         self.keepers = keepers_lib.KeeperController(self.environment)
         self.suspects = suspect_lib.SuspectController(self.environment)
         self.guard = guard_lib.Guard(self.environment, _Waiter(mesh))
@@ -192,6 +195,8 @@
             collections.Counter()
         )
         self.on_step: Callable[[], None] = lambda: None
+        # Known to all nodes, as the log has it.
+        self.state = state_lib.State()
         self._removed: dict[str, tuple[members_lib.Member, float]] = {}
         self._cut_since: float | None = None
         self._messages: list[tuple[float, str, str, bytes]] = []
@@ -199,11 +204,27 @@
         self._call_count = 0
 
     def add(self, node_id: str, data_centre: str) -> FakeNode:
+        self._configure(data_centre)
         node = FakeNode(self, node_id, data_centre)
         self.nodes[node_id] = node
         self._removed.pop(node_id, None)
         return node
 
+    def _configure(self, data_centre: str) -> None:
+        """Publish a configuration with a data centre unless it has it."""
+        configured = self.state.configuration.data_centres
+        if any(each.name == data_centre for each in configured):
+            return
+        # Without a region, so that calls go to the nodes of all regions alike.
+        added = configuration_lib.DataCentre(data_centre, "")
+        self.state = dataclasses.replace(
+            self.state,
+            version=self.state.version + 1,
+            configuration=configuration_lib.Configuration((*configured, added)),
+        )
+        for node in self.nodes.values():
+            node.publish_state(self.state)
+
     def kill(self, node_id: str) -> None:
         """Kill a node; its lease stays valid until it expires."""
         node = self.nodes.pop(node_id)
--- a/tests/test_routing/test_routing_fuzz.py
+++ b/tests/test_routing/test_routing_fuzz.py
@@ -200,3 +200,30 @@
     stateful_step_count=12,
     phases=tuple(p for p in hypothesis.Phase if p.name != "explain"),
 )
+
+
+def _start_and_cut() -> CallMachine:
+    """Return a machine whose nodes all take the regions for cut."""
+    machine = CallMachine()
+    machine.start(seed=0, is_lossy=False)
+    for _ in range(4):
+        machine.look_up(node="a")
+    machine.cut_regions(is_cut=True, near="a")
+    return machine
+
+
+def _replace_while_ordering(machine: CallMachine, again: str, node: str):
+    machine.replace_while_ordering(again=again, node=node)
+    machine.runs_at_most_once()
+    machine.not_run_was_not_executed()
+
+
+def test_a_node_replaced_alone_beyond_a_cut_runs_no_order_again():
+    machine = _start_and_cut()
+    _replace_while_ordering(machine, again="c", node="c")
+
+
+def test_no_order_that_ran_is_not_run_for_a_node_replaced_beyond_a_cut():
+    machine = _start_and_cut()
+    _replace_while_ordering(machine, again="c", node="b")
+    _replace_while_ordering(machine, again="c", node="c")
--- a/tests/test_routing/test_routing_keys.py
+++ b/tests/test_routing/test_routing_keys.py
@@ -137,6 +137,89 @@
             assert all(one & two for two in _majorities(later[0]))
 
 
+def _known(group):
+    return {k for k in group if k != key_placement.UNKNOWN}
+
+
+def _placement(names, data_centres=PLACES):
+    placement = key_placement.Placement(LIFETIME_S)
+    placement.update(_snapshot(names), 0.0, frozenset(data_centres))
+    return placement
+
+
+@hypothesis.given(
+    names=strategies.lists(
+        strategies.sampled_from([f"n{i}" for i in range(9)]),
+        min_size=1,
+        unique=True,
+    ),
+    key=strategies.text(max_size=8),
+)
+def test_nodes_that_saw_one_side_of_a_cut_grant_nothing_against_the_other(
+    names, key
+):
+    every = [f"n{i}" for i in range(9)]
+    (whole,) = _placement(every).keeper_sets(key, 0.0)
+    seen = {PLACES[int(name[1:]) % len(PLACES)] for name in names}
+    side = [
+        name for name in every if PLACES[int(name[1:]) % len(PLACES)] in seen
+    ]
+    (group,) = _placement(side).keeper_sets(key, 0.0)
+    needed = len(group) // 2 + 1
+    majorities = itertools.combinations(_known(group), needed)
+    assert all(
+        set(one) & other for one in majorities for other in _majorities(whole)
+    )
+    if len(seen) == 1:
+        assert len(_known(group)) < needed
+
+
+def test_nodes_of_one_of_two_data_centres_are_no_majority():
+    placement = _placement(["n0", "n3"], PLACES[:2])
+    (group,) = placement.keeper_sets("k", 0.0)
+    assert len(group) == key_placement.KEEPERS
+    assert len(_known(group)) == 1
+
+
+def test_a_view_without_a_possible_majority_blocks_no_later_one():
+    placement = _placement(["n0"])
+    placement.update(_snapshot(["n0", "n1", "n2"]), 1.0, frozenset(PLACES))
+    (group,) = placement.keeper_sets("k", 1.0)
+    assert len(_known(group)) == 3
+
+
+def test_a_view_with_a_possible_majority_is_satisfied_during_a_handover():
+    placement = _placement(["n0", "n1"])
+    (before,) = placement.keeper_sets("k", 0.0)
+    placement.update(_snapshot(["n0", "n1", "n2"]), 1.0, frozenset(PLACES))
+    after = placement.keeper_sets("k", 1.0)
+    assert before in after
+    assert len(after) == 2
+
+
+def test_a_data_centre_whose_nodes_left_as_planned_still_counts_as_seen():
+    placement = _placement(["n0", "n1", "n2"])
+    left = _snapshot(["n0", "n1", "n2"], leaving=["n2"])
+    placement.update(left, 1.0, frozenset(PLACES))
+    placement.update(_snapshot(["n0", "n1"]), 2.0, frozenset(PLACES))
+    assert placement.view.unseen_count == 0
+
+
+def test_a_call_right_after_a_configuration_counts_its_data_centres():
+    mesh = fake_mesh.FakeMesh(1)
+    node = mesh.add("n0", "perth-a")
+    mesh.run(8.0)
+    mesh.add("n1", "perth-b")
+    mesh.kill("n1")
+    decisions = []
+    deadline = mesh.clock.monotonic() + 1.0
+    node.post(
+        key_messages.StartClaim("k", "d", "t1", deadline, decisions.append)
+    )
+    mesh.run(1.0)
+    assert [d.status for d in decisions] == [Status.REFUSED]
+
+
 def test_keepers_are_spread_over_nodes_and_data_centres():
     names = [f"n{i}" for i in range(9)]
     placement = key_placement.Placement(LIFETIME_S)
--- a/tests/test_routing/test_routing_pick.py
+++ b/tests/test_routing/test_routing_pick.py
@@ -42,7 +42,7 @@
             configuration.Ownership("west", data_centre="perth-b"),
             configuration.Ownership("east"),
         )
-        self.board.state.claim("test")(
+        self.node.publish_state(
             state.State(
                 configuration=configuration.Configuration(
                     data_centres=centres, ownership=owners
--- a/trefoilwind/routing/keepers.py
+++ b/trefoilwind/routing/keepers.py
@@ -12,6 +12,7 @@
 
 from trefoilwind import environment as environment_lib
 from trefoilwind.distribution import ports
+from trefoilwind.model import configuration as configuration_lib
 from trefoilwind.routing import key_messages
 from trefoilwind.routing import key_placement
 from trefoilwind.routing import key_store
@@ -54,8 +55,7 @@
     @property
     def recipients(self) -> tuple[key_placement.Keeper, ...]:
         """All keepers the claim was sent to, each incarnation once."""
-        keepers = (keeper for group in self.keeper_sets for keeper in group)
-        return tuple(dict.fromkeys(keepers))
+        return _known_keepers(self.keeper_sets)
 
     @property
     def has_majorities(self) -> bool:
@@ -87,6 +87,8 @@
         self._deliveries: dict[int, _Delivery] = {}
         self._next_delivery_id = environment.incarnation
         self._next_view_at = 0.0
+        # Configured data centres that the placement takes into account.
+        self._data_centres: tuple[configuration_lib.DataCentre, ...] = ()
         self._ready_at = self._clock.monotonic() + key_placement.HANDOVER_S
         self._handlers = {
             key_messages.StartClaim: self._start_claim,
@@ -156,15 +158,18 @@
         self, _: str, start: key_messages.StartClaim
     ) -> list[ports.Envelope]:
         now = self._clock.monotonic()
+        envelopes = []
+        if self._data_centres != self._configured_data_centres():
+            # The calls of a configuration start before the next tick.
+            envelopes += self._update_placement(now)
         sets = self._placement.keeper_sets(start.key, now)
         if not sets[0] or len(self._claims) >= MAX_OPEN_CLAIMS:
             start.decide(key_messages.Decision(_Status.REFUSED))
-            return []
+            return envelopes
         claim = _Claim(start, sets, set(), now + CLAIM_TIMEOUT_S)
         self._claims[start.token] = claim
         held_s = max(0.0, start.deadline - now) + HELD_MARGIN_S
         lifetime_s = max(self._lifetime_s, held_s)
-        envelopes = []
         for keeper in claim.recipients:
             message = key_messages.KeyClaim(
                 start.key,
@@ -248,7 +253,7 @@
         del self._claims[claim.start.token]
         now = self._clock.monotonic()
         sets = self._placement.keeper_sets(claim.start.key, now)
-        current = (keeper for group in sets for keeper in group)
+        current = _known_keepers(sets)
         targets = {k.node_id: None for k in (*claim.recipients, *current)}
         envelopes = []
         for node_id in targets:
@@ -298,9 +303,17 @@
                 envelopes += self._settle(claim, _Status.UNKNOWN, None)
         return envelopes
 
+    def _configured_data_centres(
+        self,
+    ) -> tuple[configuration_lib.DataCentre, ...]:
+        state = self._environment.blackboard.state.value
+        return state.configuration.data_centres
+
     def _update_placement(self, now: float) -> list[ports.Envelope]:
         members = self._environment.blackboard.members.value
-        earlier = self._placement.update(members, now)
+        self._data_centres = self._configured_data_centres()
+        names = frozenset(each.name for each in self._data_centres)
+        earlier = self._placement.update(members, now, names)
         if earlier is None or not len(self._store):
             return []
         return self._hand_over(earlier, now)
@@ -315,7 +328,8 @@
             partition = key_placement.partition_of(key)
             before = earlier.keepers(partition)
             for keeper in current.keepers(partition):
-                if keeper not in before:
+                is_known = keeper != key_placement.UNKNOWN
+                if is_known and keeper not in before:
                     batches.setdefault(keeper.node_id, []).append(entry)
         return [
             self._deliver(
@@ -362,6 +376,18 @@
         ]
 
 
+def _known_keepers(
+    keeper_sets: Iterable[tuple[key_placement.Keeper, ...]],
+) -> tuple[key_placement.Keeper, ...]:
+    """Return the keepers of all sets that can be reached, each one once."""
+    keepers = (keeper for group in keeper_sets for keeper in group)
+    return tuple(
+        keeper
+        for keeper in dict.fromkeys(keepers)
+        if keeper != key_placement.UNKNOWN
+    )
+
+
 def _has_majority(
     group: tuple[key_placement.Keeper, ...],
     granted_by: set[tuple[str, int]],
--- a/trefoilwind/routing/key_placement.py
+++ b/trefoilwind/routing/key_placement.py
@@ -23,11 +23,22 @@
     data_centre: str
 
 
+# Stands for a keeper in a data centre of which no member was ever seen. It
+# records no claim, so it counts against a majority.
+UNKNOWN = Keeper("", 0, "")
+
+
 class View:
-    """Members at one point in time; keepers are computed on first use."""
+    """Members at one point in time; keepers are computed on first use.
+
+    A data centre of which no member was ever seen may be beyond a cut link, and
+    may hold the keepers of any partition. So it takes the place of known
+    keepers, the lowest ranks first.
+    """
 
-    def __init__(self, members: tuple[Keeper, ...]):
+    def __init__(self, members: tuple[Keeper, ...], unseen_count: int = 0):
         self._members = members
+        self._unseen_count = unseen_count
         self._cache: dict[int, tuple[Keeper, ...]] = {}
         self._by_data_centre: dict[str, list[tuple[int, Keeper]]] = {}
         for keeper in members:
@@ -42,6 +53,11 @@
         """Nodes that may be chosen as keepers."""
         return self._members
 
+    @property
+    def unseen_count(self) -> int:
+        """Number of data centres of which no member was ever seen."""
+        return self._unseen_count
+
     def keepers(self, partition: int) -> tuple[Keeper, ...]:
         """Return the keepers of a partition by rendezvous hashing.
 
@@ -63,10 +79,23 @@
             first_choices.append(first)
             others.extend(rest)
         chosen = _highest(first_choices, None)
+        if self._unseen_count:
+            return self._with_unknown([keeper for _, keeper in chosen])
         if len(chosen) < KEEPERS:
             chosen += _highest(others, None)[: KEEPERS - len(chosen)]
         return tuple(keeper for _, keeper in chosen)
 
+    def _with_unknown(self, chosen: list[Keeper]) -> tuple[Keeper, ...]:
+        """Return the keepers that are certain, and unknown ones."""
+        # With fewer data centres than keepers, an unseen one may provide the
+        # second keepers as well.
+        unknown_count = max(self._unseen_count, KEEPERS - len(chosen))
+        known_count = max(0, KEEPERS - unknown_count)
+        return (
+            *chosen[:known_count],
+            *[UNKNOWN] * (KEEPERS - known_count),
+        )
+
 
 def _highest(
     ranked: list[tuple[int, Keeper]], seed: int | None
@@ -98,7 +127,8 @@
     which records are handed over. A node that was lost rather than shut down as
     planned stays in the view for the lifetime of a key: it may still run on the
     other side of a network partition, and the two sides must not each find a
-    majority.
+    majority. A node that started during the partition never saw the nodes of
+    the other side, so for it the configured data centres count.
     """
 
     def __init__(self, lifetime_s: float):
@@ -108,20 +138,39 @@
         self._earlier_views: tuple[_EarlierView, ...] = ()
         self._live: frozenset[Keeper] = frozenset()
         self._lost: dict[Keeper, float] = {}
+        self._data_centres: frozenset[str] = frozenset()
+        self._seen_data_centres: frozenset[str] = frozenset()
 
     @property
     def view(self) -> View:
         """Current view."""
         return self._view
 
-    def update(self, snapshot: directory.Snapshot, now: float) -> View | None:
-        """Apply a snapshot; return the earlier view if the view changed."""
+    def update(
+        self,
+        snapshot: directory.Snapshot,
+        now: float,
+        data_centres: frozenset[str] = frozenset(),
+    ) -> View | None:
+        """Apply a snapshot; return the earlier view if the view changed.
+
+        Args:
+            snapshot: Members.
+            now: Monotonic time in seconds.
+            data_centres: Names of the configured data centres.
+        """
         self._earlier_views = tuple(
             p for p in self._earlier_views if p.until > now
         )
-        if snapshot is self._snapshot and not self._lost:
+        is_same = (
+            snapshot is self._snapshot and data_centres == self._data_centres
+        )
+        if is_same and not self._lost:
             return None
         self._snapshot = snapshot
+        self._data_centres = data_centres
+        self._seen_data_centres |= {m.data_centre for m in snapshot.members}
+        unseen_count = len(data_centres - self._seen_data_centres)
         live = frozenset(
             Keeper(m.node_id, m.incarnation, m.data_centre)
             for m in snapshot.members
@@ -129,11 +178,14 @@
         )
         self._update_lost(snapshot, live, now)
         current = live.union(self._lost)
-        if current == frozenset(self._view.members):
+        if (
+            current == frozenset(self._view.members)
+            and unseen_count == self._view.unseen_count
+        ):
             return None
         earlier = self._view
         ordered = sorted(current, key=lambda k: (k.node_id, k.incarnation))
-        self._view = View(tuple(ordered))
+        self._view = View(tuple(ordered), unseen_count)
         if earlier.members:
             earlier_view = _EarlierView(earlier, now + HANDOVER_S)
             self._earlier_views = (*self._earlier_views, earlier_view)
@@ -147,7 +199,12 @@
         sets = [self._view.keepers(partition)]
         for earlier_view in self._earlier_views:
             keepers = earlier_view.view.keepers(partition)
-            if earlier_view.until > now and keepers not in sets:
+            # No node was granted a claim without a majority of known keepers.
+            if (
+                earlier_view.until > now
+                and keepers not in sets
+                and keepers.count(UNKNOWN) <= len(keepers) // 2
+            ):
                 sets.append(keepers)
         return tuple(sets)
 
