Stop parsing a server's bytes once the call has ended

Cause: the limit of 16 answers to other requests ended the call, but not the parsing of the read in which it was reached: each further answer was parsed, joined, matched and logged. The same held for answers that follow the own answer. So one read cost the node up to the size of a read, not of the limit. Change: an answer that begins when no request is pending ends the parsing. The connection is not reused, as before. Result: 17 and 1 answers are matched. The tests of the client, the target, the entry, the node, the HTTP server and the store pass.

--- a/tests/test_gateway/test_gateway_http_client.py
+++ b/tests/test_gateway/test_gateway_http_client.py
@@ -281,6 +281,39 @@
     assert sent_later == 0
 
 
+def _matched(piece: bytes):
+    """Return the result of a call and the answers that were matched."""
+    matched = []
+
+    def match(answer):
+        matched.append(answer)
+        return _match(answer)
+
+    async def run():
+        async with fakes.RawServer(_send(piece)) as server:
+            client = http_client.HttpClient(server.address, 4)
+            deadline = asyncio.get_running_loop().time() + 5.0
+            result = await client.call(_HEAD, b"", deadline, match)
+            client.close()
+            return result
+
+    return uvloop.run(run()), matched
+
+
+def test_answers_in_one_read_are_not_parsed_after_the_end_of_the_call():
+    result, matched = _matched(fakes.answer(b"other", b"9") * 4000)
+    assert isinstance(result, errors.CallError)
+    assert result.reason is errors.Reason.BACKEND_FAILED
+    assert len(matched) == http_client.MAX_DISCARDED_ANSWERS + 1
+
+
+def test_answers_that_follow_an_answer_in_one_read_are_not_parsed():
+    own = fakes.answer(b"own", b"1")
+    result, matched = _matched(own + fakes.answer(b"other", b"9") * 4000)
+    assert result.body == b"own"
+    assert len(matched) == 1
+
+
 @pytest.mark.parametrize(
     "start",
     [
--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -199,6 +199,10 @@
     return connection.body_bytes
 
 
+class _CallEndedError(Exception):
+    """Ends the parsing of bytes that follow the end of a call."""
+
+
 class _Connection(asyncio.Protocol):
     """A connection with at most one request in flight."""
 
@@ -333,9 +337,15 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Start an answer; an unexpected one prevents connection reuse."""
+        """Start an answer; end the parsing if the call has ended.
+
+        Raises:
+            _CallEndedError: No request is pending.
+        """
         if self._waiter is None or self._waiter.done():
             self._is_reusable = False
+            # One read may contain thousands of answers.
+            raise _CallEndedError
         self._headers = []
         self._chunks = []
         self._body_bytes = 0
