Bound the bytes sent to a call without an answer, not the time

In that case the call ends after 17 answers of 50 bytes, each a read of its own; the client works 0.5 ms for them. It waits for nothing, so the rest was time in which the process did not run or the machine was slow. No run shows which, and the product has no part in it: it ends such a call by the work done. Change: the check bounds the bytes that the server sent until the call ended: the limit of 64 KiB and 4 KiB. Server and client share the event loop, so the server sends on as long as the call has not ended, at any speed of the machine. Result: the check is stricter.

--- a/tests/test_gateway/test_gateway_http_client.py
+++ b/tests/test_gateway/test_gateway_http_client.py
@@ -265,19 +265,20 @@
 
     async def run():
         async with fakes.RawServer(endless) as server:
-            started = asyncio.get_running_loop().time()
             results = await _call_all(server, 1)
-            elapsed_s = asyncio.get_running_loop().time() - started
-            await asyncio.sleep(0.05)
             sent = endless.sent
             await asyncio.sleep(0.05)
-            return results[0], elapsed_s, endless.sent - sent
+            sent_soon = endless.sent
+            await asyncio.sleep(0.05)
+            return results[0], sent, endless.sent - sent_soon
 
-    result, elapsed_s, sent_later = uvloop.run(run())
+    result, sent, sent_later = uvloop.run(run())
     assert isinstance(result, errors.CallError)
     assert result.reason is errors.Reason.BACKEND_FAILED
     assert not result.not_run
-    assert elapsed_s < 2.0
+    # Sent while the client parses: also a call that ends late is seen, and
+    # the speed of the machine makes no difference.
+    assert sent <= http_client.MAX_OVERHEAD_BYTES + 4 * _KB
     assert sent_later == 0
 
 
