Give the stand-in store a log for each topic

The stand-in kept the records of all topics in one log, which tests of one topic did not notice; processes read the operator's topic and their own. `put` writes a record as the operator does.

tests/test_platform: the tests of the store and of restores pass unchanged.

--- a/tests/test_platform/fakes.py
+++ b/tests/test_platform/fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import json
 import struct
 import urllib.parse
@@ -26,8 +27,10 @@
     def __init__(self) -> None:
         self.answers: list[int] = []
         self.calls: list[str] = []
-        self._records: list[tuple[bytes, bytes]] = []
-        self._first = 0
+        self._topics: dict[str, list[tuple[bytes, bytes]]] = (
+            collections.defaultdict(list)
+        )
+        self._first: collections.Counter[str] = collections.Counter()
         self._era = 0
         # Incremented to end the reads that wait.
         self._interruptions = 0
@@ -39,9 +42,14 @@
         sock = self._server._server.sockets[0]
         return addresses.Address(HOST, sock.getsockname()[1])
 
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Write a record as the operator."""
+        self._topics[f"keyed.{topic}"].append((key.encode(), value))
+
     def expire_history(self) -> None:
         """Remove all records from the readable history."""
-        self._first = len(self._records)
+        for topic, records in self._topics.items():
+            self._first[topic] = len(records)
 
     def restore(self, kept: int) -> None:
         """Return to a copy with the first records, and close connections."""
@@ -50,7 +58,8 @@
 
     def restore_silently(self, kept: int) -> None:
         """Return to a copy with the first records only, in a new era."""
-        del self._records[kept:]
+        for records in self._topics.values():
+            del records[kept:]
         self._era += 1
 
     async def _handle(
@@ -88,18 +97,20 @@
     def _append(
         self, fields: dict[str, str], body: bytes
     ) -> http_types.HttpAnswer:
-        offset = len(self._records)
+        records = self._topics[fields["topic"]]
+        offset = len(records)
         if fields.get("at", str(offset)) != str(offset):
             return _json(412, {"end_offset": offset})
         (length,) = struct.unpack_from(">I", body)
         assert length == len(body) - 4
         size = body[4]
-        self._records.append((body[5 : 5 + size], body[5 + size :]))
+        records.append((body[5 : 5 + size], body[5 + size :]))
         return _json(200, {"offset": offset, "end_offset": offset + 1})
 
     def _newest(self, fields: dict[str, str]) -> http_types.HttpAnswer:
         newest = {}
-        for offset, (key, value) in enumerate(self._records):
+        records = self._topics[fields["topic"]]
+        for offset, (key, value) in enumerate(records):
             newest[key.decode()] = (value, offset)
         keys = sorted(k for k in newest if k > fields.get("after", ""))
         items = [
@@ -110,23 +121,25 @@
             }
             for key in keys[:2]
         ]
-        end = len(self._records)
+        end = len(records)
         page = {"items": items, "has_more": len(keys) > 2, "end_offset": end}
         return _json(200, page)
 
     async def _read(self, fields: dict[str, str]) -> http_types.HttpAnswer:
         start = int(fields["from"])
-        if not self._first <= start <= len(self._records):
-            return _json(410, {"first_offset": self._first})
+        records = self._topics[fields["topic"]]
+        first = self._first[fields["topic"]]
+        if not first <= start <= len(records):
+            return _json(410, {"first_offset": first})
         deadline = int(fields["wait_ms"]) / 1000
         interruptions = self._interruptions
-        while len(self._records) <= start and deadline > 0:
+        while len(records) <= start and deadline > 0:
             if interruptions != self._interruptions:
                 break
             await asyncio.sleep(0.01)
             deadline -= 0.01
-        data = struct.pack(">QQ", len(self._records), self._first)
-        for key, value in self._records[start:]:
+        data = struct.pack(">QQ", len(records), first)
+        for key, value in records[start:]:
             content = bytes((len(key),)) + key + value
             data += struct.pack(">I", len(content)) + content
         return http_types.HttpAnswer(200, (), data)
