Add a fault soak of the platform's program

Processes of the program run under series of faults drawn from a seed, with the stand-in store, backend servers, callers and proxies between nodes in the soak's own process.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format docs fuzz bench
+.PHONY: setup demo test lint format docs fuzz soak bench
 
 setup: $(VENV)/.ready
 
@@ -32,3 +32,6 @@
 
 fuzz: setup
 	TREFOILWIND_FUZZ_EXAMPLES=10000 $(BIN)/python -m pytest tests -k "fuzz"
+
+soak: setup
+	$(BIN)/python -m tests.test_soak.run --seeds 20 --seconds 20 --jobs 2
--- /dev/null
+++ b/tests/test_soak/ledger.py
@@ -0,0 +1,262 @@
+"""What callers and backend servers saw, and the promises that it must keep."""
+
+import asyncio
+import collections
+import dataclasses
+import hashlib
+import math
+
+# The users' bounds in seconds; the first one is in the nodes' settings.
+GRACE_S = 6.0
+DRAIN_S = 2.5
+LOSS_SLACK_S = 0.2
+STABLE_WINDOW_S = 4.0
+# Seconds after SIGTERM until which a request may come that the node need not
+# end, and the part of the grace after which it may be given up.
+LAST_EXCUSED_S = 3.0
+EXCUSED_PART = 5 / 6
+# Seconds from the start of a process until callers get answers from it.
+RECOVERY_S = 5.0
+# Statuses that promise that a request has not run and never will.
+NOT_RUN = frozenset({408, 421, 429, 503})
+
+
+@dataclasses.dataclass
+class Request:
+    """One request of a caller; times are those of the event loop.
+
+    Attributes:
+        node: Index of the entry node.
+        kind: Kind of its route; "safe" ones may run more than once.
+        due: Time at which its deadline or its route's timeout is reached.
+        sent: Time at which its last byte was sent.
+        end: "answered", "late" without an answer when it was due, "unsent" if
+            the connection ended before the last byte was sent, "cut" after it.
+        seal: Seal of the backend server; empty in an answer of the node.
+    """
+
+    request_id: str
+    node: int
+    kind: str
+    digest: str
+    begun: float
+    due: float
+    sent: float = math.inf
+    ended: float = math.inf
+    end: str = ""
+    status: int = 0
+    seal: str = ""
+
+
+@dataclasses.dataclass
+class Run:
+    """One run of a request at the backend server beside a node.
+
+    Attributes:
+        end: "answered", "dropped" by the node, or "crashed".
+        seal: Seal of the answer, which contains a digest of the body.
+    """
+
+    request_id: str
+    node: int
+    instance: str
+    started: float
+    ended: float = math.inf
+    end: str = ""
+    status: int = 0
+    seal: str = ""
+
+
+@dataclasses.dataclass
+class Stop:
+    """A planned stop of a node: SIGTERM, end and next start."""
+
+    term: float
+    gone: float = math.inf
+    started: float = math.inf
+
+
+class History:
+    """Planned stops of a node, unplanned faults at it and at its links."""
+
+    def __init__(self) -> None:
+        self.stops: list[Stop] = []
+        self.faults: list[tuple[float, float]] = []
+
+    def is_sound(self, start: float, end: float) -> bool:
+        """Return True without unplanned faults near a span of time."""
+        start -= STABLE_WINDOW_S
+        return all(last < start or first > end for first, last in self.faults)
+
+    def is_in_touch(self, start: float, end: float) -> bool:
+        """Return True without faults and planned stops near a span of time."""
+        return self.is_sound(start, end) and all(
+            stop.started < start - STABLE_WINDOW_S or stop.term > end
+            for stop in self.stops
+        )
+
+
+def digest(*parts: bytes) -> str:
+    return hashlib.blake2b(b"\0".join(parts), digest_size=8).hexdigest()
+
+
+class Ledger:
+    """Records of all requests and runs.
+
+    Attributes:
+        left: Times at which the leaving of an instance was acknowledged.
+        counts: Requests by outcome, and others.
+        broken: Promises that were broken.
+    """
+
+    def __init__(self, services: tuple[str, ...]):
+        self._services = services
+        self._loop = asyncio.get_running_loop()
+        self._started = self._loop.time()
+        self.nodes = [History() for _ in services]
+        self.requests: dict[str, Request] = {}
+        self.runs: dict[str, list[Run]] = collections.defaultdict(list)
+        self.left: dict[str, float] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.broken: list[str] = []
+
+    def break_promise(self, name: str, detail: str) -> None:
+        at = self._loop.time() - self._started
+        self.broken.append(f"{name}: {at:.2f} s; {detail}")
+
+    def _describe(self, request: Request) -> str:
+        def at(time: float) -> str:
+            return f"{time - self._started:.2f}"
+
+        runs = "".join(
+            f"; run at n{run.node} {run.instance} {at(run.started)}.."
+            f"{at(run.ended)} {run.end} {run.status}"
+            for run in self.runs[request.request_id]
+        )
+        stops = "".join(
+            f"; SIGTERM {at(stop.term)} gone {at(stop.gone)}"
+            for stop in self.nodes[request.node].stops
+            if stop.term <= request.ended
+        )
+        return (
+            f"{request.kind} {request.request_id} at n{request.node} begun "
+            f"{at(request.begun)} sent {at(request.sent)} ended "
+            f"{at(request.ended)} {request.end} {request.status}{runs}{stops}"
+        )
+
+    def failures(self) -> list[str]:
+        """Return a line for each request without an answer of success."""
+        requests = self.requests.values()
+        return [self._describe(each) for each in requests if each.status != 200]
+
+    def check_arrival(self, run: Run) -> None:
+        """Check a request that reaches a backend server which it names."""
+        request = self.requests.get(run.request_id)
+        late_s = run.started - self.left.get(run.instance, math.inf)
+        if request is None or late_s <= DRAIN_S:
+            return
+        start = min(request.sent, run.started)
+        pair = self.nodes[request.node], self.nodes[run.node]
+        if all(node.is_in_touch(start, run.started) for node in pair):
+            detail = f"{late_s:.2f} s after {run.instance} was leaving"
+            self.break_promise("leave", f"{detail}; {self._describe(request)}")
+
+    def start_run(self, run: Run, sum_: str, caller_service: str) -> None:
+        request = self.requests.get(run.request_id)
+        if request is None:
+            self.break_promise("asked", run.request_id)
+            return
+        runs = self.runs[run.request_id]
+        runs.append(run)
+        self.counts["runs"] += 1
+        is_own = caller_service == self._services[request.node]
+        if sum_ != request.digest or not is_own:
+            self.break_promise("unchanged", self._describe(request))
+        if request.kind != "safe" and len(runs) > 1:
+            self.break_promise("at most once", self._describe(request))
+        is_refused = request.status in NOT_RUN and request.ended < math.inf
+        if request.kind != "safe" and is_refused:
+            self.break_promise("never runs later", self._describe(request))
+
+    def end_request(self, request: Request, body: bytes) -> None:
+        request.ended = self._loop.time()
+        self.counts[str(request.status or request.end)] += 1
+        runs = self.runs[request.request_id]
+        if request.status in NOT_RUN and runs and request.kind != "safe":
+            self.break_promise("not run", self._describe(request))
+        if request.status == 404 or (
+            request.status == 200 and not request.seal
+        ):
+            self.break_promise("own answer", self._describe(request))
+        sum_ = digest(request.request_id.encode(), body)
+        if request.seal and not any(
+            (run.seal, run.status) == (request.seal, request.status)
+            and run.seal.endswith(sum_)
+            for run in runs
+        ):
+            self.break_promise("whole answer", self._describe(request))
+
+    def check_end(self, end: float) -> None:
+        """Check what is known at the end only.
+
+        Args:
+            end: Time at which callers sent their last requests.
+        """
+        for request in self.requests.values():
+            node = self.nodes[request.node]
+            if any(
+                stop.term <= request.ended <= stop.term + GRACE_S + 1.0
+                for stop in node.stops
+            ):
+                self._check_around_stop(request)
+        for index, node in enumerate(self.nodes):
+            for stop in node.stops:
+                self._check_restart(index, stop.started, end)
+
+    def _check_around_stop(self, request: Request) -> None:
+        runs = self.runs[request.request_id]
+        is_excused = (
+            request.ended >= request.due - LOSS_SLACK_S
+            or any(run.end == "crashed" for run in runs)
+            or any(self._may_give_up(request, run) for run in runs)
+            or not all(
+                self.nodes[node].is_sound(request.sent, request.ended)
+                for node in {request.node, *(run.node for run in runs)}
+            )
+        )
+        if is_excused or request.end in ("late", "unsent"):
+            return
+        if request.end == "cut":
+            if runs or request.ended > request.sent + LOSS_SLACK_S:
+                self.break_promise("answered", self._describe(request))
+        elif not request.seal and any(
+            run.started < request.ended
+            and (run.end == "dropped" or run.ended > request.ended)
+            for run in runs
+        ):
+            self.break_promise("not given up", self._describe(request))
+
+    def _may_give_up(self, request: Request, run: Run) -> bool:
+        """Return True if a run lasted into the end of a grace."""
+        return any(
+            request.sent <= stop.term + LAST_EXCUSED_S
+            and stop.term + EXCUSED_PART * GRACE_S <= run.ended
+            and run.started < stop.gone
+            for node in (request.node, run.node)
+            for stop in self.nodes[node].stops
+        )
+
+    def _check_restart(self, index: int, started: float, end: float) -> None:
+        due = started + RECOVERY_S
+        node = self.nodes[index]
+        is_stopped = any(started < stop.term < due for stop in node.stops)
+        if due > end or is_stopped or not node.is_sound(started, due):
+            return
+        if not any(
+            request.node == index
+            and request.status == 200
+            and started < request.ended <= due
+            for request in self.requests.values()
+        ):
+            at = started - self._started
+            self.break_promise("serves again", f"n{index} started {at:.2f}")
--- /dev/null
+++ b/tests/test_soak/peers.py
@@ -0,0 +1,362 @@
+"""Scripted backend servers and callers."""
+
+import asyncio
+from collections.abc import Iterator
+import dataclasses
+import json
+import random
+import time
+from typing import NamedTuple
+
+from tests.test_platform import fakes
+from tests.test_soak import ledger as ledger_lib
+from trefoilwind.gateway import http_server
+from trefoilwind.gateway import http_types
+from trefoilwind.model import mesh
+
+# Host header of all requests.
+HOST = "soak.example"
+_SLOTS = 8
+_HEARTBEAT_S = 1.0
+_RETRY_S = 0.2
+# Seconds after its deadline for which a caller waits for an answer.
+_PATIENCE_S = 0.5
+# Times that a backend server says that it leaves until it is acknowledged.
+_LEAVE_ATTEMPTS = 15
+# Parts in which a caller with a slow link sends a body.
+_PARTS = 10
+
+# What uvloop raises for a connection that is lost or was closed before.
+_LOST = (OSError, EOFError, RuntimeError)
+
+_Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+async def _read_answer(
+    reader: asyncio.StreamReader,
+) -> tuple[int, dict[str, str], bytes]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    pairs = (line.partition(": ") for line in head[1:])
+    headers = {name.lower(): value for name, _, value in pairs}
+    length = int(headers.get("content-length", 0))
+    return int(head[0].split()[1]), headers, await reader.readexactly(length)
+
+
+def _message(line: str, headers: dict[str, str], body: bytes) -> bytes:
+    headers = {"Host": HOST, "Content-Length": len(body)} | headers
+    lines = [f"{line} HTTP/1.1"] + [f"{k}: {v}" for k, v in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def call(port: int, line: str, body: bytes = b"") -> int:
+    """Return the status of an answer, or 0 without one."""
+    try:
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(fakes.HOST, port)
+            writer.write(_message(line, {"Connection": "close"}, body))
+            status, _, _ = await _read_answer(reader)
+            writer.close()
+            return status
+    except _LOST:
+        return 0
+
+
+class BackendServer:
+    """Works as long as a request says, and records its runs."""
+
+    def __init__(
+        self,
+        node: int,
+        port: int,
+        control_port: int,
+        service: str,
+        ledger: ledger_lib.Ledger,
+    ):
+        self._node = node
+        self._port = port
+        self._control_port = control_port
+        self._service = service
+        self._ledger = ledger
+        self._loop = asyncio.get_running_loop()
+        # Held while it leaves or is away.
+        self._lock = asyncio.Lock()
+        self._server: http_server.HttpServer | None = None
+        self._heartbeats: asyncio.Task | None = None
+        self._starts = 0
+        self._born = 0
+        self._sequence = 0
+        self._running = 0
+        self._is_leaving = False
+        self._slowness = 1.0
+
+    @property
+    def _instance(self) -> str:
+        return f"i-{self._node}-{self._starts}"
+
+    async def start(self) -> None:
+        self._starts += 1
+        self._born = int(time.time() * 1000)
+        self._sequence = 0
+        self._is_leaving = False
+        self._server = http_server.HttpServer(self._serve, mesh.CallerLimits)
+        await self._server.listen(fakes.HOST, self._port, 256)
+        self._heartbeats = self._loop.create_task(self._beat())
+
+    async def leave(self, extra_s: float) -> None:
+        """Say that it leaves, serve on for a while, end and start again."""
+        async with self._lock:
+            self._is_leaving = True
+            for _ in range(_LEAVE_ATTEMPTS):
+                if await self._send_heartbeat():
+                    break
+                await asyncio.sleep(_RETRY_S)
+            await asyncio.sleep(ledger_lib.DRAIN_S + extra_s)
+            path = f"DELETE /-/instances/{self._instance}"
+            await call(self._control_port, path)
+            while self._running:
+                await asyncio.sleep(_RETRY_S)
+            await self._restart(1.0)
+
+    async def crash(self, away_s: float) -> None:
+        async with self._lock:
+            await self._restart(away_s)
+
+    async def slow(self, seconds: float) -> None:
+        """Work more slowly for a time."""
+        self._slowness = 4.0
+        await asyncio.sleep(seconds)
+        self._slowness = 1.0
+
+    async def _restart(self, away_s: float) -> None:
+        self.close()
+        await asyncio.sleep(away_s)
+        await self.start()
+
+    def close(self) -> None:
+        """End without a word."""
+        self._heartbeats.cancel()
+        server, self._server = self._server, None
+        if server is None:
+            return
+        server.stop_listening()
+        for connection in list(server._connections):
+            connection._transport.abort()
+
+    async def _beat(self) -> None:
+        while True:
+            is_done = await self._send_heartbeat()
+            await asyncio.sleep(_HEARTBEAT_S if is_done else _RETRY_S)
+
+    async def _send_heartbeat(self) -> bool:
+        """Return True if it was acknowledged."""
+        self._sequence += 1
+        is_leaving = self._is_leaving
+        instance = self._instance
+        status = {"seq": self._sequence, "cold_left_s": 0}
+        status["state"] = "draining" if is_leaving else "ready"
+        info = {"service": self._service, "version": "v1", "slots": _SLOTS}
+        document = {"address": f"{fakes.HOST}:{self._port}", "info": info}
+        document |= {"status": status, "born": self._born}
+        path = f"PUT /-/instances/{instance}"
+        body = json.dumps(document).encode()
+        is_done = await call(self._control_port, path, body) == 200
+        if is_done and is_leaving:
+            self._ledger.left.setdefault(instance, self._loop.time())
+        return is_done
+
+    async def _serve(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpAnswer:
+        request_id = request.header(b"x-request-id").decode()
+        own = ((b"X-Request-Id", request_id.encode()),)
+        not_run = (*own, (b"X-Not-Executed", b"1"))
+        if request.header(b"x-expect-instance").decode() != self._instance:
+            return http_types.HttpAnswer(421, not_run)
+        run = ledger_lib.Run(
+            request_id, self._node, self._instance, self._loop.time()
+        )
+        self._ledger.check_arrival(run)
+        if self._running >= 2 * _SLOTS:
+            return http_types.HttpAnswer(503, not_run)
+        sum_ = ledger_lib.digest(request.method, request.target, request.body)
+        caller_service = request.header(b"x-caller-service").decode()
+        self._ledger.start_run(run, sum_, caller_service)
+        work_s = int(request.header(b"x-work-ms")) / 1000 * self._slowness
+        left_s = int(request.header(b"x-deadline-ms")) / 1000
+        run.status = 504 if work_s > left_s else 200
+        server = self._server
+        self._running += 1
+        try:
+            await asyncio.sleep(min(work_s, left_s))
+            run.end = "answered"
+        except asyncio.CancelledError:
+            run.end = "dropped" if server is self._server else "crashed"
+            raise
+        finally:
+            self._running -= 1
+            run.ended = self._loop.time()
+        size = int(request.header(b"x-answer-bytes"))
+        text = f"{request_id} {run.instance} ".encode()
+        body = (text * (size // len(text) + 1))[:size]
+        sum_ = ledger_lib.digest(request_id.encode(), body)
+        run.seal = f"{run.instance}.{sum_}"
+        headers = (*own, (b"X-Server-Seal", run.seal.encode()))
+        return http_types.HttpAnswer(
+            run.status, headers, body, is_last=self._is_leaving
+        )
+
+
+class Habit(NamedTuple):
+    """How a caller behaves: pauses in s, work in ms, bodies in KiB."""
+
+    kinds: tuple[str, ...]
+    pause_s: tuple[float, float]
+    work_ms: tuple[int, int]
+    body_kb: tuple[int, int]
+    # Longest time over which a body is sent.
+    send_s: float
+    timeout_s: float
+
+
+HABITS = (
+    *(Habit(("safe", "order"), (0.02, 0.3), (2, 150), (0, 2), 0.0, 2.0),) * 2,
+    # Also sends late in a grace, on a connection that was open before.
+    *(Habit(("safe", "order"), (0.5, 4.0), (2, 800), (0, 2), 0.0, 3.0),) * 3,
+    *(Habit(("upload",), (0.1, 2.0), (100, 2500), (50, 1500), 2.0, 9.0),) * 2,
+    Habit(("upload",), (0.1, 2.0), (100, 2500), (50, 500), 4.0, 9.0),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Planned:
+    """A request before it is sent, and the time to wait and to send it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+    pause_s: float
+    send_s: float
+
+
+class Caller:
+    """Sends requests to one node, over one connection at a time."""
+
+    def __init__(
+        self,
+        name: str,
+        node: int,
+        port: int,
+        habit: Habit,
+        ledger: ledger_lib.Ledger,
+    ):
+        self._name = name
+        self._node = node
+        self._port = port
+        self._habit = habit
+        self._ledger = ledger
+        self._loop = asyncio.get_running_loop()
+        self._streams: _Streams | None = None
+        self.is_ending = False
+
+    async def run(self) -> None:
+        for planned in self._requests():
+            # Keeps a connection open during the pause.
+            await self._connect()
+            await asyncio.sleep(planned.pause_s)
+            streams = await self._connect()
+            if streams is None:
+                return
+            now = self._loop.time()
+            method, path = planned.line.encode().split()
+            request = ledger_lib.Request(
+                planned.headers["X-Request-Id"],
+                self._node,
+                path.decode().split("/")[1],
+                ledger_lib.digest(method, path, planned.body),
+                now,
+                now + self._habit.timeout_s,
+            )
+            self._ledger.requests[request.request_id] = request
+            answer = await self._exchange(request, planned, streams)
+            self._ledger.end_request(request, answer)
+
+    def _requests(self) -> Iterator[_Planned]:
+        rng = random.Random(self._name)
+        number = 0
+        while True:
+            number += 1
+            kind = rng.choice(self._habit.kinds)
+            kb = rng.randint(*self._habit.body_kb) * (kind != "safe")
+            headers = {
+                "X-Request-Id": f"{self._name}-{number}",
+                "X-Deadline-Ms": str(int(self._habit.timeout_s * 1000)),
+                "X-Work-Ms": str(rng.randint(*self._habit.work_ms)),
+                "X-Answer-Bytes": str(rng.choice((10, 1000, 100_000))),
+            }
+            yield _Planned(
+                f"{'POST' if kb else 'GET'} /{kind}/{rng.randrange(1000)}",
+                headers,
+                rng.randbytes(1024) * kb,
+                rng.uniform(*self._habit.pause_s),
+                rng.uniform(0.0, self._habit.send_s),
+            )
+
+    async def _connect(self) -> _Streams | None:
+        """Return an open connection; None at the end."""
+        while not self.is_ending:
+            if self._streams is not None:
+                reader, writer = self._streams
+                if not reader.at_eof() and not writer.is_closing():
+                    return self._streams
+                self._close()
+            try:
+                async with asyncio.timeout(1.0):
+                    self._streams = await asyncio.open_connection(
+                        fakes.HOST, self._port
+                    )
+                # A drained write has left this process.
+                self._streams[1].transport.set_write_buffer_limits(0)
+            except _LOST:
+                self._close()
+                await asyncio.sleep(_RETRY_S)
+        self._close()
+        return None
+
+    def _close(self) -> None:
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+        self._streams = None
+
+    async def _exchange(
+        self,
+        request: ledger_lib.Request,
+        planned: _Planned,
+        streams: _Streams,
+    ) -> bytes:
+        """Send a request and return the body of its answer."""
+        reader, writer = streams
+        data = _message(planned.line, planned.headers, planned.body)
+        size = -(-len(data) // _PARTS) if planned.send_s else len(data)
+        try:
+            async with asyncio.timeout_at(request.due + _PATIENCE_S):
+                for start in range(0, len(data), size):
+                    if start:
+                        await asyncio.sleep(planned.send_s / _PARTS)
+                    writer.write(data[start : start + size])
+                    await writer.drain()
+                request.sent = self._loop.time()
+                status, headers, body = await _read_answer(reader)
+        except TimeoutError:
+            request.end = "late"
+        except _LOST:
+            is_sent = request.sent <= self._loop.time()
+            request.end = "cut" if is_sent else "unsent"
+        else:
+            request.end = "answered"
+            request.status = status
+            request.seal = headers.get("x-server-seal", "")
+            if headers.get("connection") == "close":
+                self._close()
+            return body
+        self._close()
+        return b""
