--- a/tests/test_platform/test_platform_odd_entries.py
+++ b/tests/test_platform/test_platform_odd_entries.py
@@ -394,12 +394,12 @@
             skips_superseded=skips_superseded,
         )
         if is_first:
-            server.append(b"odd\xff", b"v")
+            server.append("t", b"odd\xff", b"v")
         task = asyncio.create_task(follower.run())
         while not follower.has_read and not follower.is_unavailable:
             await asyncio.sleep(0.01)
-        server.append(b"odd\xff", b"v")
-        server.append(b"good", b"v")
+        server.append("t", b"odd\xff", b"v")
+        server.append("t", b"good", b"v")
         try:
             async with asyncio.timeout(5.0):
                 while "good" not in keys:
--- a/tests/test_platform/test_platform_store.py
+++ b/tests/test_platform/test_platform_store.py
@@ -153,7 +153,7 @@
 def test_newest_reads_on_after_records_with_odd_keys():
     async def scenario(store, server):
         for key in (b"a", b"b\xff", b"c", b"d\xff", b"e\n", b"f"):
-            server.append(key, b"v")
+            server.append("t", key, b"v")
         page = await store.newest("t")
         assert [r.key for r in page.records] == ["a", "c", "f"]
         assert page.next_offset == 6
@@ -164,7 +164,7 @@
 def test_newest_reads_on_after_a_page_of_records_with_odd_keys():
     async def scenario(store, server):
         for key in (b"a", b"b\xfe", b"b\xff", b"c"):
-            server.append(key, b"v")
+            server.append("t", key, b"v")
         page = await store.newest("t")
         assert [r.key for r in page.records] == ["a", "c"]
 
