Ignore a change of the settings while the program loads

The signal is ignored before the other modules are loaded; the settings are read after them. test_changed_settings_do_not_end_a_program_that_is_loading: never served before.

--- a/tests/test_platform/test_platform_program.py
+++ b/tests/test_platform/test_platform_program.py
@@ -89,12 +89,17 @@
 
 
 async def _start(
-    folder: pathlib.Path, ports: dict[str, int], store: str, grace_s: float = 2
+    folder: pathlib.Path,
+    ports: dict[str, int],
+    store: str,
+    grace_s: float = 2,
+    options: tuple[str, ...] = (),
 ):
     path = folder / "local.toml"
     path.write_text(_FILE.format(store=store, grace=grace_s, **ports))
     return await asyncio.create_subprocess_exec(
         sys.executable,
+        *options,
         "-m",
         "trefoilwind.cmd.platform_node",
         "--metrics-port",
@@ -102,6 +107,7 @@
         cwd=_ROOT,
         env={"PATH": "", settings_lib.PATH_VARIABLE: str(path)},
         stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE if options else None,
     )
 
 
@@ -136,6 +142,30 @@
     _run(scenario)
 
 
+def test_changed_settings_do_not_end_a_program_that_is_loading(
+    tmp_path: pathlib.Path,
+):
+    """Guards against a SIGHUP before its handler is installed."""
+
+    async def scenario() -> None:
+        store = fakes.StoreServer()
+        address = await store.start()
+        ports = _free_ports()
+        options = ("-X", "importtime")
+        process = await _start(tmp_path, ports, str(address), options=options)
+        while b"uvloop" not in (line := await process.stderr.readline()):
+            assert line
+        process.send_signal(signal.SIGHUP)
+        reading = asyncio.create_task(process.stderr.read())
+        await _until_served(ports["outbound"], "/a")
+        process.send_signal(signal.SIGTERM)
+        await process.stdout.read()
+        await reading
+        assert await process.wait() == 0
+
+    _run(scenario)
+
+
 def test_metrics_port_in_use_does_not_stop_the_node(tmp_path: pathlib.Path):
     async def scenario() -> None:
         store = fakes.StoreServer()
--- a/trefoilwind/cmd/platform_node.py
+++ b/trefoilwind/cmd/platform_node.py
@@ -1,5 +1,11 @@
 """Program `trefoilwind-platform-node`: runs a node on the users' platform."""
 
+import signal
+
+# The settings are read after the modules, which take a while to load; until
+# then a change of the settings needs no action and must not end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import argparse
 import sys
 
