End a stream whose dialer was interrupted

The dialer now ends the stream whenever it does not return it, and nothing is written to a connection that is closing. test_node_whose_dialer_was_interrupted_is_dialed_again fails before: the stream still counts as open.

--- a/tests/test_gateway/test_gateway_peers.py
+++ b/tests/test_gateway/test_gateway_peers.py
@@ -165,3 +165,75 @@
             await _until(lambda: silent.is_closed)
 
     uvloop.run(run())
+
+
+class _InterruptedLoop:
+    """Event loop whose connections are open before their dialer knows it."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.streams: list[streams.Stream] = []
+
+    def __getattr__(self, name: str):
+        return getattr(self._loop, name)
+
+    async def create_connection(self, factory, host, port):
+        """Open a connection and wait until cancelled."""
+        stream = factory()
+        self.streams.append(stream)
+        stream.connection_made(_Transport())
+        hello = frames.Hello(frames.PROTOCOL_VERSION, "n2", "d")
+        stream.data_received(frames.encode(hello))
+        await asyncio.Event().wait()
+
+
+class _Transport(asyncio.Transport):
+    """Transport that discards all bytes."""
+
+    def get_extra_info(self, name, default=None):
+        """Return nothing."""
+        return default
+
+    def set_write_buffer_limits(self, high=None, low=None) -> None:
+        """Ignore the limits."""
+
+    def get_write_buffer_size(self) -> int:
+        """Return 0."""
+        return 0
+
+    def is_closing(self) -> bool:
+        """Return False, as the event loop does for such a connection."""
+        return False
+
+    def write(self, data) -> None:
+        """Discard bytes."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+    def abort(self) -> None:
+        """Do nothing."""
+
+
+def test_node_whose_dialer_was_interrupted_is_dialed_again():
+    """Guards against a stream that is closed but counts as open for ever."""
+
+    async def run() -> None:
+        peers = _peers()
+        loop = peers._loop = _InterruptedLoop()
+        address = addresses.Address("127.0.0.1", 1)
+        peers.set_peers({"n2": address})
+        await asyncio.sleep(0.01)
+        assert peers.dialed("n2") is loop.streams[0]
+        # Keeps the stream from being closed as unused.
+        loop.streams[0].begin_call()
+        peers.set_peers({})
+        await asyncio.sleep(0.01)
+        peers.set_peers({"n2": address})
+        await asyncio.sleep(0.01)
+        assert loop.streams[0].is_closed
+        assert peers.dialed("n2") is loop.streams[1]
+        peers.close()
+        await asyncio.sleep(0.01)
+
+    virtual_time.run(run())
--- a/tests/test_gateway/test_gateway_streams.py
+++ b/tests/test_gateway/test_gateway_streams.py
@@ -193,6 +193,28 @@
     assert virtual_time.run(run()) <= 0.1 + 0.2 + 0.1
 
 
+def test_stream_that_is_closed_while_bytes_wait_can_be_closed_again():
+    """Guards against an exception that ends the component that closes it."""
+
+    async def script(reader, writer):
+        writer.write(_PEER_HELLO)
+        await asyncio.sleep(0.2)
+        await reader.read()
+
+    async def scenario(stream: streams.Stream, events: _Events) -> None:
+        await _until(lambda: events.opened)
+        for number in range(200):
+            stream.send(frames.CallBody(number, bytes(64 * 1024), True))
+        await asyncio.sleep(0.01)
+        stream.close()
+        while not stream.is_closed:
+            stream.send(frames.Ping())
+            stream.close()
+            await asyncio.sleep(0.01)
+
+    _run(script, scenario)
+
+
 def test_stream_is_not_closed_for_the_pause_of_its_own_process():
     """Guards against a verdict on a peer whose bytes were not read."""
     times = streams.StreamTimes(0.1, 0.4)
--- a/trefoilwind/gateway/peers.py
+++ b/trefoilwind/gateway/peers.py
@@ -178,17 +178,21 @@
     async def _dial(
         self, node_id: str, address: addresses.Address
     ) -> streams_lib.Stream | None:
+        stream = self._new_stream(node_id)
+        is_established = False
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, stream = await self._loop.create_connection(
-                    lambda: self._new_stream(node_id),
-                    address.host,
-                    address.port,
+                await self._loop.create_connection(
+                    lambda: stream, address.host, address.port
                 )
+            is_established = True
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             # The address comes from another node and may be malformed.
             logger.debug("peers: connecting to %s failed; %s", address, error)
             return None
+        finally:
+            if not is_established:
+                stream.end()
         return stream
 
     def _opened(self, stream: streams_lib.Stream) -> None:
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -245,7 +245,7 @@
         """Send the unsent frames and close the stream."""
         if self._transport is not None and not self._is_closed:
             self._flush()
-            while self._bodies:
+            while self._bodies and not self._transport.is_closing():
                 self._write(self._next_chunk())
             self._transport.close()
 
@@ -254,6 +254,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def end(self) -> None:
+        """End a stream whose connection was not established completely.
+
+        The event loop closes such a connection without a callback, also if the
+        peer has identified itself already.
+        """
+        self.abort()
+        self.connection_lost(None)
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -298,6 +307,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Report that the stream is closed."""
+        if self._is_closed:
+            return
         self._is_closed = True
         self._unsent.clear()
         self._bodies.clear()
@@ -343,11 +354,12 @@
 
     def _flush(self) -> None:
         """Write all frames except bodies, then bodies while they are taken."""
-        if self._is_closed:
+        if self._is_closed or self._transport.is_closing():
             return
         if self._unsent:
-            self._write(b"".join(self._unsent))
+            data = b"".join(self._unsent)
             self._unsent.clear()
+            self._write(data)
         while self._bodies and not self._is_write_paused:
             self._write(self._next_chunk())
 
