Report for how long a configuration has not been confirmed

Each node now keeps the time at which it was last known to have the newest records, by its own read or a peer's: configuration_age_seconds, operator_read_seconds, configuration_age_ms of each call, and the lines records_unconfirmed and records_confirmed. No decision uses it yet.

--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -756,6 +756,9 @@
         served = 'requests_total{result="answered",service="s"} 1'
         assert f"trefoilwind_{served}" in lines
         assert "trefoilwind_configuration_version 3" in lines
+        names = {line.partition(" ")[0] for line in lines}
+        assert "trefoilwind_configuration_age_seconds" in names
+        assert "trefoilwind_operator_read_seconds" in names
         assert "trefoilwind_ready 1" in lines
         assert "trefoilwind_backend_slots 4" in lines
         assert "trefoilwind_store_available 1" in lines
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -81,7 +81,9 @@
         is_running: Callable[[bytes], bool],
         counts: counts_lib.MeshCounts,
         rng: random.Random,
+        configuration_age_s: Callable[[], float] = lambda: 0.0,
     ):
+        self._configuration_age_s = configuration_age_s
         self._board = board
         self._headers = headers
         self._picker = picker
@@ -304,6 +306,7 @@
             "id": metadata.request_id,
             "route": call.route_name,
             "configuration": self._board.configuration.value.version,
+            "configuration_age_ms": round(self._configuration_age_s() * 1000),
             "service": call.service,
             "version": call.version,
             "asked": list(progress.tried),
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -105,6 +105,8 @@
         self._failures = 0
         self._unavailable_since = 0.0
         self._last_read_at = -float("inf")
+        # Start of the read in flight; None for none.
+        self._reading_since: float | None = None
 
     @property
     def offset(self) -> int | None:
@@ -121,6 +123,13 @@
         """True once the newest record of each key has been read."""
         return self._offset is not None or self._last_read_at > 0
 
+    @property
+    def read_s(self) -> float:
+        """Seconds since the start of the read in flight; 0 for none."""
+        if self._reading_since is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._reading_since
+
     def read_soon(self) -> None:
         """Make the next read without waiting for the interval to end."""
         self._read_soon_requested.set()
@@ -170,10 +179,14 @@
     async def _read_once(self, plan: ReadPlan) -> errors.LogError | None:
         offset = self._offset
         started = asyncio.get_running_loop().time()
-        if offset is None or self._reads_newest(plan, started):
-            page = await self._store.newest(self._topic)
-        else:
-            page = await self._store.read(self._topic, offset, plan.wait_s)
+        self._reading_since = started
+        try:
+            if offset is None or self._reads_newest(plan, started):
+                page = await self._store.newest(self._topic)
+            else:
+                page = await self._store.read(self._topic, offset, plan.wait_s)
+        finally:
+            self._reading_since = None
         elapsed_s = asyncio.get_running_loop().time() - started
         if isinstance(page, errors.LogError):
             self._report_failure(page, offset, elapsed_s)
--- a/trefoilwind/gateway/metrics_page.py
+++ b/trefoilwind/gateway/metrics_page.py
@@ -19,6 +19,9 @@
     Attributes:
         is_ready: True if callers may send requests.
         configuration_version: Version in force; 0 if none.
+        configuration_age_s: Seconds since it was last known to be the newest.
+        operator_read_s: Seconds since the start of the read of the operator's
+            topic that is in flight; 0 for none.
         members: Known nodes, including this one.
         peer_streams: Nodes with an open stream.
         in_flight: Requests of callers and calls of peers in flight.
@@ -31,6 +34,8 @@
 
     is_ready: bool
     configuration_version: int
+    configuration_age_s: float
+    operator_read_s: float
     members: int
     peer_streams: int
     in_flight: int
@@ -73,6 +78,16 @@
         "Configuration version in force; 0 if none.",
         gauges.configuration_version,
     )
+    yield prometheus.gauge(
+        "configuration_age_seconds",
+        "Time since the configuration was last known to be the newest one.",
+        gauges.configuration_age_s,
+    )
+    yield prometheus.gauge(
+        "operator_read_seconds",
+        "Time since the start of the read of the operator's topic; 0 if none.",
+        gauges.operator_read_s,
+    )
     yield prometheus.gauge(
         "members", "Known nodes, including this one.", gauges.members
     )
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -181,6 +181,7 @@
             self._target.is_running,
             self._counts,
             self._random,
+            lambda: self._operator_records.age_s,
         )
         self._callers = http_server.HttpServer(self._serve, self._limits)
         self._publisher = publisher_lib.Publisher(
@@ -254,6 +255,8 @@
         return metrics_page.Gauges(
             is_ready=self.is_ready,
             configuration_version=self._board.configuration.value.version,
+            configuration_age_s=self._operator_records.age_s,
+            operator_read_s=self._operator_records.read_s,
             members=len(self._board.members.value.members),
             peer_streams=len(self._peers.connected),
             in_flight=self._in_flight,
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -10,6 +10,7 @@
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import control_messages
 from trefoilwind.gateway import follower as follower_lib
+from trefoilwind.gateway import freshness as freshness_lib
 from trefoilwind.gateway import node_settings
 from trefoilwind.gateway import peers as peers_lib
 from trefoilwind.gateway import reader_selection
@@ -28,6 +29,7 @@
 # Share of the requests for overdue records that go to the node that offered
 # them; the others spread the load.
 OFFERING_PEER_SHARE = 0.5
+_MS_PER_S = 1000
 
 RecordMessage = (
     control_messages.RecordsRequest
@@ -99,12 +101,23 @@
         self._role = ("", False)
         self._announced_offset = 0
         self._offers = record_offers.RecordOffers()
+        self._freshness = freshness_lib.Freshness(self._loop.time())
 
     @property
     def is_unavailable(self) -> bool:
         """True while reads of the store fail."""
         return self._follower.is_unavailable
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since this node was last known to have the newest records."""
+        return self._freshness.age_s(self._loop.time())
+
+    @property
+    def read_s(self) -> float:
+        """Seconds since the start of the read in flight; 0 for none."""
+        return self._follower.read_s
+
     async def run(self) -> None:
         """Read until cancelled."""
         await self._follower.run()
@@ -112,6 +125,7 @@
     def tick(self) -> None:
         """Request records from any peer if no other way has worked."""
         now = self._loop.time()
+        self._report_freshness(now)
         local_peers = self._local_peers()
         is_group = bool(self._selection.parent(local_peers))
         needs_peer = (
@@ -126,6 +140,21 @@
             # awaited.
             stream.send(peers_lib.control_frame(request))
 
+    def _report_freshness(self, now: float) -> None:
+        if not self._freshness.has_changed(now):
+            return
+        is_stale = self._freshness.is_stale(now)
+        decisions.failure(
+            logger,
+            "records_unconfirmed" if is_stale else "records_confirmed",
+            "records: not known to be the newest"
+            if is_stale
+            else "records: known to be the newest again",
+            offset=self._follower.offset,
+            age_ms=round(self._freshness.age_s(now) * _MS_PER_S),
+            read_ms=round(self._follower.read_s * _MS_PER_S),
+        )
+
     def _random_peer(self, local_peers: Sequence[str]) -> streams.Stream | None:
         """Return the stream to a node that may have newer records, or None."""
         if self.is_unavailable:
@@ -212,6 +241,7 @@
         In a small data centre only reads with new records are announced, for
         nodes whose read hangs.
         """
+        self._note_read(next_offset)
         local_peers = self._local_peers()
         has_new_records = next_offset > self._announced_offset
         if not has_new_records and not self._selection.order(local_peers):
@@ -228,12 +258,19 @@
         self, stream: streams.Stream, message: control_messages.RecordsRead
     ) -> None:
         self._selection.handle_announcement(stream.peer, self._loop.time())
+        self._note_read(message.next_offset)
         parent = self._selection.parent(self._local_peers())
         if parent in ("", stream.peer):
             self._request_missing(stream, message.next_offset)
         else:
             self._note_offer(stream.peer, message.next_offset)
 
+    def _note_read(self, next_offset: int) -> None:
+        """Note that a read of this node or a peer has found a topic's end."""
+        self._freshness.note_read(
+            next_offset, self._follower.offset, self._loop.time()
+        )
+
     def _note_offer(self, peer: str, next_offset: int) -> bool:
         """Note the records that a peer offers; return True if any are new."""
         return self._offers.note(
@@ -276,6 +313,7 @@
             self._follower.start_at(message.next_offset)
         else:
             self._follower.skip_to(message.next_offset)
+        self._freshness.note_offset(self._follower.offset)
         if self._sharing.last_offset > last_offset:
             self._pass_on()
 
