Add a failing test of reads lost in an outage of the store

Each node of a data centre of three sends a read while the store is silent; the read is never answered, and nothing else tells the node that it is behind.

--- a/tests/test_gateway/data_centre.py
+++ b/tests/test_gateway/data_centre.py
@@ -98,7 +98,8 @@
 class DataCentre:
     """Nodes whose store is in another region."""
 
-    def __init__(self) -> None:
+    def __init__(self, names: Sequence[str] = NODES) -> None:
+        self._names = tuple(names)
         self.log = thin_links.Log()
         self.region = thin_links.Link(_REGION_RATE)
         # Versions that were late, by node.
@@ -107,9 +108,19 @@
         self._store_calm_since = 0.0
         self._leaving: set[str] = set()
         self.processes: dict[str, _Process] = {}
-        for name in NODES:
+        for name in self._names:
             self._start(name)
 
+    @property
+    def behind(self) -> list[str]:
+        """Running nodes that lack the newest version."""
+        return [
+            name
+            for name, process in self.processes.items()
+            if process.lost_at is None
+            and process.version < len(self.log.records)
+        ]
+
     @property
     def successful_reads(self) -> int:
         """Reads that the store has not refused."""
@@ -121,15 +132,21 @@
             self.processes[name].store.is_refusing = is_refusing
         self._store_calm_since = self._loop.time()
 
-    def leave(self, name: str, known_to: Sequence[str] = NODES) -> None:
-        """Announce to some nodes that a node is about to stop."""
+    def silence(self, is_silent: bool = True) -> None:
+        """Make the store lose the requests of all nodes, or serve again."""
+        for process in self.processes.values():
+            process.store.is_silent = is_silent
+        self._store_calm_since = self._loop.time()
+
+    def leave(self, name: str, known_to: Sequence[str] | None = None) -> None:
+        """Announce to some nodes, or to all, that a node is to stop."""
         self._leaving.add(name)
         self.share_members(known_to)
 
-    def share_members(self, known_to: Sequence[str] = NODES) -> None:
-        """Publish the members on the blackboards of some nodes."""
+    def share_members(self, known_to: Sequence[str] | None = None) -> None:
+        """Publish the members on the blackboards of some nodes, or of all."""
         snapshot = self._snapshot()
-        for name in known_to:
+        for name in self._names if known_to is None else known_to:
             self.processes[name].publish_members(snapshot)
 
     def kill(self, name: str) -> None:
@@ -186,7 +203,7 @@
                 other: thin_links.Stream(
                     other, uplink, self._deliverer(name, other)
                 )
-                for other in NODES
+                for other in self._names
                 if other != name
             }
         )
@@ -225,7 +242,7 @@
                     service="s",
                     leaving=name in self._leaving,
                 )
-                for name in NODES
+                for name in self._names
             ]
         )
 
@@ -287,11 +304,17 @@
 
 def run(
     scenario: Callable[[DataCentre], Coroutine[Any, Any, None]],
+    names: Sequence[str] = NODES,
 ) -> DataCentre:
-    """Run a scenario in a new data centre and return it."""
+    """Run a scenario in a new data centre and return it.
+
+    Args:
+        scenario: Disturbs the nodes and publishes versions.
+        names: Ids of the nodes.
+    """
 
     async def run_scenario() -> DataCentre:
-        data_centre = DataCentre()
+        data_centre = DataCentre(names)
         await scenario(data_centre)
         data_centre.stop()
         return data_centre
--- a/tests/test_gateway/test_gateway_operator_records.py
+++ b/tests/test_gateway/test_gateway_operator_records.py
@@ -151,3 +151,17 @@
         await asyncio.sleep(data_centre.APPLY_LIMIT_S)
 
     assert data_centre.run(scenario).late == {}
+
+
+def test_reads_lost_in_an_outage_leave_no_node_of_a_small_data_centre_behind():
+    async def scenario(nodes: data_centre.DataCentre) -> None:
+        await nodes.publish(0.4, [_ROUTES])
+        nodes.silence()
+        await asyncio.sleep(5.0)
+        nodes.silence(False)
+        await nodes.publish(0.2, [_ROUTES] * 3)
+        # The time within which machines count as undisturbed.
+        await asyncio.sleep(3.4)
+        assert not nodes.behind
+
+    data_centre.run(scenario, data_centre.NODES[:3])
--- a/tests/test_gateway/thin_links.py
+++ b/tests/test_gateway/thin_links.py
@@ -52,11 +52,15 @@
         self._links = links
         self._timeout_s = timeout_s
         self.is_refusing = False
+        # True while requests are lost and their connections stay open.
+        self.is_silent = False
         # Reads that were not refused.
         self.reads = 0
 
     async def newest(self, topic: str) -> keyed.KeyedPage | errors.LogError:
         """Return the newest record of each key."""
+        if self.is_silent:
+            return await self._lose(0.0)
         newest = {record.key: record for record in self._log.records}
         page = keyed.KeyedPage(tuple(newest.values()), len(self._log.records))
         return await self._transmit(page, _BASE64_RATIO, 0.0)
@@ -65,6 +69,8 @@
         self, topic: str, offset: int, wait_s: float
     ) -> keyed.KeyedPage | errors.LogError:
         """Return all records from an offset, up to the limit of a page."""
+        if self.is_silent:
+            return await self._lose(wait_s)
         loop = asyncio.get_running_loop()
         started = loop.time()
         end = started + (0.0 if self.is_refusing else wait_s)
@@ -80,6 +86,10 @@
         page = keyed.KeyedPage(tuple(found), offset + len(found))
         return await self._transmit(page, 1.0, wait_s - loop.time() + started)
 
+    async def _lose(self, wait_s: float) -> errors.LogError:
+        await asyncio.sleep(self._timeout_s + wait_s)
+        return _error(errors.Reason.LOG_UNKNOWN_RESULT)
+
     async def _transmit(
         self, page: keyed.KeyedPage, ratio: float, unused_wait_s: float
     ) -> keyed.KeyedPage | errors.LogError:
