Abandon a wait for records once nothing confirms that a node is not behind

Cause: a node of a data centre of fewer than 8 nodes waits up to 20 s for a record of the operator's topic, plus 2 s for the answer. A read that is sent while the store is silent is never answered, though its connection stays open, and a lost read looks like a quiet topic. An outage of 0.8 s hits the read of every node, so no peer announced anything either.

Now the first node of a small data centre waits for 0.5 s only and announces each completed read, with or without records. A node that neither reads nor hears of a read for 2 s abandons its wait, reads the newest records at once, and asks peers. So a lost read costs 2 s, whoever lost it, and knowing that nothing has changed costs one short read a data centre each 1.3 s. A read whose answer is due is left to its timeout, as it may be arriving over a full link.

--- a/tests/test_gateway/test_gateway_follower.py
+++ b/tests/test_gateway/test_gateway_follower.py
@@ -312,3 +312,51 @@
     assert set(uvloop.run(scenario())) == {"a", "b", "c"}
     lines = [r for r in caplog.records if "record odd at" in r.getMessage()]
     assert len(lines) == 1
+
+
+class _LostReads(keyed_store.MemoryStore):
+    """A store that answers no read by offset."""
+
+    async def read(self, topic, offset, wait_s):
+        """Wait for longer than any test runs."""
+        await asyncio.sleep(_NEVER_S)
+
+
+def test_wait_that_was_abandoned_is_followed_by_a_read_of_the_newest_records():
+    async def scenario():
+        reader = _Reader(
+            _plan(interval_s=0.2, wait_s=_NEVER_S),
+            _LostReads(),
+            skips_superseded=True,
+        )
+        task = asyncio.ensure_future(reader.follower.run())
+        async with asyncio.timeout(10.0):
+            while not reader.follower.read_s:
+                await asyncio.sleep(0.005)
+            await reader.store.put(_TOPIC, "a", b"1")
+            reader.follower.abandon_wait(_NEVER_S)
+            await asyncio.sleep(0.05)
+            assert not reader.records
+            while not reader.records:
+                await asyncio.sleep(0.005)
+                reader.follower.abandon_wait(0.0)
+        task.cancel()
+        return reader
+
+    assert uvloop.run(scenario()).records[0].value == b"1"
+
+
+def test_read_whose_answer_is_due_is_not_abandoned():
+    async def scenario():
+        reader = _Reader(_plan(wait_s=0.01), _LostReads())
+        task = asyncio.ensure_future(reader.follower.run())
+        async with asyncio.timeout(10.0):
+            while reader.follower.read_s < 0.05:
+                await asyncio.sleep(0.005)
+        reader.follower.abandon_wait(0.0)
+        await asyncio.sleep(0.05)
+        is_reading = reader.follower.read_s > 0.05
+        task.cancel()
+        return is_reading
+
+    assert uvloop.run(scenario())
--- a/tests/test_gateway/test_gateway_operator_records.py
+++ b/tests/test_gateway/test_gateway_operator_records.py
@@ -9,6 +9,7 @@
 
 from tests.test_gateway import data_centre
 from trefoilwind.distribution import topology
+from trefoilwind.gateway import freshness
 from trefoilwind.gateway import node as node_lib
 
 _ORDER = topology.rendezvous(
@@ -165,3 +166,35 @@
         assert not nodes.behind
 
     data_centre.run(scenario, data_centre.NODES[:3])
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 8, 22])
+@pytest.mark.parametrize("outage_s", [0.1, 0.9, 1.9, 3.3, 9.0])
+def test_no_node_is_behind_after_an_outage_of_any_length(size, outage_s):
+    async def scenario(nodes: data_centre.DataCentre) -> None:
+        await nodes.publish(0.5, [_ROUTES])
+        for _ in range(6):
+            nodes.silence()
+            await asyncio.sleep(outage_s)
+            nodes.silence(False)
+            await nodes.publish(0.2, [_ROUTES])
+            await asyncio.sleep(3.8)
+            assert not nodes.behind
+            await asyncio.sleep(0.13)
+
+    data_centre.run(scenario, data_centre.NODES[:size])
+
+
+def test_quiet_small_data_centre_is_confirmed_by_the_reads_of_one_node():
+    async def scenario(nodes: data_centre.DataCentre) -> None:
+        await nodes.publish(5.0, [_ROUTES])
+        reads = nodes.successful_reads
+        ages = []
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            ages += [p.records.age_s for p in nodes.processes.values()]
+        assert max(ages) < freshness.CONFIRMATION_TIMEOUT_S
+        # One read each 1.3 s, and the long waits of the others.
+        assert nodes.successful_reads - reads <= 10
+
+    data_centre.run(scenario, data_centre.NODES[:4])
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -9,6 +9,7 @@
 
 from trefoilwind import errors
 from trefoilwind.distribution import backoff
+from trefoilwind.gateway import interruption
 from trefoilwind.log import keyed
 from trefoilwind.logs import decisions
 from trefoilwind.telemetry import counts as counts_lib
@@ -107,6 +108,10 @@
         self._last_read_at = -float("inf")
         # Start of the read in flight; None for none.
         self._reading_since: float | None = None
+        # Completed to end the wait for a record; None while there is none.
+        self._wait_end: asyncio.Future[None] | None = None
+        # Time until which the store may wait for a record before it answers.
+        self._wait_deadline = 0.0
 
     @property
     def offset(self) -> int | None:
@@ -134,6 +139,20 @@
         """Make the next read without waiting for the interval to end."""
         self._read_soon_requested.set()
 
+    def abandon_wait(self, min_s: float) -> None:
+        """End a wait for a record, as its answer may be lost.
+
+        A read whose answer is due is left to its timeout, as the answer may be
+        arriving.
+
+        Args:
+            min_s: Seconds since the start of the read before which it goes on.
+        """
+        is_waiting = asyncio.get_running_loop().time() < self._wait_deadline
+        end = self._wait_end
+        if end and not end.done() and is_waiting and self.read_s > min_s:
+            end.set_result(None)
+
     def skip_to(self, offset: int) -> None:
         """Skip records that were received from another node."""
         if self._offset is not None:
@@ -184,7 +203,7 @@
             if offset is None or self._reads_newest(plan, started):
                 page = await self._store.newest(self._topic)
             else:
-                page = await self._store.read(self._topic, offset, plan.wait_s)
+                page = await self._read_next(offset, plan.wait_s)
         finally:
             self._reading_since = None
         elapsed_s = asyncio.get_running_loop().time() - started
@@ -206,6 +225,26 @@
             self._on_read_again(page.records)
         return None
 
+    async def _read_next(
+        self, offset: int, wait_s: float
+    ) -> keyed.KeyedPage | errors.LogError:
+        loop = asyncio.get_running_loop()
+        self._wait_deadline = loop.time() + wait_s
+        self._wait_end = loop.create_future()
+        try:
+            page = await interruption.run_until(
+                self._store.read(self._topic, offset, wait_s), self._wait_end
+            )
+        finally:
+            self._wait_end = None
+        if page is not None:
+            return page
+        return errors.LogError(
+            errors.Reason.LOG_UNKNOWN_RESULT,
+            "store.log-read",
+            detail="the answer may be lost",
+        )
+
     def _hand_over(self, records: Sequence[keyed.KeyedRecord]) -> None:
         """Hand over records; one that cannot be handled is left out.
 
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -99,7 +99,6 @@
             self._loop.time(),
         )
         self._role = ("", False)
-        self._announced_offset = 0
         self._offers = record_offers.RecordOffers()
         self._freshness = freshness_lib.Freshness(self._loop.time())
 
@@ -126,10 +125,14 @@
         """Request records from any peer if no other way has worked."""
         now = self._loop.time()
         self._report_freshness(now)
+        is_stale = self._freshness.is_stale(now)
+        if is_stale:
+            self._follower.abandon_wait(freshness_lib.CONFIRMATION_TIMEOUT_S)
         local_peers = self._local_peers()
         is_group = bool(self._selection.parent(local_peers))
         needs_peer = (
             self.is_unavailable
+            or is_stale
             or self._offers.is_overdue(self._follower.offset, now)
             or (is_group and self._selection.is_silent(now))
         )
@@ -238,17 +241,13 @@
     def _announce_read(self, next_offset: int) -> None:
         """Announce a read, so that other nodes request new records.
 
-        In a small data centre only reads with new records are announced, for
-        nodes whose read hangs.
+        One without new records shows the others that they are not behind.
         """
         self._note_read(next_offset)
-        local_peers = self._local_peers()
-        has_new_records = next_offset > self._announced_offset
-        if not has_new_records and not self._selection.order(local_peers):
-            return
-        self._announced_offset = max(next_offset, self._announced_offset)
         self._selection.handle_success(self._node_id)
-        self._send_to(local_peers, control_messages.RecordsRead(next_offset))
+        self._send_to(
+            self._local_peers(), control_messages.RecordsRead(next_offset)
+        )
 
     def _announce_failure(self) -> None:
         self._selection.handle_failure(self._node_id)
--- a/trefoilwind/gateway/reader_selection.py
+++ b/trefoilwind/gateway/reader_selection.py
@@ -1,15 +1,18 @@
 """Selection of the node that reads the operator's topic for a data centre.
 
-In a small data centre each node reads for itself and announces new records to
-the others, as a read may hang. In a large one, reads by all nodes would fill
-the link to the store with copies of one configuration, so one node reads and
-announces its offset, and the others request the records that they lack. There
-is no election: each node ranks the nodes that it is connected to.
+In a small data centre each node reads for itself and announces its reads to the
+others, as a read may hang. All but the first node wait long for a record; the
+short waits of the first one show the others that they are not behind.
+
+In a large one, reads by all nodes would fill the link to the store with copies
+of one configuration, so one node reads and announces its offset, and the others
+request the records that they lack. There is no election: each node ranks the
+nodes that it is connected to.
 
 Nodes that are leaving, and nodes that said that their reads fail, are passed
-over. While nobody announces
-reads, nodes read one after the other, in the order of their ranks: if all of
-them read at once, the reads could fill the link, time out and be repeated.
+over. While nobody announces reads, nodes read one after the other, in the order
+of their ranks: if all of them read at once, the reads could fill the link, time
+out and be repeated.
 
 Records spread from the reader over a tree of fixed degree, so that no node
 sends copies to the whole data centre.
@@ -24,7 +27,7 @@
 
 # Smallest number of nodes of a data centre with which one reads for the others.
 MIN_NODES = 8
-# Seconds for which a read made for others waits for a record. Its completion,
+# Seconds for which a read that others rely on waits for a record. Its completion,
 # with or without a record, is announced and shows that the reader is alive.
 READ_WAIT_S = 0.5
 # Seconds without an announcement after which the next node reads. Longer than a
@@ -80,10 +83,8 @@
             All nodes, those that are passed over last; empty if each node
             reads for itself.
         """
-        nodes = {*local_peers, self._node_id}
-        if len(nodes) < MIN_NODES:
-            return ()
-        return tuple(sorted(nodes, key=self._precedence))
+        ranked = self._ranked(local_peers)
+        return ranked if len(ranked) >= MIN_NODES else ()
 
     def reader(self, local_peers: Iterable[str]) -> str:
         """Return the node that reads for all; empty if each node reads."""
@@ -111,10 +112,11 @@
             local_peers: Connected nodes of the data centre.
             now: Monotonic time in seconds.
         """
-        order = self.order(local_peers)
-        if not order:
-            return follower.ReadPlan(self._interval_s)
-        rank = order.index(self._node_id)
+        ranked = self._ranked(local_peers)
+        rank = ranked.index(self._node_id)
+        if len(ranked) < MIN_NODES:
+            wait_s = follower.READ_WAIT_S if rank else READ_WAIT_S
+            return follower.ReadPlan(self._interval_s, wait_s)
         is_silent = self._silence_s(now) > _takeover_s(rank)
         self._has_taken_over = rank > 0 and is_silent
         is_due = rank == 0 or is_silent or self._node_id in self._failing
@@ -169,6 +171,11 @@
         """Pass over a node until it announces a read again."""
         self._failing.add(node_id)
 
+    def _ranked(self, local_peers: Iterable[str]) -> tuple[str, ...]:
+        """Return all nodes, those that are passed over last."""
+        nodes = {*local_peers, self._node_id}
+        return tuple(sorted(nodes, key=self._precedence))
+
     def _precedence(self, node_id: str) -> tuple[bool, int]:
         """Return the key that orders the nodes; the reader has the least."""
         is_passed_over = node_id in self._failing or self._is_leaving(node_id)
--- a/trefoilwind/platform/store.py
+++ b/trefoilwind/platform/store.py
@@ -12,6 +12,7 @@
 from trefoilwind import errors
 from trefoilwind.gateway import http_client
 from trefoilwind.gateway import http_types
+from trefoilwind.gateway import interruption
 from trefoilwind.log import keyed
 from trefoilwind.logs import decisions
 from trefoilwind.model import addresses
@@ -117,18 +118,15 @@
             return _restored(errors.Reason.OFFSET_EXPIRED, "log-read")
         restored = asyncio.get_running_loop().create_future()
         self._waiting_reads[restored] = era
-        reading = asyncio.ensure_future(self._read(topic, offset, wait_s))
         try:
-            await asyncio.wait(
-                (reading, restored), return_when=asyncio.FIRST_COMPLETED
+            page = await interruption.run_until(
+                self._read(topic, offset, wait_s), restored
             )
-            if reading.done():
-                return reading.result()
-            return _restored(errors.Reason.OFFSET_EXPIRED, "log-read")
         finally:
             del self._waiting_reads[restored]
-            restored.cancel()
-            reading.cancel()
+        if page is None:
+            return _restored(errors.Reason.OFFSET_EXPIRED, "log-read")
+        return page
 
     async def _read(
         self, topic: str, offset: int, wait_s: float
