--- a/trefoilwind/gateway/reader_selection.py
+++ b/trefoilwind/gateway/reader_selection.py
@@ -27,8 +27,9 @@
 
 # Smallest number of nodes of a data centre with which one reads for the others.
 MIN_NODES = 8
-# Seconds for which a read that others rely on waits for a record. Its completion,
-# with or without a record, is announced and shows that the reader is alive.
+# Seconds for which a read that others rely on waits for a record. Its
+# completion, with or without a record, is announced and shows that the reader
+# is alive.
 READ_WAIT_S = 0.5
 # Seconds without an announcement after which the next node reads. Longer than a
 # read and the interval before it.
