Abandon a wait that does not return records that a write has found

A node whose conditional write is refused, as it lacks records, asked for a read, but a read in flight was left alone, so the decision on a rollout waited for it. A wait that has not returned the records within 0.5 s of the first such request is now abandoned at the next one.

test_lost_wait_is_repeated_when_a_write_finds_records_that_it_lacks fails before (time-out) and passes now.

--- a/tests/test_gateway/test_gateway_follower.py
+++ b/tests/test_gateway/test_gateway_follower.py
@@ -360,3 +360,24 @@
         return is_reading
 
     assert uvloop.run(scenario())
+
+
+def test_lost_wait_is_repeated_when_a_write_finds_records_that_it_lacks():
+    async def scenario():
+        store = _LostReads()
+        reader = _Reader(_plan(wait_s=_NEVER_S), store)
+        task = asyncio.ensure_future(reader.follower.run())
+        async with asyncio.timeout(10.0):
+            while not reader.follower.read_s:
+                await asyncio.sleep(0.005)
+            await store.put(_TOPIC, "a", b"1")
+            reader.follower.read_soon()
+            await asyncio.sleep(0.1)
+            is_kept = not reader.follower.is_unavailable
+            while not reader.follower.is_unavailable:
+                await asyncio.sleep(0.05)
+                reader.follower.read_soon()
+        task.cancel()
+        return is_kept
+
+    assert uvloop.run(scenario())
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -25,6 +25,8 @@
 # Longest delay in seconds until the newest records are read after an offset has
 # expired; random, as it expires at all nodes together.
 READ_AGAIN_S = 0.2
+# Seconds within which a wait returns a record that is known to be stored.
+RECORD_DELAY_S = 0.5
 # Seconds between checks of whether this node must read again, while another
 # node reads for it.
 IDLE_CHECK_INTERVAL_S = 0.2
@@ -102,6 +104,8 @@
         # Time at which the records up to the offset were the newest ones.
         self._current_at = -float("inf")
         self._read_soon_requested = asyncio.Event()
+        # Time of the first request since the last read interval.
+        self._requested_at = 0.0
         self._offset: int | None = None
         self._failures = 0
         self._unavailable_since = 0.0
@@ -136,8 +140,17 @@
         return asyncio.get_running_loop().time() - self._reading_since
 
     def read_soon(self) -> None:
-        """Make the next read without waiting for the interval to end."""
-        self._read_soon_requested.set()
+        """Make the next read without waiting for the interval to end.
+
+        The caller knows of new records, so a wait that goes on without
+        returning them is abandoned.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self._read_soon_requested.is_set():
+            self._read_soon_requested.set()
+            self._requested_at = now
+        elif now - self._requested_at > RECORD_DELAY_S:
+            self.abandon_wait(RECORD_DELAY_S)
 
     def abandon_wait(self, min_s: float) -> None:
         """End a wait for a record, as its answer may be lost.
