Keep idle connections as long as the limit in force allows

Found by going through what keeps a superseded configuration: an idle connection kept the idle timeout of its last answer. After a configuration that raised the limit, it was closed by the old one, while its caller could still count on it. The timer now looks up the limit in force; a lowered one holds from the next idle time on, as closing connections at once would cross their callers' requests.

test_idle_connection_lasts_as_long_as_a_limit_that_was_raised fails before.

--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -23,7 +23,8 @@
         self.cancelled = asyncio.Event()
         self.started = asyncio.Event()
         self._held = asyncio.Event()
-        self.server = http_server.HttpServer(self._handle, lambda: limits)
+        self.limits = limits
+        self.server = http_server.HttpServer(self._handle, lambda: self.limits)
 
     async def _handle(self, request):
         self.requests.append(request)
@@ -103,6 +104,20 @@
     assert _exchange(b"", limits)[0] == b""
 
 
+def test_idle_connection_lasts_as_long_as_a_limit_that_was_raised():
+    async def run():
+        server = _Server(mesh.CallerLimits(idle_timeout_s=0.1))
+        reader, writer = await server.connect()
+        await asyncio.sleep(0.05)
+        server.limits = mesh.CallerLimits(idle_timeout_s=0.4)
+        await asyncio.sleep(0.15)
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        async with asyncio.timeout(10.0):
+            return await reader.readline()
+
+    assert uvloop.run(run()).startswith(b"HTTP/1.1 200")
+
+
 def test_disconnecting_caller_cancels_its_request():
     async def run():
         server = _Server()
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -126,6 +126,7 @@
         self._task: asyncio.Task | None = None
         self._pipelined: list[tuple[http_types.HttpRequest, bool]] = []
         self._timer: asyncio.TimerHandle | None = None
+        self._idle_since = 0.0
         self._is_in_head = False
         self._is_in_body = False
         self._is_failed = False
@@ -154,7 +155,7 @@
         """Register the connection and start its idle timeout."""
         self._transport = transport
         self._server.add(self)
-        self._set_timer(self._server.limits.idle_timeout_s, self._close_idle)
+        self._start_idle()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request in flight, as its answer cannot be sent."""
@@ -305,11 +306,11 @@
         elif self._is_failed:
             self._transport.close()
         elif not self._is_in_head:
-            limit_s = self._server.limits.idle_timeout_s
-            on_timeout = self._close_idle
             if self._is_in_body:
-                on_timeout = self._time_out_request
-            self._set_timer(limit_s, on_timeout)
+                limit_s = self._server.limits.idle_timeout_s
+                self._set_timer(limit_s, self._time_out_request)
+            else:
+                self._start_idle()
         if (
             self._is_read_paused
             and self._pipelined_bytes <= _MAX_PIPELINED_BYTES
@@ -358,8 +359,18 @@
         if self._is_in_body:
             self._reject(answer)
 
+    def _start_idle(self) -> None:
+        self._idle_since = self._loop.time()
+        self._set_timer(self._server.limits.idle_timeout_s, self._close_idle)
+
     def _close_idle(self) -> None:
-        self._transport.close()
+        # A configuration may have raised the limit meanwhile.
+        limit_s = self._server.limits.idle_timeout_s
+        rest_s = self._idle_since + limit_s - self._loop.time()
+        if rest_s > 0.0:
+            self._set_timer(rest_s, self._close_idle)
+        else:
+            self._transport.close()
 
     def _time_out_request(self) -> None:
         self._reject(_TIMED_OUT)
