Request the records after the last one up to which none is missing

A node that got an order of a later page, but not the configuration written between the pages, asked its peers for what came after the order, and they had nothing. In a large data centre, where it does not read itself, it stayed behind until the next record.

test_record_that_a_page_lacks_is_received_from_a_peer fails before.

--- a/tests/test_gateway/data_centre.py
+++ b/tests/test_gateway/data_centre.py
@@ -251,6 +251,8 @@
         return lost_at is None or self._loop.time() - lost_at < _DETECTION_S
 
     def _apply(self, process: _Process, record: keyed.KeyedRecord) -> None:
+        if record.key != "config":
+            return
         text = record.value.partition(b":")[2].partition(b",")[0]
         version = int(text)
         assert version > process.version, "an older version came back"
--- a/tests/test_gateway/test_gateway_operator_records.py
+++ b/tests/test_gateway/test_gateway_operator_records.py
@@ -11,6 +11,7 @@
 from trefoilwind.distribution import topology
 from trefoilwind.gateway import freshness
 from trefoilwind.gateway import node as node_lib
+from trefoilwind.log import keyed
 
 _ORDER = topology.rendezvous(
     "reader/d", data_centre.NODES, len(data_centre.NODES)
@@ -198,3 +199,27 @@
         assert nodes.successful_reads - reads <= 10
 
     data_centre.run(scenario, data_centre.NODES[:4])
+
+
+def test_record_that_a_page_lacks_is_received_from_a_peer():
+    async def scenario(nodes: data_centre.DataCentre) -> None:
+        first = nodes.log.append("config", data_centre.configuration(1, 9))
+        nodes.log.append("config", data_centre.configuration(2, 9))
+        order = nodes.log.append("rollout", b"order")
+        # Both last records were written between the two pages.
+        records = (nodes.log.records[first], nodes.log.records[order])
+        page = keyed.KeyedPage(records, first + 1)
+
+        async def newest(topic: str) -> keyed.KeyedPage:
+            del topic
+            return page
+
+        late = _ORDER[5]
+        nodes.kill(late)
+        await asyncio.sleep(2.0)
+        nodes.restart(late)
+        nodes.processes[late].store.newest = newest
+        await asyncio.sleep(4.0)
+        assert nodes.processes[late].version == 2
+
+    data_centre.run(scenario)
--- a/tests/test_gateway/test_gateway_record_sharing.py
+++ b/tests/test_gateway/test_gateway_record_sharing.py
@@ -86,11 +86,11 @@
 def test_records_are_requested_from_peers_only_without_the_store():
     sharing = _filled_node().sharing
     request = control_messages.DeltasRequest(7)
-    assert sharing.request(False, 1.0) is None
-    assert sharing.request(True, 1.0) == request
-    assert sharing.request(True, 1.1) is None
+    assert sharing.request(7, False, 1.0) is None
+    assert sharing.request(7, True, 1.0) == request
+    assert sharing.request(7, True, 1.1) is None
     later = 1.0 + record_sharing.REQUEST_INTERVAL_S
-    assert sharing.request(True, later) == request
+    assert sharing.request(7, True, later) == request
 
 
 def _document(version: int) -> bytes:
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -136,7 +136,7 @@
             or self._offers.is_overdue(self._follower.offset, now)
             or (is_group and self._selection.is_silent(now))
         )
-        request = self._sharing.request(needs_peer, now)
+        request = self._sharing.request(self._held_offset, needs_peer, now)
         stream = self._random_peer(local_peers) if request else None
         if stream is not None:
             # Peers that have no newer records do not answer, so no answer is
@@ -158,6 +158,19 @@
             read_ms=round(self._follower.read_s * _MS_PER_S),
         )
 
+    @property
+    def _held_offset(self) -> int:
+        """Largest offset up to which no record is missing; -1 for none.
+
+        Pages of the newest records are no snapshot: a later page may hold a
+        record that is newer than one that the first page lacks.
+        """
+        last_offset = self._sharing.last_offset
+        next_offset = self._follower.offset
+        if next_offset is None:
+            return last_offset
+        return min(last_offset, next_offset - 1)
+
     def _random_peer(self, local_peers: Sequence[str]) -> streams.Stream | None:
         """Return the stream to a node that may have newer records, or None."""
         if self.is_unavailable:
@@ -282,9 +295,7 @@
         """Request the records before an offset unless an answer is awaited."""
         if not self._note_offer(stream.peer, next_offset):
             return
-        request = self._offers.request(
-            self._sharing.last_offset, self._loop.time()
-        )
+        request = self._offers.request(self._held_offset, self._loop.time())
         if request is None:
             return
         stream.send(peers_lib.control_frame(request))
@@ -303,7 +314,9 @@
         self._counts.records_shared("received", len(message.packed))
         last_offset = self._sharing.last_offset
         if not self._sharing.apply_shared(message, stream.peer):
-            request = self._offers.retry_whole(last_offset, self._loop.time())
+            request = self._offers.retry_whole(
+                self._held_offset, self._loop.time()
+            )
             if request is not None:
                 stream.send(peers_lib.control_frame(request))
             return
--- a/trefoilwind/gateway/record_sharing.py
+++ b/trefoilwind/gateway/record_sharing.py
@@ -63,11 +63,12 @@
         self._on_record(record)
 
     def request(
-        self, needs_peer: bool, now: float
+        self, held_offset: int, needs_peer: bool, now: float
     ) -> control_messages.DeltasRequest | None:
         """Return the request to send to any peer, or None.
 
         Args:
+            held_offset: Largest offset up to which this node has all records.
             needs_peer: True while neither the store nor a reader provides
                 the newest records.
             now: Monotonic time in seconds.
@@ -75,7 +76,7 @@
         if not needs_peer or now < self._next_request_at:
             return None
         self._next_request_at = now + REQUEST_INTERVAL_S
-        return control_messages.DeltasRequest(self.last_offset)
+        return control_messages.DeltasRequest(held_offset)
 
     def answer(
         self, request: RecordsRequest, next_offset: int | None
