Count rejected operator records; build routes before any part is in force

A configuration that a node cannot decode leaves the previous one in force; only a warning told so, while the node's age says that it has read the newest one. The limits of a configuration were published before its routes were built.

--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -54,6 +54,8 @@
 def _decode(record: keyed.KeyedRecord):
     """Return a configuration or rollout order, as named in the value."""
     kind, _, number = record.value.decode().partition(" ")
+    if kind == "malformed":
+        return errors.RecordError(errors.Reason.UNDECODABLE, "test")
     if kind == "weights":
         return mesh.MeshConfiguration(int(number), _WEIGHTED_ROUTES)
     if kind == "order":
@@ -768,6 +770,23 @@
     _run(scenario)
 
 
+def test_rejected_configuration_is_counted_and_the_previous_one_stays():
+    async def scenario(cluster: _Cluster) -> None:
+        await cluster.write("config", "config 3")
+        node = await cluster.add("n1")
+        await _until(lambda: node.is_ready)
+        await cluster.write("config", "malformed 4")
+        page = metrics_page.MetricsPage(node.counts, lambda: node.gauges)
+        request = http_types.HttpRequest(b"GET", b"/metrics", (), b"", 0.0)
+        name = 'operator_records_rejected_total{reason="undecodable"} 1'
+        async with asyncio.timeout(10.0):
+            while name not in (await page.serve(request)).body.decode():
+                await asyncio.sleep(0.01)
+        assert node.board.configuration.value.version == 3
+
+    _run(scenario)
+
+
 def test_node_with_a_hanging_read_receives_records_from_its_data_centre():
     async def scenario(cluster: _Cluster) -> None:
         await cluster.write("config", "config 3")
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -671,6 +671,7 @@
     def _handle_operator_record(self, record: keyed.KeyedRecord) -> None:
         decoded = self._operator.decode(record)
         if isinstance(decoded, errors.Error):
+            self._counts.record_rejected(decoded.reason.value)
             logger.warning("store: %s", decoded)
         elif isinstance(decoded, mesh.MeshConfiguration):
             self._apply_configuration(decoded)
@@ -683,8 +684,9 @@
         current = self._board.configuration.value
         if configuration.version <= current.version:
             return
+        routes = host_routes.build(configuration)
         self._publish_configuration(configuration)
-        self._publish_routes(host_routes.build(configuration))
+        self._publish_routes(routes)
         logger.info(
             "configuration: version %d in force, %d routes; was %d",
             configuration.version,
--- a/trefoilwind/telemetry/counts.py
+++ b/trefoilwind/telemetry/counts.py
@@ -33,6 +33,7 @@
         self._shared_bytes: collections.Counter[tuple[str]] = (
             collections.Counter()
         )
+        self._rejected: collections.Counter[tuple[str]] = collections.Counter()
 
     def request_ended(
         self, service: str, result: str, attempts: int, seconds: float
@@ -82,6 +83,14 @@
         """
         self._shared_bytes[(direction,)] += size
 
+    def record_rejected(self, reason: str) -> None:
+        """Count an operator record that was not put in force.
+
+        Args:
+            reason: Public name of the reason.
+        """
+        self._rejected[(reason,)] += 1
+
     def families(self) -> tuple[prometheus.Family, ...]:
         """Return the metric families of all counters."""
         counter = prometheus.Kind.COUNTER
@@ -156,6 +165,13 @@
                 ("direction",),
                 self._shared_bytes,
             ),
+            prometheus.Family(
+                counter,
+                "operator_records_rejected_total",
+                "Operator records that were not put in force, by reason.",
+                ("reason",),
+                self._rejected,
+            ),
         )
 
     def _service_label(self, service: str) -> str:
