Let no node of a large data centre wait long for records

Found by going through how a node learns a configuration: while a node of a large data centre has few streams, as after a herd restart, it counted as one of a small data centre and waited up to 20 s for a record. It now waits 0.5 s and looks at its streams again.

test_node_with_few_streams_in_a_large_data_centre_does_not_wait_long fails before.

--- a/tests/test_gateway/test_gateway_reader_selection.py
+++ b/tests/test_gateway/test_gateway_reader_selection.py
@@ -32,6 +32,19 @@
     assert selection.children(_NODES[1:4]) == ()
 
 
+def test_node_with_few_streams_in_a_large_data_centre_does_not_wait_long():
+    selection = _selection(_OTHER)
+    few = [node for node in _others(_OTHER) if node != _READER][:3] + [_READER]
+    plan = selection.plan(few, 10.0, len(_NODES) - 1)
+    assert plan.is_due
+    assert plan.wait_s == reader_selection.READ_WAIT_S
+
+
+def test_first_node_of_a_small_data_centre_does_not_wait_long():
+    waits = [_selection(n).plan(_NODES[:3], 1.0).wait_s for n in _NODES[:3]]
+    assert waits.count(reader_selection.READ_WAIT_S) == 1
+
+
 def test_one_node_of_a_large_data_centre_reads():
     readers = [n for n in _NODES if _selection(n).is_reader(_others(n))]
     assert readers == [_READER]
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -208,7 +208,9 @@
         now = self._loop.time()
         local_peers = self._local_peers()
         if self._follower.has_read:
-            plan = self._selection.plan(local_peers, now)
+            plan = self._selection.plan(
+                local_peers, now, len(self._known_peers())
+            )
         else:
             plan = self._selection.first_plan(
                 self._known_peers(), self._has_discovered(), now
--- a/trefoilwind/gateway/reader_selection.py
+++ b/trefoilwind/gateway/reader_selection.py
@@ -106,17 +106,23 @@
         first = order.index(self._node_id) * RELAY_DEGREE + 1
         return order[first : first + RELAY_DEGREE]
 
-    def plan(self, local_peers: Sequence[str], now: float) -> follower.ReadPlan:
+    def plan(
+        self, local_peers: Sequence[str], now: float, known_peers: int = 0
+    ) -> follower.ReadPlan:
         """Return the parameters of the next read.
 
         Args:
             local_peers: Connected nodes of the data centre.
             now: Monotonic time in seconds.
+            known_peers: Number of its other nodes, connected or not.
         """
         ranked = self._ranked(local_peers)
         rank = ranked.index(self._node_id)
         if len(ranked) < MIN_NODES:
-            wait_s = follower.READ_WAIT_S if rank else READ_WAIT_S
+            # Long waits of nodes that are about to connect to a large data
+            # centre would all be answered with copies of the next record.
+            waits_long = rank > 0 and known_peers + 1 < MIN_NODES
+            wait_s = follower.READ_WAIT_S if waits_long else READ_WAIT_S
             return follower.ReadPlan(self._interval_s, wait_s)
         is_silent = self._silence_s(now) > _takeover_s(rank)
         self._has_taken_over = rank > 0 and is_silent
