Let a peer that reads queued bytes not count as silent

Silence now counts from the last write of queued bytes, as far as there are any; a heartbeat that nothing precedes counts from its sending as before (test_a_heartbeat_without_answer_counts_as_silence, unchanged), and so do queued bytes without progress.

--- a/trefoilwind/distribution/stream.py
+++ b/trefoilwind/distribution/stream.py
@@ -84,6 +84,8 @@
         self._last_received = now
         self._last_sent = now
         self._stalled_since: float | None = None
+        # Time of the last write of queued bytes.
+        self._last_progress = -float("inf")
         self._last_ping = now
         # Time of the first heartbeat that is not answered yet.
         self._ping_sent: float | None = None
@@ -191,15 +193,18 @@
         """Return the seconds since the stream last proved to work.
 
         An unanswered heartbeat and queued bytes that make no progress count
-        as silence, even if the peer sends other frames.
+        as silence, even if the peer sends other frames. While the peer reads
+        queued bytes, its answer to a heartbeat is not due: the heartbeat waits
+        behind the bytes that are on their way.
 
         Args:
             now: Monotonic time in seconds.
         """
-        since = self._last_received
-        for started in (self._ping_sent, self._stalled_since):
-            if started is not None:
-                since = min(since, started)
+        since = max(self._last_received, self._last_progress)
+        if self._ping_sent is not None:
+            since = min(since, max(self._ping_sent, self._last_progress))
+        if self._stalled_since is not None:
+            since = min(since, self._stalled_since)
         return now - since
 
     def reset_silence(self, now: float) -> None:
@@ -374,7 +379,7 @@
     def _record_written(self, count: int) -> None:
         now = self._clock.monotonic()
         self._queued_bytes -= count
-        self._last_sent = now
+        self._last_sent = self._last_progress = now
         self._stalled_since = now if self._queued_bytes else None
         if self._queued_bytes <= MAX_QUEUED_BYTES:
             self._queue_has_room.notify_all()
