Fuzz nodes whose requests to the store are lost

2 to 10 nodes; the store loses the requests of some of them, again and again, among restarts and publications. No node is behind 4 s after the last such fault.

--- a/tests/test_gateway/data_centre.py
+++ b/tests/test_gateway/data_centre.py
@@ -132,10 +132,17 @@
             self.processes[name].store.is_refusing = is_refusing
         self._store_calm_since = self._loop.time()
 
-    def silence(self, is_silent: bool = True) -> None:
-        """Make the store lose the requests of all nodes, or serve again."""
-        for process in self.processes.values():
-            process.store.is_silent = is_silent
+    def silence(
+        self, is_silent: bool = True, names: Sequence[str] | None = None
+    ) -> None:
+        """Make the store lose the requests of nodes, or serve them again.
+
+        Args:
+            is_silent: True to lose their requests.
+            names: The nodes; None for all.
+        """
+        for name in self._names if names is None else names:
+            self.processes[name].store.is_silent = is_silent
         self._store_calm_since = self._loop.time()
 
     def leave(self, name: str, known_to: Sequence[str] | None = None) -> None:
@@ -195,6 +202,7 @@
         previous = self.processes.get(name)
         if previous is not None:
             store.is_refusing = previous.store.is_refusing
+            store.is_silent = previous.store.is_silent
         board = board_lib.MeshBoard()
         publish_members = board.members.claim("test")
         publish_members(self._snapshot())
--- a/tests/test_gateway/test_gateway_operator_records.py
+++ b/tests/test_gateway/test_gateway_operator_records.py
@@ -186,6 +186,31 @@
     data_centre.run(scenario, data_centre.NODES[:size])
 
 
+@hypothesis.given(strategies.integers(0, 2**32))
+@hypothesis.settings(max_examples=25, deadline=None)
+def test_no_node_is_behind_after_the_store_loses_requests_of_some(seed):
+    rng = random.Random(seed)
+    names = data_centre.NODES[: rng.choice([2, 3, 4, 7, 10])]
+
+    async def scenario(nodes: data_centre.DataCentre) -> None:
+        for _ in range(10):
+            some = rng.sample(names, rng.randrange(1, len(names) + 1))
+            nodes.silence(rng.random() < 0.6, some)
+            if rng.random() < 0.2:
+                nodes.kill(some[0])
+                nodes.restart(some[0])
+            await nodes.publish(
+                rng.uniform(0.1, 2.0), [_ROUTES] * rng.randrange(1, 4)
+            )
+        nodes.silence(False)
+        await nodes.publish(0.1, [_ROUTES])
+        # The time within which machines count as undisturbed.
+        await asyncio.sleep(3.9)
+        assert not nodes.behind
+
+    data_centre.run(scenario, names)
+
+
 def test_quiet_small_data_centre_is_confirmed_by_the_reads_of_one_node():
     async def scenario(nodes: data_centre.DataCentre) -> None:
         await nodes.publish(5.0, [_ROUTES])
