--- a/tests/test_gateway/test_gateway_operator_records.py
+++ b/tests/test_gateway/test_gateway_operator_records.py
@@ -193,15 +193,17 @@
     names = data_centre.NODES[: rng.choice([2, 3, 4, 7, 10])]
 
     async def scenario(nodes: data_centre.DataCentre) -> None:
-        for _ in range(10):
+        for _ in range(5):
             some = rng.sample(names, rng.randrange(1, len(names) + 1))
-            nodes.silence(rng.random() < 0.6, some)
+            await nodes.publish(
+                rng.uniform(0.1, 2.0), [_ROUTES] * rng.randrange(3)
+            )
+            nodes.silence(names=rng.choice([some, names]))
             if rng.random() < 0.2:
                 nodes.kill(some[0])
                 nodes.restart(some[0])
-            await nodes.publish(
-                rng.uniform(0.1, 2.0), [_ROUTES] * rng.randrange(1, 4)
-            )
+            await asyncio.sleep(rng.uniform(0.1, 6.0))
+            nodes.silence(False, rng.choice([some, names]))
         nodes.silence(False)
         await nodes.publish(0.1, [_ROUTES])
         # The time within which machines count as undisturbed.
