--- a/tests/test_gateway/test_gateway_freshness.py
+++ b/tests/test_gateway/test_gateway_freshness.py
@@ -37,7 +37,7 @@
 
 def test_changes_are_reported_once():
     state = freshness.Freshness(0.0)
-    reports = [state.has_changed(now) for now in (1.0, 3.0, 3.5)]
+    reports = [state.take_change(now) for now in (1.0, 3.0, 3.5)]
     state.note_read(1, 1, 3.6)
-    reports += [state.has_changed(now) for now in (3.7, 3.8, 9.0)]
+    reports += [state.take_change(now) for now in (3.7, 3.8, 9.0)]
     assert reports == [False, True, False, True, False, True]
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -83,7 +83,6 @@
         rng: random.Random,
         configuration_age_s: Callable[[], float] = lambda: 0.0,
     ):
-        self._configuration_age_s = configuration_age_s
         self._board = board
         self._headers = headers
         self._picker = picker
@@ -94,6 +93,7 @@
         self._is_running = is_running
         self._counts = counts
         self._random = rng
+        self._configuration_age_s = configuration_age_s
         self._weighted_choice = weighted_choice.WeightedChoice(rng.random)
         self._loop = asyncio.get_running_loop()
         # Event loop times of a stop: after which no request is accepted, and
--- a/trefoilwind/gateway/freshness.py
+++ b/trefoilwind/gateway/freshness.py
@@ -68,7 +68,7 @@
         """
         return self.age_s(now) > CONFIRMATION_TIMEOUT_S
 
-    def has_changed(self, now: float) -> bool:
+    def take_change(self, now: float) -> bool:
         """Return True once each time that the records get stale, or fresh.
 
         Args:
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -144,15 +144,18 @@
             stream.send(peers_lib.control_frame(request))
 
     def _report_freshness(self, now: float) -> None:
-        if not self._freshness.has_changed(now):
+        if not self._freshness.take_change(now):
             return
-        is_stale = self._freshness.is_stale(now)
+        if self._freshness.is_stale(now):
+            kind = "records_unconfirmed"
+            text = "records: not known to be the newest"
+        else:
+            kind = "records_confirmed"
+            text = "records: known to be the newest again"
         decisions.failure(
             logger,
-            "records_unconfirmed" if is_stale else "records_confirmed",
-            "records: not known to be the newest"
-            if is_stale
-            else "records: known to be the newest again",
+            kind,
+            text,
             offset=self._follower.offset,
             age_ms=round(self._freshness.age_s(now) * _MS_PER_S),
             read_ms=round(self._follower.read_s * _MS_PER_S),
