Test reads that are lost before the streams of a large data centre open

On all 22 nodes stay behind for 15 s and more after an outage of 3 s: as long as they have no streams, they read as nodes of a small data centre, and wait for up to 22 s.

--- a/tests/test_gateway/data_centre.py
+++ b/tests/test_gateway/data_centre.py
@@ -107,6 +107,8 @@
         self._loop = asyncio.get_running_loop()
         self._store_calm_since = 0.0
         self._leaving: set[str] = set()
+        # Time from which the nodes are connected.
+        self.connected_from = 0.0
         self.processes: dict[str, _Process] = {}
         for name in self._names:
             self._start(name)
@@ -255,6 +257,8 @@
         )
 
     def _is_connected(self, name: str) -> bool:
+        if self._loop.time() < self.connected_from:
+            return False
         lost_at = self.processes[name].lost_at
         return lost_at is None or self._loop.time() - lost_at < _DETECTION_S
 
--- a/tests/test_gateway/test_gateway_operator_records.py
+++ b/tests/test_gateway/test_gateway_operator_records.py
@@ -169,6 +169,22 @@
     data_centre.run(scenario, data_centre.NODES[:3])
 
 
+def test_reads_lost_before_streams_open_leave_no_node_of_a_large_one_behind():
+    async def scenario(nodes: data_centre.DataCentre) -> None:
+        nodes.connected_from = 6.0
+        await asyncio.sleep(3.0)
+        await nodes.publish(0.4, [_ROUTES])
+        nodes.silence()
+        await asyncio.sleep(3.0)
+        nodes.silence(False)
+        await nodes.publish(0.2, [_ROUTES] * 3)
+        # The time within which machines count as undisturbed.
+        await asyncio.sleep(3.4)
+        assert not nodes.behind
+
+    data_centre.run(scenario)
+
+
 @pytest.mark.parametrize("size", [1, 2, 7, 8, 22])
 @pytest.mark.parametrize("outage_s", [0.1, 0.9, 1.9, 3.3, 9.0])
 def test_no_node_is_behind_after_an_outage_of_any_length(size, outage_s):
