Share the outage of two tests; list the known nodes once

Found by reading the diff again: two tests stood with the same outage at other lengths, and the plan of a read named the known nodes in each of its branches. No behaviour, bound or assertion changes.

--- a/tests/test_gateway/test_gateway_operator_records.py
+++ b/tests/test_gateway/test_gateway_operator_records.py
@@ -155,16 +155,21 @@
     assert data_centre.run(scenario).late == {}
 
 
+async def _check_outage(nodes: data_centre.DataCentre, outage_s: float) -> None:
+    """Check that no node is behind after requests to the store were lost."""
+    await nodes.publish(0.4, [_ROUTES])
+    nodes.silence()
+    await asyncio.sleep(outage_s)
+    nodes.silence(False)
+    await nodes.publish(0.2, [_ROUTES] * 3)
+    # The time within which machines count as undisturbed.
+    await asyncio.sleep(3.4)
+    assert not nodes.behind
+
+
 def test_reads_lost_in_an_outage_leave_no_node_of_a_small_data_centre_behind():
     async def scenario(nodes: data_centre.DataCentre) -> None:
-        await nodes.publish(0.4, [_ROUTES])
-        nodes.silence()
-        await asyncio.sleep(5.0)
-        nodes.silence(False)
-        await nodes.publish(0.2, [_ROUTES] * 3)
-        # The time within which machines count as undisturbed.
-        await asyncio.sleep(3.4)
-        assert not nodes.behind
+        await _check_outage(nodes, 5.0)
 
     data_centre.run(scenario, data_centre.NODES[:3])
 
@@ -173,14 +178,7 @@
     async def scenario(nodes: data_centre.DataCentre) -> None:
         nodes.connected_from = 6.0
         await asyncio.sleep(3.0)
-        await nodes.publish(0.4, [_ROUTES])
-        nodes.silence()
-        await asyncio.sleep(3.0)
-        nodes.silence(False)
-        await nodes.publish(0.2, [_ROUTES] * 3)
-        # The time within which machines count as undisturbed.
-        await asyncio.sleep(3.4)
-        assert not nodes.behind
+        await _check_outage(nodes, 3.0)
 
     data_centre.run(scenario)
 
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -210,13 +210,12 @@
     def _plan(self) -> follower_lib.ReadPlan:
         now = self._loop.time()
         local_peers = self._local_peers()
+        known_peers = self._known_peers()
         if self._follower.has_read:
-            plan = self._selection.plan(
-                local_peers, now, len(self._known_peers())
-            )
+            plan = self._selection.plan(local_peers, now, len(known_peers))
         else:
             plan = self._selection.first_plan(
-                self._known_peers(), self._has_discovered(), now
+                known_peers, self._has_discovered(), now
             )
         self._report_role(self._selection.reader(local_peers), plan.is_due)
         return plan
