--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,6 +15,7 @@
 
 async def play(world: standins.World, has_trouble: bool) -> int:
     """Stop node n0, let its upstream leave, start n0 again, and judge."""
+    world.prepare_orders()
     world.start_clients((2, 3))
     await asyncio.sleep(3.0)
     stop = None
@@ -27,7 +28,7 @@
     left_at = world.upstreams[0].left_at
     await asyncio.sleep(left_at + _STAYS_S - world.record.now)
     in_touch_from = world.nodes[0].started_at + standins.STABLE_WINDOW_S
-    return standins.judge_drain(world, 0, (2, 3), in_touch_from)
+    return await standins.judge_drain(world, 0, (2, 3), in_touch_from)
 
 
 async def _roll(node: standins.Node) -> None:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,6 +18,7 @@
 
 async def play(world: standins.World, has_trouble: bool) -> int:
     """Take the store down, let an upstream leave, kill all, and judge."""
+    world.prepare_orders()
     world.start_clients((2, 3))
     await asyncio.sleep(3.0)
     outage = None
@@ -34,7 +35,7 @@
         in_touch_from = await outage + standins.STABLE_WINDOW_S
     left_at = world.upstreams[0].left_at
     await asyncio.sleep(left_at + _STAYS_S - world.record.now)
-    return standins.judge_drain(world, 0, (2, 3), in_touch_from)
+    return await standins.judge_drain(world, 0, (2, 3), in_touch_from)
 
 
 async def _take_down(world: standins.World) -> float:
--- a/review/standins.py
+++ b/review/standins.py
@@ -38,6 +38,8 @@
 GRACE_S = 6.0
 HEARTBEAT_S = 1.5
 SLOTS = 18
+# Mean work of the kind `plaque-order`.
+ORDER_WORK_S = 0.12
 # Body of a request that crashes each upstream which begins to run it, and
 # seconds until that one is back.
 POISON = b"poison"
@@ -52,6 +54,8 @@
     ("n3", "perth-b", "artwork"),
 )
 _RECORD_NAMES = {"case": "record.txt", "rollout": "rollout-record.txt"}
+# Seconds after the end of an upstream until its last requests are answered.
+_LAST_ANSWERS_S = 2.0
 _RESTART_DELAY_S = 0.3
 _READY_TIMEOUT_S = 30.0
 # Option of prctl(2): the signal that follows the end of the parent.
@@ -834,6 +838,13 @@
         self.record.write("all nodes are ready")
         await asyncio.sleep(3.0)
 
+    def prepare_orders(self) -> None:
+        """Let all clients send orders like those of the kind `plaque-order`."""
+        for clients in self.clients:
+            clients.line = "POST /pay/*"
+        for upstream in self.upstreams:
+            upstream.work_s = ORDER_WORK_S
+
     def start_clients(self, indexes: tuple[int, ...]) -> None:
         """Start the clients beside some nodes."""
         for index in indexes:
@@ -854,10 +865,10 @@
         self.store.close()
 
 
-def judge_drain(
+async def judge_drain(
     world: World, index: int, entries: tuple[int, ...], in_touch_from: float
 ) -> int:
-    """Judge the first sentence of DRAIN for one upstream.
+    """End an upstream that has left, and judge the first sentence of DRAIN.
 
     Args:
         world: The world.
@@ -872,28 +883,30 @@
     if upstream.left_at is None:
         world.record.write("verdict: the leaving was not acknowledged")
         return NOT_RUN
+    upstream.close()
+    await asyncio.sleep(_LAST_ANSWERS_S)
     due = upstream.left_at + DRAIN_S
     sent = {}
+    statuses = {}
     for entry in entries:
         sent |= world.clients[entry].sent
+        statuses |= world.clients[entry].statuses
     late = [
-        arrival
+        arrival.request_id
         for arrival in upstream.arrivals
         if arrival.at > due
         and arrival.request_id in sent
         and sent[arrival.request_id] > in_touch_from
     ]
-    served = sum(
-        status == 200
-        for entry in entries
-        for status in world.clients[entry].statuses.values()
-    )
+    lost = sum(statuses.get(each, 0) in (0, 502) for each in late)
+    served = sum(status == 200 for status in statuses.values())
     before = sum(each.at < upstream.left_at for each in upstream.arrivals)
     world.record.write(
         f"verdict: {len(late)} requests, sent after {in_touch_from:.3f} by "
         f"machines in touch, reached the upstream later than {due:.3f}, which "
-        f"is {DRAIN_S} s after its leaving was acknowledged; {before} requests "
-        f"reached it before that; {served} requests were served in all"
+        f"is {DRAIN_S} s after its leaving was acknowledged; {lost} of them "
+        f"were lost when it ended; {before} requests reached it before it "
+        f"left; {served} requests were served in all"
     )
     if not before or not served:
         return NOT_RUN
