--- a/review/standins.py
+++ b/review/standins.py
@@ -53,7 +53,11 @@
     ("n2", "perth-a", "artwork"),
     ("n3", "perth-b", "artwork"),
 )
-_RECORD_NAMES = {"case": "record.txt", "rollout": "rollout-record.txt"}
+_RECORD_NAMES = {
+    "case": "record.txt",
+    "rollout": "rollout-record.txt",
+    "unknown": "unknown-record.txt",
+}
 # Seconds after the end of an upstream until its last requests are answered.
 _LAST_ANSWERS_S = 2.0
 _RESTART_DELAY_S = 0.3
