--- a/review/standins.py
+++ b/review/standins.py
@@ -241,6 +241,9 @@
 Handler = Callable[[Message, asyncio.StreamWriter], Awaitable[bytes]]
 
 
+_CLOSE = b"\r\nConnection: close"
+
+
 class Server:
     """HTTP server with one request at a time on a connection."""
 
@@ -276,6 +279,10 @@
                     return
                 writer.write(answer)
                 await writer.drain()
+                if _CLOSE in answer.partition(b"\r\n\r\n")[0]:
+                    writer.close()
+                    await writer.wait_closed()
+                    return
         except (OSError, EOFError, asyncio.CancelledError):
             pass
         finally:
@@ -622,6 +629,7 @@
         self._instance = f"i-{node.name}"
         self._born = int(time.time() * 1000)
         self._sequence = 0
+        self._is_leaving = False
         self._cold_until = 0.0
         self._beats: asyncio.Task | None = None
         self._server = Server(self._handle)
@@ -659,9 +667,11 @@
     async def leave(self, retry_s: float = 0.25) -> None:
         """Say that it leaves by DELETE alone, until that is acknowledged.
 
-        It sends no further heartbeats and serves on.
+        It sends no further heartbeats and serves on. Its answers bear
+        `Connection: close` and its health check fails from now on.
         """
         self._beats.cancel()
+        self._is_leaving = True
         path = f"DELETE /-/instances/{self._instance}"
         while True:
             self._record.write(f"upstream {self._instance}: {path}")
@@ -710,8 +720,12 @@
     ) -> bytes:
         headers = request.headers
         own = {"X-Instance-Id": self._instance}
+        if self._is_leaving:
+            own["Connection"] = "close"
         if request.line.startswith("GET /health"):
-            return encode("HTTP/1.1 200 OK", own)
+            is_well = not self._is_leaving
+            status = "200 OK" if is_well else "503 Service Unavailable"
+            return encode(f"HTTP/1.1 {status}", own)
         request_id = headers.get("x-request-id", "")
         if headers.get("x-expect-instance", self._instance) != self._instance:
             return encode("HTTP/1.1 421 Misdirected Request", own)
