Log what a node learns, restores and stores of its backend server

New lines name a deregistration with the server known then, an announcement that changes the server, a restored server, and each stored member record.

--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -394,6 +394,13 @@
 
     def announce(self, server: mesh.BackendServer) -> None:
         """Apply an announcement of this node's backend server."""
+        known = self._target.server
+        if known is None or _state(known) != _state(server):
+            logger.info(
+                "members: backend server %s announced%s",
+                server.instance_id,
+                ", leaving" if server.is_leaving else "",
+            )
         self._target.set_server(server)
         if self._board.is_draining.value:
             return
@@ -568,17 +575,21 @@
         is_leaving = self._board.is_draining.value
         if not previous.instance_id or not previous.service or is_leaving:
             return
-        self._target.set_server(
-            mesh.BackendServer(
-                previous.instance_id,
-                previous.service,
-                previous.version,
-                self._settings.backend_address,
-                previous.slots,
-                previous.has_left,
-                previous.started_ms,
-            )
+        server = mesh.BackendServer(
+            previous.instance_id,
+            previous.service,
+            previous.version,
+            self._settings.backend_address,
+            previous.slots,
+            previous.has_left,
+            previous.started_ms,
+        )
+        logger.info(
+            "members: backend server %s restored from an earlier record%s",
+            server.instance_id,
+            ", leaving" if server.is_leaving else "",
         )
+        self._target.set_server(server)
         if self._members.set_server(self._target.server):
             self._announce_own_member()
 
@@ -695,6 +706,11 @@
         )
 
 
+def _state(server: mesh.BackendServer) -> tuple[tuple[str, int], bool]:
+    """Return what other nodes need to know about a backend server."""
+    return (server.process, server.is_leaving)
+
+
 async def _until(condition: Callable[[], bool], deadline: float) -> None:
     """Wait until a condition holds, or until an event loop time."""
     loop = asyncio.get_running_loop()
--- a/trefoilwind/gateway/publisher.py
+++ b/trefoilwind/gateway/publisher.py
@@ -51,6 +51,7 @@
                 await asyncio.sleep(delay_s)
                 continue
             failures = 0
+            logger.info("store: %s stored at %d", key, result)
             if self._pending.get(key) == value:
                 del self._pending[key]
             if not self._pending:
--- a/trefoilwind/platform/endpoints.py
+++ b/trefoilwind/platform/endpoints.py
@@ -109,6 +109,11 @@
 
     def _deregister(self, instance_id: str) -> http_types.HttpAnswer:
         current = self._node.server
+        logger.info(
+            "heartbeat: %s deregistered; the known backend server is %s",
+            instance_id,
+            current.instance_id if current else "none",
+        )
         if current is not None and current.instance_id == instance_id:
             self._deregistered.add(current.process)
             self._node.withdraw()
