--- a/tests/test_gateway/test_gateway_member_table.py
+++ b/tests/test_gateway/test_gateway_member_table.py
@@ -10,6 +10,7 @@
 from trefoilwind.model import addresses
 from trefoilwind.model import bounds
 from trefoilwind.model import members
+from trefoilwind.model import mesh
 
 _OWN = members.Member(
     "n0", 5, 0, "d", addresses.Address("10.0.0.1", 1), region="r"
@@ -52,6 +53,17 @@
     assert table.own.precedence > ahead.precedence
 
 
+def test_heartbeat_during_a_stop_does_not_end_the_leaving_of_the_node():
+    # Guards against a stopping node that looks available to other nodes.
+    table, _ = _table()
+    address = addresses.Address("10.0.0.9", 1)
+    server = mesh.BackendServer("i1", "s", "v1", address, 4)
+    table.mark_leaving()
+    assert table.set_server(server)
+    assert table.own.leaving
+    assert not table.own.has_left
+
+
 def test_records_of_one_page_are_published_once():
     table, board = _table()
     before = board.members.value
--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -435,6 +435,42 @@
     _run(scenario)
 
 
+def test_leaving_announced_to_a_stopping_node_survives_its_restart():
+    # Guards against calls to a server whose leaving a stopping node confirmed.
+    async def scenario(cluster: _Cluster) -> None:
+        await cluster.write("config", "config 3")
+        node = await cluster.add("n1")
+        await _until(lambda: node.is_ready)
+        stop = asyncio.ensure_future(node.stop())
+        await _until(lambda: not node.is_ready)
+        node.withdraw()
+        await stop
+        again = await cluster.start_node("n1", cluster.backends[0])
+        await _until(lambda: again.is_ready)
+        assert (await _request(again)).startswith(b"HTTP/1.1 503")
+        assert not cluster.backends[0].ran
+
+    _run(scenario)
+
+
+def test_server_that_leaves_beside_a_stopping_node_is_known_to_the_others():
+    # Guards against members that learn only that the node leaves, not its
+    # server, and send calls again once the node is back.
+    async def scenario(cluster: _Cluster) -> None:
+        await cluster.write("config", "config 3")
+        other = await cluster.add("n1")
+        node = await cluster.add("n2")
+        await _until(lambda: _has_members(other, 2) and _has_members(node, 2))
+        await _until(lambda: other.is_ready and other.is_connected("n2"))
+        stop = asyncio.ensure_future(node.stop())
+        await _until(lambda: not node.is_ready)
+        node.withdraw()
+        await _until(lambda: other.board.members.value.by_node["n2"].has_left)
+        await stop
+
+    _run(scenario)
+
+
 def test_clock_set_back_does_not_hide_a_restarted_node():
     async def scenario(cluster: _Cluster) -> None:
         await cluster.write("config", "config 3")
--- a/trefoilwind/gateway/member_table.py
+++ b/trefoilwind/gateway/member_table.py
@@ -34,6 +34,7 @@
 
     def __init__(self, own: members_lib.Member, board: board_lib.MeshBoard):
         self._own = own
+        self._is_node_leaving = False
         self._publish = board.members.claim("member_table")
         self._members = {own.node_id: own}
         # Precedence of the members at whose address another node answered.
@@ -64,13 +65,14 @@
 
     def set_server(self, server: mesh.BackendServer | None) -> bool:
         """Set the backend server of this node; return True if it changed."""
+        has_left = server.is_leaving if server else False
         changed = dataclasses.replace(
             self._own,
             service=server.service if server else "",
             version=server.version if server else "",
             slots=server.slots if server else 0,
-            leaving=server.is_leaving if server else False,
-            has_left=server.is_leaving if server else False,
+            leaving=has_left or self._is_node_leaving,
+            has_left=has_left,
             instance_id=server.instance_id if server else "",
             started_ms=server.started_ms if server else 0,
         )
@@ -80,7 +82,8 @@
         return True
 
     def mark_leaving(self) -> None:
-        """Mark this node as leaving."""
+        """Mark this node as leaving, whatever its backend server does."""
+        self._is_node_leaving = True
         self._replace_own(dataclasses.replace(self._own, leaving=True))
 
     def merge(self, member: members_lib.Member) -> bool:
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -402,8 +402,6 @@
                 ", leaving" if server.is_leaving else "",
             )
         self._target.set_server(server)
-        if self._board.is_draining.value:
-            return
         if self._members.set_server(self._target.server):
             self._announce_own_member()
 
@@ -572,8 +570,7 @@
         server has replaced it, that one refuses the calls without running
         them, as they name the old instance.
         """
-        is_leaving = self._board.is_draining.value
-        if not previous.instance_id or not previous.service or is_leaving:
+        if not previous.instance_id or not previous.service:
             return
         server = mesh.BackendServer(
             previous.instance_id,
