--- a/tests/test_platform/test_platform_endpoints.py
+++ b/tests/test_platform/test_platform_endpoints.py
@@ -12,10 +12,20 @@
 
 
 class _Node:
-    """Fake of the part of a node that the heartbeats use."""
+    """Fake of the part of a node that the heartbeats use.
+
+    Attributes:
+        server: The backend server.
+        is_stored: True if the store has what is known of it.
+    """
 
     def __init__(self) -> None:
         self.server = None
+        self.is_stored = True
+
+    async def wait_server_stored(self, deadline: float) -> bool:
+        """Return whether the backend server is stored, without waiting."""
+        return self.is_stored
 
     def announce(self, server) -> None:
         """Record the backend server."""
@@ -96,6 +106,28 @@
     assert not sender.node.server.is_leaving
 
 
+def test_leaving_is_acknowledged_once_it_is_stored():
+    # Guards against an acknowledgement that the end of all nodes takes back.
+    for leave in (
+        _Sender.deregister,
+        lambda sender: sender.send_heartbeat(seq=2, state="draining"),
+    ):
+        sender = _Sender()
+        sender.send_heartbeat()
+        sender.node.is_stored = False
+        assert leave(sender) == 503
+        assert sender.node.server.is_leaving
+        sender.node.is_stored = True
+        assert leave(sender) == 200
+
+
+def test_ready_heartbeat_does_not_wait_for_the_store():
+    # Guards against a store outage that makes servers look for other nodes.
+    sender = _Sender()
+    sender.node.is_stored = False
+    assert sender.send_heartbeat() == 200
+
+
 def test_foreign_and_malformed_heartbeats_are_rejected():
     sender = _Sender()
     assert sender.send_heartbeat(service="other") == 400
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -405,6 +405,20 @@
         if self._members.set_server(self._target.server):
             self._announce_own_member()
 
+    async def wait_server_stored(self, deadline: float) -> bool:
+        """Wait until the store has what is known of the backend server.
+
+        From then on it survives the end of all nodes.
+
+        Args:
+            deadline: Event loop time in seconds until which to wait.
+
+        Returns:
+            False if the store has not confirmed it by the deadline.
+        """
+        key, _ = self._own_record()
+        return await self._publisher.wait_stored(key, deadline)
+
     def withdraw(self) -> None:
         """Stop sending new calls to the backend server."""
         server = self._target.server
--- a/trefoilwind/gateway/publisher.py
+++ b/trefoilwind/gateway/publisher.py
@@ -24,12 +24,32 @@
         self._random = rng
         self._pending: dict[str, bytes] = {}
         self._changed = asyncio.Event()
+        # Set after the next successful write, and replaced then.
+        self._written = asyncio.Event()
 
     def put(self, key: str, value: bytes) -> None:
         """Queue a value; it replaces a pending value of the same key."""
         self._pending[key] = value
         self._changed.set()
 
+    async def wait_stored(self, key: str, deadline: float) -> bool:
+        """Wait until the store has the last queued value of a key.
+
+        Args:
+            key: Key of the value.
+            deadline: Event loop time in seconds until which to wait.
+
+        Returns:
+            True if no value of the key is queued any more.
+        """
+        try:
+            async with asyncio.timeout_at(deadline):
+                while key in self._pending:
+                    await self._written.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def run(self) -> None:
         """Write pending values until cancelled."""
         failures = 0
@@ -56,3 +76,5 @@
                 del self._pending[key]
             if not self._pending:
                 self._changed.clear()
+            self._written.set()
+            self._written = asyncio.Event()
--- a/trefoilwind/platform/endpoints.py
+++ b/trefoilwind/platform/endpoints.py
@@ -1,5 +1,6 @@
 """HTTP endpoints of a node: readiness probe and heartbeats."""
 
+import asyncio
 from collections.abc import Callable
 import http
 import json
@@ -17,9 +18,17 @@
 _READINESS_PATH = b"/-/readiness"
 _INSTANCE_PATH = "/-/instances/"
 _JSON = ((b"Content-Type", b"application/json"),)
+# Seconds until the answer to a leaving that is not stored yet; a backend server
+# waits for one second.
+STORE_WAIT_S = 0.8
+# Seconds after which a backend server may repeat it.
+_RETRY_AFTER = ((b"Retry-After", b"0.2"),)
 _DONE = http_types.HttpAnswer(http.HTTPStatus.OK, _JSON, b"{}")
 _READY = http_types.HttpAnswer(http.HTTPStatus.OK, ())
 _NOT_READY = http_types.HttpAnswer(http.HTTPStatus.SERVICE_UNAVAILABLE, ())
+_NOT_STORED = http_types.HttpAnswer(
+    http.HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_AFTER
+)
 _NOT_FOUND = http_types.HttpAnswer(http.HTTPStatus.NOT_FOUND, ())
 
 
@@ -60,12 +69,12 @@
         if instance_id == path or not instance_id:
             return _NOT_FOUND
         if request.method == b"PUT":
-            return self._handle_heartbeat(instance_id, request.body)
+            return await self._handle_heartbeat(instance_id, request.body)
         if request.method == b"DELETE":
-            return self._deregister(instance_id)
+            return await self._deregister(instance_id)
         return http_types.HttpAnswer(http.HTTPStatus.METHOD_NOT_ALLOWED, ())
 
-    def _handle_heartbeat(
+    async def _handle_heartbeat(
         self, instance_id: str, body: bytes
     ) -> http_types.HttpAnswer:
         decoded = documents.decode_heartbeat(instance_id, body)
@@ -76,6 +85,8 @@
             return _reject(problem)
         if self._is_current(decoded):
             self._node.announce(decoded)
+        if decoded.is_leaving:
+            return await self._acknowledge_leaving(instance_id)
         return _DONE
 
     def _check_sender(self, server: mesh.BackendServer) -> errors.Error | None:
@@ -107,7 +118,7 @@
             is_same_process and current.is_leaving and not server.is_leaving
         )
 
-    def _deregister(self, instance_id: str) -> http_types.HttpAnswer:
+    async def _deregister(self, instance_id: str) -> http_types.HttpAnswer:
         current = self._node.server
         logger.info(
             "heartbeat: %s deregistered; the known backend server is %s",
@@ -117,7 +128,25 @@
         if current is not None and current.instance_id == instance_id:
             self._deregistered.add(current.process)
             self._node.withdraw()
-        return _DONE
+        return await self._acknowledge_leaving(instance_id)
+
+    async def _acknowledge_leaving(
+        self, instance_id: str
+    ) -> http_types.HttpAnswer:
+        """Return the answer to a leaving that was applied.
+
+        An acknowledgement binds all later processes of this node, so it waits
+        until the store has the leaving. Without it, the backend server
+        repeats its message.
+        """
+        deadline = asyncio.get_running_loop().time() + STORE_WAIT_S
+        if await self._node.wait_server_stored(deadline):
+            return _DONE
+        logger.warning(
+            "heartbeat: leaving of %s not acknowledged, as it is not stored",
+            instance_id,
+        )
+        return _NOT_STORED
 
 
 def _reject(problem: errors.Error) -> http_types.HttpAnswer:
