--- a/tests/test_platform/test_platform_endpoints.py
+++ b/tests/test_platform/test_platform_endpoints.py
@@ -31,9 +31,10 @@
         """Record the backend server."""
         self.server = server
 
-    def withdraw(self) -> None:
-        """Mark the backend server as leaving."""
-        self.server = dataclasses.replace(self.server, is_leaving=True)
+    def deregister(self, instance_id: str) -> None:
+        """Mark the backend server as leaving if it is the named one."""
+        if self.server is not None and self.server.instance_id == instance_id:
+            self.server = dataclasses.replace(self.server, is_leaving=True)
 
 
 class _Sender:
--- a/tests/test_platform/test_platform_leavings.py
+++ b/tests/test_platform/test_platform_leavings.py
@@ -235,3 +235,26 @@
         await _assert_refused(machine)
 
     _run(scenario)
+
+
+@pytest.mark.parametrize("hears_late_heartbeat", [False, True])
+def test_deregistration_of_an_unknown_server_holds_once_its_record_is_read(
+    hears_late_heartbeat: bool,
+):
+    # Guards against a deregistration that a starting node acknowledges and
+    # forgets, as it has not read yet which server it has.
+    async def scenario(machine: _Machine) -> None:
+        machine.store.faults.is_down = True
+        await machine.start_node()
+        assert await machine.deregister() == 503
+        if hears_late_heartbeat:
+            assert await machine.send_heartbeat(sequence=1) == 200
+        machine.store.faults.is_down = False
+        async with asyncio.timeout(4.0):
+            while await machine.deregister() != 200:
+                await asyncio.sleep(0.2)
+        await _assert_refused(machine)
+        await machine.start_node()
+        await _assert_refused(machine)
+
+    _run(scenario)
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -15,6 +15,7 @@
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import control_messages
+from trefoilwind.gateway import departures
 from trefoilwind.gateway import entry as entry_lib
 from trefoilwind.gateway import follower as follower_lib
 from trefoilwind.gateway import http_server
@@ -137,6 +138,9 @@
             self.withdraw,
             lambda: self._incoming.arriving,
         )
+        self._departures = departures.Departures()
+        # Set once the members, and so this node's earlier record, were read.
+        self._members_read = asyncio.Event()
         self._headers = headers
         self._notices = server_notices.ServerNotices()
         self._remote = stream_calls.RemoteCalls()
@@ -394,6 +398,8 @@
 
     def announce(self, server: mesh.BackendServer) -> None:
         """Apply an announcement of this node's backend server."""
+        if self._departures.has_left(server):
+            server = dataclasses.replace(server, is_leaving=True)
         known = self._target.server
         if known is None or _state(known) != _state(server):
             logger.info(
@@ -405,10 +411,20 @@
         if self._members.set_server(self._target.server):
             self._announce_own_member()
 
+    def deregister(self, instance_id: str) -> None:
+        """Apply that a process of the backend server leaves, known or not."""
+        server = self._target.server
+        if server is not None and server.instance_id == instance_id:
+            self.withdraw()
+        else:
+            self._departures.add(instance_id, int(time.time() * 1000))
+
     async def wait_server_stored(self, deadline: float) -> bool:
         """Wait until the store has what is known of the backend server.
 
-        From then on it survives the end of all nodes.
+        From then on it survives the end of all nodes. Until the node has read
+        its earlier record, it can't know which process of the backend server
+        the store names.
 
         Args:
             deadline: Event loop time in seconds until which to wait.
@@ -416,6 +432,11 @@
         Returns:
             False if the store has not confirmed it by the deadline.
         """
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self._members_read.wait()
+        except TimeoutError:
+            return False
         key, _ = self._own_record()
         return await self._publisher.wait_stored(key, deadline)
 
@@ -595,6 +616,8 @@
             previous.has_left,
             previous.started_ms,
         )
+        if self._departures.has_left(server):
+            server = dataclasses.replace(server, is_leaving=True)
         logger.info(
             "members: backend server %s restored from an earlier record%s",
             server.instance_id,
@@ -673,6 +696,7 @@
                 others.append(message)
         # Who reports a decision depends on the members.
         self._merge_members(members)
+        self._members_read.set()
         for message in others:
             self._handle_rollout_record(message)
 
--- a/trefoilwind/platform/endpoints.py
+++ b/trefoilwind/platform/endpoints.py
@@ -56,9 +56,6 @@
         self._node = node
         self._address = address
         self._service = service
-        # Ids and start times of deregistered processes, whose late heartbeats
-        # are ignored.
-        self._deregistered: set[tuple[str, int]] = set()
 
     async def serve(
         self, request: http_types.HttpRequest
@@ -105,8 +102,6 @@
 
     def _is_current(self, server: mesh.BackendServer) -> bool:
         """Return False for a heartbeat that a newer one superseded."""
-        if server.process in self._deregistered:
-            return False
         current = self._node.server
         if current is None:
             return True
@@ -125,9 +120,7 @@
             instance_id,
             current.instance_id if current else "none",
         )
-        if current is not None and current.instance_id == instance_id:
-            self._deregistered.add(current.process)
-            self._node.withdraw()
+        self._node.deregister(instance_id)
         return await self._acknowledge_leaving(instance_id)
 
     async def _acknowledge_leaving(
