Read the earlier record of a node before its own replaces it

What callers would have seen: calls to a server whose stored and acknowledged leaving was erased.

Cause: a node that starts wrote its record to the store before it had read the earlier one. A late heartbeat of a process that had left, or a stop right after the start, replaced the only record of the leaving; and an earlier record was ignored once a heartbeat had named the server.

Why it works: the own record is written after the first read of the members, and a record of the same process that says it has left is applied in any case.

The two new cases of test_platform_leavings.py fail without the change and pass with it (one run each).

--- a/tests/test_platform/test_platform_leavings.py
+++ b/tests/test_platform/test_platform_leavings.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from tests.test_gateway import fakes
+from trefoilwind import errors
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import node as node_lib
 from trefoilwind.gateway import node_settings
@@ -41,6 +42,24 @@
 _BORN = 1_700_000_000_000
 
 
+class _Store(keyed_store.MemoryStore):
+    """Store whose reads of the newest records may fail.
+
+    Attributes:
+        refuses_reads: True if they fail.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.refuses_reads = False
+
+    async def newest(self, topic: str):
+        """Return the newest record of each key, or an error."""
+        if self.refuses_reads:
+            return errors.LogError(errors.Reason.LOG_UNAVAILABLE, "test")
+        return await super().newest(topic)
+
+
 class _Machine:
     """A backend server and the processes of the node beside it.
 
@@ -51,7 +70,7 @@
     """
 
     def __init__(self) -> None:
-        self.store = keyed_store.MemoryStore()
+        self.store = _Store()
         self.node: node_lib.MeshNode | None = None
         self.ran = 0
         self._sequence = 0
@@ -258,3 +277,39 @@
         await _assert_refused(machine)
 
     _run(scenario)
+
+
+def test_late_heartbeat_after_a_restart_does_not_undo_a_leaving():
+    # Guards against a starting node that overwrites the record of a leaving
+    # before it has read it.
+    async def scenario(machine: _Machine) -> None:
+        assert await machine.deregister() == 200
+        stored = machine.members()
+        machine.store.refuses_reads = True
+        await machine.start_node()
+        assert await machine.send_heartbeat(sequence=1) == 200
+        await asyncio.sleep(0.3)
+        assert machine.members() == stored
+        machine.store.refuses_reads = False
+        await _assert_refused(machine)
+        await machine.start_node()
+        await _assert_refused(machine)
+
+    _run(scenario)
+
+
+def test_node_stopped_before_it_has_read_its_record_keeps_a_leaving():
+    # Guards against a stop that replaces the record of a leaving by an empty
+    # one, after which a late heartbeat makes the server available.
+    async def scenario(machine: _Machine) -> None:
+        assert await machine.deregister() == 200
+        machine.store.refuses_reads = True
+        await machine.start_node()
+        await machine.node.stop()
+        machine.store.refuses_reads = False
+        await machine.start_node()
+        await machine.until(lambda: machine.node.is_ready)
+        assert await machine.send_heartbeat(sequence=1) == 200
+        await _assert_refused(machine)
+
+    _run(scenario)
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -323,10 +323,10 @@
         components = (
             self._operator_records,
             self._mesh_follower,
-            self._publisher,
             self._rollouts.reporter,
         )
-        runs = [component.run for component in components] + [self._tick]
+        runs = [component.run for component in components]
+        runs += [self._publish_own_member, self._tick]
         for run in runs:
             self._tasks.append(
                 self._loop.create_task(supervision.supervise(run))
@@ -587,8 +587,8 @@
         own_id = self._settings.node_id
         members = member_table.usable(members)
         for member in members:
-            if member.node_id == own_id and self._target.server is None:
-                self._restore_server(member)
+            if member.node_id == own_id:
+                self._apply_earlier_record(member)
             if member.has_left:
                 self._notices.record_left(member)
         changed = self._members.merge_all(members)
@@ -598,6 +598,15 @@
             self._update_peers_soon()
         return bool(changed)
 
+    def _apply_earlier_record(self, previous: members_lib.Member) -> None:
+        """Apply what an earlier process of this node knew of its server."""
+        server = self._target.server
+        if server is None:
+            self._restore_server(previous)
+        elif previous.has_left and previous.process == server.process:
+            # The heartbeat that announced it here was late.
+            self.withdraw()
+
     def _restore_server(self, previous: members_lib.Member) -> None:
         """Restore the backend server known before this process started.
 
@@ -645,6 +654,14 @@
         self._spreading.send_all(control_messages.MemberChanged(own))
         self._publisher.put(*self._own_record())
 
+    async def _publish_own_member(self) -> None:
+        """Write the own record to the store, after the earlier one was read.
+
+        The earlier record may be all that tells that the server has left.
+        """
+        await self._members_read.wait()
+        await self._publisher.run()
+
     def _own_record(self) -> tuple[str, bytes]:
         """Return key and value of this node's member record."""
         own = self._members.own
