Drop a restored backend server that sends no heartbeat

What callers would have seen: calls to a server that left unheard, while its node was away or the store was down, and lost orders when it ended.

Why it works: a server that lives reaches its node within one interval of the node's start. The restored one is used for two, then dropped; if the first read takes longer than that, it isn't restored. Its next heartbeat brings it back. This also ends the use of a server whose record a late write of the store has put back to an earlier state.

--- a/tests/test_gateway/data_centre.py
+++ b/tests/test_gateway/data_centre.py
@@ -313,6 +313,7 @@
         streams.StreamTimes(1.0, 3.0),
         shared_budget.BudgetTerms(0.2, 10.0, 100.0),
         6.0,
+        15.0,
     )
 
 
--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -181,6 +181,7 @@
             stream_times=streams.StreamTimes(0.5, 2.0),
             budget=shared_budget.BudgetTerms(0.2, 10.0, 100.0),
             stop_timeout_s=3.5,
+            heartbeat_interval_s=15.0,
         )
         node = node_lib.MeshNode(
             settings,
@@ -688,7 +689,9 @@
     async def scenario(cluster: _Cluster) -> None:
         node = await cluster.add("n1")
         changed = dataclasses.replace(
-            node.settings, stop_timeout_s=9.0, region="elsewhere"
+            node.settings,
+            stop_timeout_s=9.0,
+            region="elsewhere",
         )
         node.update(changed)
         assert node.settings.stop_timeout_s == 9.0
--- a/tests/test_gateway/test_gateway_planned_stop.py
+++ b/tests/test_gateway/test_gateway_planned_stop.py
@@ -136,6 +136,7 @@
             stream_times=streams.StreamTimes(0.5, 2.0),
             budget=shared_budget.BudgetTerms(0.2, 10.0, 100.0),
             stop_timeout_s=_STOP_TIMEOUT_S,
+            heartbeat_interval_s=15.0,
         )
         node = node_lib.MeshNode(
             settings,
--- a/tests/test_platform/test_platform_leavings.py
+++ b/tests/test_platform/test_platform_leavings.py
@@ -102,6 +102,7 @@
             stream_times=streams.StreamTimes(0.5, 2.0),
             budget=shared_budget.BudgetTerms(0.2, 10.0, 100.0),
             stop_timeout_s=3.5,
+            heartbeat_interval_s=0.5,
         )
         self.node = node_lib.MeshNode(
             settings,
@@ -313,3 +314,34 @@
         await _assert_refused(machine)
 
     _run(scenario)
+
+
+def test_restored_server_without_a_heartbeat_is_dropped():
+    # Guards against calls to a server that left while its node was away.
+    async def scenario(machine: _Machine) -> None:
+        await machine.start_node()
+        await machine.until(lambda: machine.node.is_ready)
+        assert (await machine.call()).startswith(b"HTTP/1.1 200")
+        await machine.until(lambda: machine.node.server is None)
+        assert (await machine.call()).startswith(b"HTTP/1.1 503")
+        assert machine.ran == 1
+        assert await machine.send_heartbeat() == 200
+        assert (await machine.call()).startswith(b"HTTP/1.1 200")
+        await asyncio.sleep(1.5)
+        assert (await machine.call()).startswith(b"HTTP/1.1 200")
+
+    _run(scenario)
+
+
+def test_server_that_is_silent_until_its_record_is_read_is_not_restored():
+    # Guards against calls to a server that left unheard in a store outage.
+    async def scenario(machine: _Machine) -> None:
+        machine.store.refuses_reads = True
+        await machine.start_node()
+        await asyncio.sleep(1.2)
+        machine.store.refuses_reads = False
+        await _assert_refused(machine)
+        assert await machine.send_heartbeat() == 200
+        assert (await machine.call()).startswith(b"HTTP/1.1 200")
+
+    _run(scenario)
--- a/tests/test_platform/test_platform_odd_entries.py
+++ b/tests/test_platform/test_platform_odd_entries.py
@@ -233,6 +233,7 @@
             stream_times=streams.StreamTimes(0.5, 2.0),
             budget=shared_budget.BudgetTerms(0.2, 10.0, 100.0),
             stop_timeout_s=3.5,
+            heartbeat_interval_s=15.0,
         )
         self.node = node_lib.MeshNode(
             settings,
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -68,6 +68,9 @@
 STOP_RESERVE_S = 0.5
 STOP_RESERVE_FRACTION = 1 / 8
 _STOP_CHECK_INTERVAL_S = 0.05
+# Heartbeat intervals from the start of a node until it drops a restored backend
+# server that has sent none.
+SILENT_HEARTBEATS = 2
 
 
 _ROLLOUT_RECORDS = (
@@ -235,6 +238,10 @@
         self._tasks: list[asyncio.Task] = []
         self._peer_update: asyncio.Handle | None = None
         self._last_request_at = 0.0
+        # Time until which a restored backend server is used without a
+        # heartbeat, and the timer that drops it then.
+        self._heartbeat_deadline = float("inf")
+        self._silence_timer: asyncio.TimerHandle | None = None
         # Era of the store at the last read of all records of the mesh topic.
         self._era = 0
 
@@ -320,6 +327,9 @@
                 str(address),
                 error.strerror or str(error),
             )
+        self._heartbeat_deadline = self._loop.time() + (
+            SILENT_HEARTBEATS * settings.heartbeat_interval_s
+        )
         components = (
             self._operator_records,
             self._mesh_follower,
@@ -372,8 +382,9 @@
         self._rollouts.close()
         for task in self._tasks:
             task.cancel()
-        if self._peer_update is not None:
-            self._peer_update.cancel()
+        for timer in (self._peer_update, self._silence_timer):
+            if timer is not None:
+                timer.cancel()
         self._peers.close()
 
     def update(self, settings: node_settings.MeshSettings) -> None:
@@ -398,6 +409,8 @@
 
     def announce(self, server: mesh.BackendServer) -> None:
         """Apply an announcement of this node's backend server."""
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
         if self._departures.has_left(server):
             server = dataclasses.replace(server, is_leaving=True)
         known = self._target.server
@@ -610,7 +623,8 @@
     def _restore_server(self, previous: members_lib.Member) -> None:
         """Restore the backend server known before this process started.
 
-        Its next heartbeat replaces the restored values. If another backend
+        Its next heartbeat replaces the restored values; without one it is
+        dropped soon, as it may have ended or left unheard. If another backend
         server has replaced it, that one refuses the calls without running
         them, as they name the old instance.
         """
@@ -627,6 +641,17 @@
         )
         if self._departures.has_left(server):
             server = dataclasses.replace(server, is_leaving=True)
+        if not server.is_leaving:
+            if self._loop.time() >= self._heartbeat_deadline:
+                logger.info(
+                    "members: backend server %s not restored; no heartbeat",
+                    server.instance_id,
+                )
+                self._announce_own_member()
+                return
+            self._silence_timer = self._loop.call_at(
+                self._heartbeat_deadline, self._drop_silent_server
+            )
         logger.info(
             "members: backend server %s restored from an earlier record%s",
             server.instance_id,
@@ -636,6 +661,12 @@
         if self._members.set_server(self._target.server):
             self._announce_own_member()
 
+    def _drop_silent_server(self) -> None:
+        logger.warning("members: restored backend server sent no heartbeat")
+        self._target.set_server(None)
+        if self._members.set_server(None):
+            self._announce_own_member()
+
     def _update_peers_soon(self) -> None:
         """Update the streams once for all changes of this loop iteration."""
         if self._peer_update is None:
--- a/trefoilwind/gateway/node_settings.py
+++ b/trefoilwind/gateway/node_settings.py
@@ -30,6 +30,7 @@
         budget: Limits on retries.
         stop_timeout_s: Seconds from a stop request until the process is
             killed.
+        heartbeat_interval_s: Seconds between heartbeats of the backend server.
     """
 
     node_id: str
@@ -44,6 +45,7 @@
     stream_times: streams.StreamTimes
     budget: shared_budget.BudgetTerms
     stop_timeout_s: float
+    heartbeat_interval_s: float
 
     def changed_names(self, other: "MeshSettings") -> tuple[str, ...]:
         """Return the names of the fields that differ."""
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -150,7 +150,8 @@
         old = self._server
         self._server = server
         if server is None:
-            self._client = None
+            if self._client is not None:
+                self._client.close()
             self._refuse_waiting()
             return
         is_new = (
--- a/trefoilwind/platform/program.py
+++ b/trefoilwind/platform/program.py
@@ -56,6 +56,7 @@
             bounds.budget_extra_retries,
         ),
         stop_timeout_s=bounds.grace_s,
+        heartbeat_interval_s=settings.platform.heartbeat_interval_s,
     )
 
 
