Wait for the end of a stale connection where the client sees it

The test was wrong: it waited for a negative fileno() of the stand-in's socket, which Python sets before the kernel closes the connection. A request sent in between has an unknown fate, and the error that the client returned was right.

The test now waits until the client's pooled socket is readable, which is the moment that it means.

--- a/tests/test_proxy/test_proxy_backend.py
+++ b/tests/test_proxy/test_proxy_backend.py
@@ -1,4 +1,5 @@
 import itertools
+import select
 import socket
 import threading
 
@@ -139,10 +140,17 @@
     for _ in range(5):
         answer = client.call(fakes.request())
         assert isinstance(answer, calls.Answer)
-        fakes.wait_until(lambda: server.connections[-1].fileno() < 0)
+        fakes.wait_until(lambda: _has_ended(client))
     assert len(server.connections) == 5
 
 
+def _has_ended(client: backend_lib.BackendClient) -> bool:
+    """Return True if the end of the pooled connection has arrived."""
+    (pooled,) = client._pool._idle
+    readable, _, _ = select.select((pooled.sock,), (), (), 0.0)
+    return bool(readable)
+
+
 def test_an_idle_connection_is_not_used_after_its_idle_time(serve):
     server, client = serve(fakes.answers(_OK), idle_s=0.0)
     for _ in range(3):
