Bound the memory and the parsing of answers in tiny chunks

Cause: HttpClient bounds bytes, but kept a body as a list of its chunks. A chunk of two bytes takes more than forty in memory and three callbacks on the event loop. The same holds for empty headers and trailers within the 64 KB allowed around a body; and an answer of the store that never pauses had no last deadline.

Why it works: a body is one buffer, whose size is the count that the limits check. Answers are parsed in slices of 16 KB, and all connections to a server share a rate of parsed items beyond which they pause reading, so the flow control of TCP holds back the sender.

--- a/tests/test_gateway/test_gateway_http_client.py
+++ b/tests/test_gateway/test_gateway_http_client.py
@@ -1,8 +1,10 @@
 """Tests of the HTTP client against misbehaving backend servers."""
 
 import asyncio
+import itertools
 import socket
 import struct
+import tracemalloc
 
 import pytest
 import uvloop
@@ -11,6 +13,7 @@
 from trefoilwind import errors
 from trefoilwind.gateway import http_client
 from trefoilwind.gateway import http_types
+from trefoilwind.gateway import paced_parsing
 from trefoilwind.model import addresses
 
 _RESET = struct.pack("ii", 1, 0)
@@ -369,7 +372,7 @@
         loop = asyncio.get_running_loop()
         client = http_client.HttpClient(addresses.Address("127.0.0.1", 1), 4)
         connections = [
-            http_client._Connection("peer", client._limit_bodies)
+            http_client._Connection("peer", client._limit_bodies, client._rate)
             for _ in range(13)
         ]
         client._in_flight.update(connections)
@@ -392,3 +395,108 @@
     pieces = b"1\r\nx\r\n" * 40_000 + b"0\r\n\r\n"
     results, _ = _run(_send(_CHUNKED + pieces))
     assert results[0].body == b"x" * 40_000
+
+
+_TINY_CHUNKS = b"2\r\nxx\r\n" * 2000
+
+
+def test_tiny_chunks_take_little_more_memory_than_their_bytes():
+    # Guards against a limit on bytes that a list of tiny chunks exceeds many
+    # times in memory.
+    async def run() -> tuple[int, int]:
+        loop = asyncio.get_running_loop()
+        client = http_client.HttpClient(addresses.Address("127.0.0.1", 1), 4)
+        hours = itertools.count(step=3600)
+        rate = paced_parsing.ItemRate(lambda: float(next(hours)))
+        connection = http_client._Connection("peer", lambda each: None, rate)
+        connection._waiter = loop.create_future()
+        tracemalloc.start()
+        connection.data_received(_CHUNKED)
+        for _ in range(200):
+            connection.data_received(_TINY_CHUNKS)
+        _, most = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        client.close()
+        return connection.body_bytes, most
+
+    body_bytes, most = uvloop.run(run())
+    assert body_bytes == 200 * 4000
+    assert most < 1.25 * body_bytes + 64 * _KB
+
+
+def test_tiny_chunks_without_end_are_parsed_at_a_bounded_rate():
+    # Guards against an event loop that does nothing but parse such answers.
+    calls = 4
+
+    async def run() -> tuple[float, int]:
+        loop = asyncio.get_running_loop()
+        script = _Endless(_CHUNKED, _TINY_CHUNKS)
+        async with fakes.RawServer(script) as server:
+            client = http_client.HttpClient(server.address, calls)
+            started = loop.time()
+            floods = [
+                asyncio.ensure_future(client.call(_HEAD, b"", started + 9.0))
+                for _ in range(calls)
+            ]
+            await asyncio.sleep(1.0)
+            chunks = client.buffered_bytes // 2
+            elapsed_s = loop.time() - started
+            for flood in floods:
+                flood.cancel()
+            await asyncio.wait(floods)
+            return elapsed_s, chunks
+
+    elapsed_s, chunks = uvloop.run(run())
+    allowed_s = elapsed_s + paced_parsing.BURST_S
+    in_last_slices = calls * paced_parsing.SLICE_BYTES // 7
+    assert chunks > 0
+    assert chunks <= paced_parsing.ITEMS_PER_S * allowed_s + in_last_slices
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 400 + b"\r\n",
+        _CHUNKED + b"0\r\n" + b"a:\r\n" * 400 + b"\r\n",
+    ],
+)
+def test_answer_with_too_many_headers_or_trailers_is_a_failure(answer):
+    # Guards against empty headers, each of which takes fifty times its bytes.
+    results, _ = _run(_send(answer))
+    assert results[0].reason is errors.Reason.BACKEND_FAILED
+
+
+def test_answer_that_arrives_byte_by_byte_is_given_up_in_the_end(monkeypatch):
+    # Guards against a read of the store that no time-out of silence ends.
+    monkeypatch.setattr(http_client, "MAX_PROGRESS_S", 0.5)
+
+    async def drip(reader, writer):
+        await fakes.read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n")
+        while True:
+            writer.write(b"x")
+            await writer.drain()
+            await asyncio.sleep(0.02)
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        async with fakes.RawServer(drip) as server:
+            client = http_client.HttpClient(server.address, 1)
+            async with asyncio.timeout(5.0):
+                return await client.call(
+                    _HEAD, b"", loop.time() + 0.2, progress_s=0.2
+                )
+
+    result = uvloop.run(run())
+    assert result.reason is errors.Reason.DEADLINE_EXCEEDED
+
+
+def test_connection_with_unparsed_bytes_after_its_answer_is_not_reused():
+    # Guards against a slice that ends with the answer and hides the bytes
+    # that follow it.
+    extra = paced_parsing.SLICE_BYTES - len(fakes.answer(b""))
+    answer = fakes.answer(b"", extra=b"X: " + b"x" * (extra - 5) + b"\r\n")
+    assert len(answer) == paced_parsing.SLICE_BYTES
+    results, connections = _run(_send(answer + fakes.answer(b"late")), count=2)
+    assert results[0].body == b""
+    assert connections == 2
--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -11,6 +11,7 @@
 
 from trefoilwind import errors
 from trefoilwind.gateway import http_types
+from trefoilwind.gateway import paced_parsing
 from trefoilwind.logs import decisions
 from trefoilwind.model import addresses
 
@@ -27,6 +28,11 @@
 # answers, trailers, and per byte of a body the framing of its chunk.
 MAX_OVERHEAD_BYTES = 64 * 1024
 MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Headers and trailers of an answer.
+MAX_HEADERS = 256
+# Seconds beyond its deadline after which an answer that still arrives is given
+# up, however many bytes arrive.
+MAX_PROGRESS_S = 30.0
 # Answers to other requests that may precede an answer.
 MAX_DISCARDED_ANSWERS = 16
 # Idle time after which a connection is not reused, if the server announces
@@ -65,6 +71,7 @@
         self._idle: collections.deque[_Connection] = collections.deque()
         self._connections_opened = 0
         self._in_flight: set[_Connection] = set()
+        self._rate = paced_parsing.ItemRate(asyncio.get_running_loop().time)
 
     @property
     def buffered_bytes(self) -> int:
@@ -178,7 +185,9 @@
         try:
             async with asyncio.timeout(limit_s):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(str(self._address), self._limit_bodies),
+                    lambda: _Connection(
+                        str(self._address), self._limit_bodies, self._rate
+                    ),
                     self._address.host,
                     self._address.port,
                 )
@@ -210,10 +219,14 @@
     """A connection with at most one request in flight."""
 
     def __init__(
-        self, peer: str, limit_bodies: Callable[["_Connection"], None]
+        self,
+        peer: str,
+        limit_bodies: Callable[["_Connection"], None],
+        rate: paced_parsing.ItemRate,
     ):
         self._peer = peer
         self._limit_bodies = limit_bodies
+        self._paced = paced_parsing.PacedParser(rate, self._parse)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future | None = None
@@ -224,6 +237,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._progress_s = 0.0
         self._received_at = 0.0
+        self._last_deadline = 0.0
         self._idle_s = DEFAULT_IDLE_S
         self._idle_until = 0.0
         self._reset_answer()
@@ -231,7 +245,7 @@
     @property
     def body_bytes(self) -> int:
         """Bytes of the body received so far."""
-        return self._body_bytes
+        return len(self._body)
 
     def _reset_answer(self) -> None:
         self._received_bytes = 0
@@ -239,8 +253,8 @@
         self._discarded = 0
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[http_types.Header] = []
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
+        # One buffer, as a list of tiny chunks takes many times their bytes.
+        self._body = bytearray()
         self._is_head_complete = False
         self._is_framed = False
 
@@ -266,8 +280,7 @@
 
     def fail_too_large(self) -> None:
         """Fail the pending request and free the memory of its answer."""
-        self._chunks.clear()
-        self._body_bytes = 0
+        self._body = bytearray()
         self._finish(self._error(errors.Reason.BODY_TOO_LARGE))
 
     def close(self) -> None:
@@ -292,6 +305,7 @@
     ) -> Result:
         """Send a request and wait for its answer."""
         self._progress_s = progress_s
+        self._last_deadline = deadline + MAX_PROGRESS_S
         self._waiter = self._loop.create_future()
         self._match_answer = match_answer
         self._requests += 1
@@ -309,10 +323,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = transport
+        self._paced.attach(transport)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Complete an answer without a length, or fail the pending request."""
         self._is_broken = True
+        self._paced.close()
         is_complete = (
             error is None and self._is_head_complete and not self._is_framed
         )
@@ -323,10 +339,22 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of answers; close on bytes without a pending request."""
+        self._paced.feed(data)
+
+    def _parse(self, data: memoryview) -> bool:
+        """Parse a slice; return False if no request is pending any more."""
         if self._waiter is None or self._waiter.done():
             self._is_reusable = False
             self.close()
-            return
+            return False
+        self._feed_parser(data)
+        if not self._waiter.done():
+            return True
+        if self._paced.has_rest:
+            self._is_reusable = False
+        return False
+
+    def _feed_parser(self, data: memoryview) -> None:
         try:
             self._parser.feed_data(data)
         except (
@@ -355,13 +383,21 @@
             self._is_reusable = False
             # One read may contain thousands of answers.
             raise _CallEndedError
+        self._paced.count_item()
         self._headers = []
-        self._chunks = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._is_head_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header or trailer.
+
+        Raises:
+            _CallEndedError: There are too many of them.
+        """
+        self._paced.count_item()
+        if len(self._headers) >= MAX_HEADERS:
+            self._fail("too many headers")
+            raise _CallEndedError
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -382,8 +418,8 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Buffer bytes of the body."""
-        self._chunks.append(chunk)
-        self._body_bytes += len(chunk)
+        self._paced.count_item()
+        self._body += chunk
         self._all_body_bytes += len(chunk)
         self._limit_bodies(self)
 
@@ -396,7 +432,7 @@
         answer = http_types.HttpAnswer(
             status,
             http_types.end_to_end(tuple(self._headers)),
-            b"".join(self._chunks),
+            bytes(self._body),
         )
         match = self._match(answer)
         if match is http_types.Match.OWN:
@@ -441,7 +477,9 @@
         self._finish(self._error(errors.Reason.BACKEND_FAILED, detail))
 
     def _time_out(self) -> None:
-        progress_deadline = self._received_at + self._progress_s
+        progress_deadline = min(
+            self._received_at + self._progress_s, self._last_deadline
+        )
         if self._received_bytes and self._loop.time() < progress_deadline:
             self._timer = self._loop.call_at(progress_deadline, self._time_out)
             return
