Bound what a request may hold that never ends

What callers would have seen: a node that runs out of memory while a caller, or a backend server that sends a heartbeat, sends a header, a chunk extension or a trailer without end, or a body in tiny chunks.

Cause: HttpServer counted a header once the parser had reported it, which it does at its end; leading empty lines and the framing of chunks were not counted at all. A body was a list of its chunks, as in the client.

Why it works: bytes outside of the body are counted slice by slice, as they arrive, against the limit of the head and 64 KB of framing; parsing is paced as in the client, and a slice with few items never waits for another connection.

--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server: framing, limits and closing of connections."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 import uvloop
@@ -8,6 +9,7 @@
 from tests.test_gateway import fakes
 from trefoilwind.gateway import http_server
 from trefoilwind.gateway import http_types
+from trefoilwind.gateway import paced_parsing
 from trefoilwind.model import mesh
 
 _LIMITS = mesh.CallerLimits(
@@ -214,3 +216,76 @@
     async with asyncio.timeout(10.0):
         while not condition():
             await asyncio.sleep(0.01)
+
+
+_CHUNKED = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+_KB = 1024
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (b"", b"\r\n" * 512),
+        (b"GET /", b"p" * _KB),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nName: ", b"v" * _KB),
+        (b"GET / HTTP/1.1\r\nHost: a\r\n", b"n" * _KB),
+        (b"GET / HTTP/1.1\r\nHost: a\r\n", b"a:\r\n" * 256),
+        (_CHUNKED + b"1;", b"e" * _KB),
+        (_CHUNKED + b"0\r\n", b"Trailer: value\r\n" * 60),
+        (_CHUNKED + b"0\r\nTrailer: ", b"v" * _KB),
+    ],
+    ids=[
+        "before the head",
+        "target",
+        "value",
+        "name",
+        "headers",
+        "extension",
+        "trailers",
+        "trailer",
+    ],
+)
+def test_bytes_without_end_that_are_no_request_close_the_connection(
+    start: bytes, piece: bytes
+):
+    # Guards against a caller or backend server whose header never ends, as
+    # the parser reports it only then.
+    async def run() -> int:
+        server = _Server()
+        reader, writer = await server.connect()
+        sent = 0
+        writer.write(start)
+        async with asyncio.timeout(10.0):
+            while not reader.at_eof() and not writer.is_closing():
+                writer.write(piece)
+                sent += len(piece)
+                await asyncio.sleep(0)
+        return sent
+
+    allowed = (
+        http_server.MAX_OVERHEAD_BYTES
+        + _LIMITS.max_header_bytes
+        + 2 * paced_parsing.SLICE_BYTES
+    )
+    assert uvloop.run(run()) <= allowed + 16 * _KB
+
+
+def test_body_in_tiny_chunks_takes_little_more_memory_than_its_bytes():
+    # Guards against callers whose chunks take many times their bytes.
+    async def run() -> int:
+        limits = mesh.CallerLimits(max_body_bytes=10**9)
+        server = http_server.HttpServer(_refuse, lambda: limits)
+        connection = http_server._Connection(server)
+        tracemalloc.start()
+        connection._parse(memoryview(_CHUNKED))
+        for _ in range(200):
+            connection._parse(memoryview(b"2\r\nxx\r\n" * 2000))
+        _, most = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        return most
+
+    assert uvloop.run(run()) < 1.25 * 200 * 4000 + 64 * _KB
+
+
+async def _refuse(request: http_types.HttpRequest) -> http_types.HttpAnswer:
+    return http_types.HttpAnswer(503, ())
--- a/tests/test_gateway/test_gateway_paced_parsing.py
+++ b/tests/test_gateway/test_gateway_paced_parsing.py
@@ -34,8 +34,9 @@
         accepts: False to discard what follows.
     """
 
-    def __init__(self) -> None:
-        rate = paced_parsing.ItemRate(asyncio.get_running_loop().time)
+    def __init__(self, rate: paced_parsing.ItemRate | None = None) -> None:
+        clock = asyncio.get_running_loop().time
+        rate = rate or paced_parsing.ItemRate(clock)
         self.paced = paced_parsing.PacedParser(rate, self._parse)
         self.transport = _Transport()
         self.paced.attach(self.transport)
@@ -80,6 +81,32 @@
     uvloop.run(run())
 
 
+def test_ordinary_message_is_not_delayed_by_a_flood_on_another_connection():
+    async def run() -> None:
+        rate = paced_parsing.ItemRate(asyncio.get_running_loop().time)
+        flood = _Parser(rate)
+        other = _Parser(rate)
+        flood.paced.feed(bytes(10 * paced_parsing.SLICE_BYTES))
+        other.paced.feed(bytes(paced_parsing.FREE_ITEMS))
+        assert flood.transport.is_paused
+        assert not other.transport.is_paused
+
+    uvloop.run(run())
+
+
+def test_held_reading_stays_paused_after_the_pause_of_the_parsing():
+    async def run() -> None:
+        parser = _Parser()
+        parser.paced.feed(bytes(paced_parsing.SLICE_BYTES))
+        parser.paced.hold()
+        await asyncio.sleep(0.5)
+        assert parser.transport.is_paused
+        parser.paced.release()
+        assert not parser.transport.is_paused
+
+    uvloop.run(run())
+
+
 def test_bytes_after_the_last_wanted_slice_are_discarded():
     async def run() -> None:
         parser = _Parser()
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -9,6 +9,7 @@
 import httptools
 
 from trefoilwind.gateway import http_types
+from trefoilwind.gateway import paced_parsing
 from trefoilwind.model import mesh
 
 logger = logging.getLogger(__name__)
@@ -19,6 +20,10 @@
 _MAX_PIPELINED = 16
 # Bytes of pipelined request bodies above which reading is paused.
 _MAX_PIPELINED_BYTES = 256 * 1024
+# Bytes outside of its head and body that a request may have: the framing of
+# chunks, their extensions and trailers; and more per byte of the body.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_PER_BODY_BYTE = 8
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
     for status in http.HTTPStatus
@@ -44,6 +49,7 @@
         self._server: asyncio.Server | None = None
         self._is_closing = False
         self._connections_accepted = 0
+        self._rate: paced_parsing.ItemRate | None = None
 
     @property
     def handler(self) -> Handler:
@@ -55,6 +61,14 @@
         """Limits on the size and timing of requests."""
         return self._limits()
 
+    @property
+    def rate(self) -> paced_parsing.ItemRate:
+        """Rate of the items that all connections parse."""
+        if self._rate is None:
+            clock = asyncio.get_running_loop().time
+            self._rate = paced_parsing.ItemRate(clock)
+        return self._rate
+
     @property
     def is_closing(self) -> bool:
         """True if each connection is closed after its next answer."""
@@ -123,6 +137,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
+        self._paced = paced_parsing.PacedParser(server.rate, self._parse)
         self._task: asyncio.Task | None = None
         self._pipelined: list[tuple[http_types.HttpRequest, bool]] = []
         self._timer: asyncio.TimerHandle | None = None
@@ -145,8 +160,10 @@
         self._target = b""
         self._headers: list[http_types.Header] = []
         self._head_bytes = 0
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._is_head_complete = False
+        self._received_bytes = 0
+        # One buffer, as a list of tiny chunks takes many times their bytes.
+        self._body = bytearray()
         self._received = 0.0
 
     # Callbacks of the event loop.
@@ -154,12 +171,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its idle timeout."""
         self._transport = transport
+        self._paced.attach(transport)
         self._server.add(self)
         self._start_idle()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request in flight, as its answer cannot be sent."""
         self._server.remove(self)
+        self._paced.close()
         self._clear_timer()
         self._pipelined.clear()
         if self._task is not None:
@@ -177,14 +196,7 @@
             self._is_in_head = True
             limit_s = self._server.limits.header_timeout_s
             self._set_timer(limit_s, self._time_out_request)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(_BAD_REQUEST)
-        except httptools.HttpParserError as error:
-            if not self._is_failed:
-                logger.info("callers: request rejected; %s", error)
-                self._reject(_BAD_REQUEST)
+        self._paced.feed(data)
         if self._is_idle and self._is_in_body and not self._is_failed:
             limit_s = self._server.limits.idle_timeout_s
             self._set_timer(limit_s, self._time_out_request)
@@ -193,12 +205,49 @@
             and not self._is_read_paused
         ):
             self._is_read_paused = True
-            self._transport.pause_reading()
+            self._paced.hold()
+
+    def _parse(self, data: memoryview) -> bool:
+        """Parse a slice; return False if no further request is read."""
+        if self._is_failed or self._has_last_request:
+            return False
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(_BAD_REQUEST)
+        except httptools.HttpParserError as error:
+            if not self._is_failed:
+                logger.info("callers: request rejected; %s", error)
+                self._reject(_BAD_REQUEST)
+        self._received_bytes += len(data)
+        self._limit_overhead()
+        return not (self._is_failed or self._has_last_request)
+
+    def _limit_overhead(self) -> None:
+        """Reject a request of which too many bytes belong to no body.
+
+        The parser reports a header or a chunk once it is complete, so their
+        own limits do not end one that never is.
+        """
+        # The last slice may have begun with the end of an earlier request.
+        head_bytes = (
+            self._server.limits.max_header_bytes + paced_parsing.SLICE_BYTES
+        )
+        if not self._is_head_complete:
+            if self._received_bytes > head_bytes:
+                self._reject(_HEAD_TOO_LARGE)
+            return
+        body_bytes = len(self._body)
+        allowed = head_bytes + MAX_OVERHEAD_BYTES
+        allowed += MAX_OVERHEAD_PER_BODY_BYTE * body_bytes
+        if self._received_bytes - body_bytes > allowed:
+            self._reject(_BAD_REQUEST)
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        self._paced.count_item()
         self._reset_message()
 
     def on_url(self, url: bytes) -> None:
@@ -208,12 +257,14 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
+        self._paced.count_item()
         self._headers.append((name, value))
         self._count_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
         """Validate the head of the request."""
         self._received = self._loop.time()
+        self._is_head_complete = True
         self._is_in_head = False
         self._is_in_body = True
         self._clear_timer()
@@ -231,9 +282,9 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Buffer bytes of the body."""
-        self._chunks.append(chunk)
-        self._body_bytes += len(chunk)
-        if self._body_bytes > self._server.limits.max_body_bytes:
+        self._paced.count_item()
+        self._body += chunk
+        if len(self._body) > self._server.limits.max_body_bytes:
             self._reject(_BODY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
@@ -245,18 +296,19 @@
             self._parser.get_method(),
             self._target,
             tuple(self._headers),
-            b"".join(self._chunks),
+            bytes(self._body),
             self._received,
         )
         is_persistent = self._parser.should_keep_alive()
-        self._chunks = []
+        self._body = bytearray()
+        self._received_bytes = 0
         if not is_persistent:
             self._has_last_request = True
         if self._task is None:
             self._start(request, is_persistent)
         elif len(self._pipelined) < _MAX_PIPELINED:
             self._pipelined.append((request, is_persistent))
-            self._pipelined_bytes += self._body_bytes
+            self._pipelined_bytes += len(request.body)
         else:
             self._reject(_BAD_REQUEST)
 
@@ -316,7 +368,7 @@
             and self._pipelined_bytes <= _MAX_PIPELINED_BYTES
         ):
             self._is_read_paused = False
-            self._transport.resume_reading()
+            self._paced.release()
 
     def _write(
         self, answer: http_types.HttpAnswer, is_last: bool, is_head: bool
--- a/trefoilwind/gateway/paced_parsing.py
+++ b/trefoilwind/gateway/paced_parsing.py
@@ -13,6 +13,9 @@
 # Items per second, and the time in seconds for which they may be saved up.
 ITEMS_PER_S = 50_000
 BURST_S = 0.1
+# Items of a slice that is never followed by a pause, so that a flood on one
+# connection does not delay ordinary messages on the others.
+FREE_ITEMS = 64
 
 
 class ItemRate:
@@ -53,6 +56,7 @@
         self._rest = memoryview(b"")
         self._items = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._is_held = False
 
     @property
     def has_rest(self) -> bool:
@@ -76,6 +80,17 @@
         self._rest = memoryview(data)
         self._parse_rest()
 
+    def hold(self) -> None:
+        """Pause reading until `release`; received bytes are parsed."""
+        self._is_held = True
+        self._transport.pause_reading()
+
+    def release(self) -> None:
+        """Resume reading, unless the parsing is paused."""
+        self._is_held = False
+        if self._timer is None:
+            self._transport.resume_reading()
+
     def close(self) -> None:
         """Discard the bytes that have not been parsed."""
         self._rest = memoryview(b"")
@@ -90,7 +105,7 @@
             if not self._parse(part):
                 self._rest = memoryview(b"")
             pause_s = self._rate.pause_s(self._items)
-            if pause_s > 0.0:
+            if pause_s > 0.0 and self._items > FREE_ITEMS:
                 self._pause(pause_s)
                 return
 
@@ -106,5 +121,5 @@
         self._parse_rest()
         if self._timer is not None or self._transport is None:
             return
-        if not self._transport.is_closing():
+        if not self._is_held and not self._transport.is_closing():
             self._transport.resume_reading()
