--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -15,7 +15,6 @@
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import control_messages
-from trefoilwind.gateway import departures
 from trefoilwind.gateway import entry as entry_lib
 from trefoilwind.gateway import follower as follower_lib
 from trefoilwind.gateway import http_server
@@ -24,6 +23,7 @@
 from trefoilwind.gateway import metrics_page
 from trefoilwind.gateway import node_settings
 from trefoilwind.gateway import operator_records
+from trefoilwind.gateway import own_server
 from trefoilwind.gateway import peers as peers_lib
 from trefoilwind.gateway import picker as picker_lib
 from trefoilwind.gateway import publisher as publisher_lib
@@ -68,9 +68,6 @@
 STOP_RESERVE_S = 0.5
 STOP_RESERVE_FRACTION = 1 / 8
 _STOP_CHECK_INTERVAL_S = 0.05
-# Heartbeat intervals from the start of a node until it drops a restored backend
-# server that has sent none.
-SILENT_HEARTBEATS = 2
 
 
 _ROLLOUT_RECORDS = (
@@ -141,7 +138,12 @@
             self.withdraw,
             lambda: self._incoming.arriving,
         )
-        self._departures = departures.Departures()
+        self._own_server = own_server.OwnServer(
+            self._target,
+            self._members,
+            settings.backend_address,
+            self._announce_own_member,
+        )
         # Set once the members, and so this node's earlier record, were read.
         self._members_read = asyncio.Event()
         self._headers = headers
@@ -238,10 +240,6 @@
         self._tasks: list[asyncio.Task] = []
         self._peer_update: asyncio.Handle | None = None
         self._last_request_at = 0.0
-        # Time until which a restored backend server is used without a
-        # heartbeat, and the timer that drops it then.
-        self._heartbeat_deadline = float("inf")
-        self._silence_timer: asyncio.TimerHandle | None = None
         # Era of the store at the last read of all records of the mesh topic.
         self._era = 0
 
@@ -327,9 +325,7 @@
                 str(address),
                 error.strerror or str(error),
             )
-        self._heartbeat_deadline = self._loop.time() + (
-            SILENT_HEARTBEATS * settings.heartbeat_interval_s
-        )
+        self._own_server.await_heartbeats(settings.heartbeat_interval_s)
         components = (
             self._operator_records,
             self._mesh_follower,
@@ -382,9 +378,9 @@
         self._rollouts.close()
         for task in self._tasks:
             task.cancel()
-        for timer in (self._peer_update, self._silence_timer):
-            if timer is not None:
-                timer.cancel()
+        if self._peer_update is not None:
+            self._peer_update.cancel()
+        self._own_server.close()
         self._peers.close()
 
     def update(self, settings: node_settings.MeshSettings) -> None:
@@ -409,28 +405,11 @@
 
     def announce(self, server: mesh.BackendServer) -> None:
         """Apply an announcement of this node's backend server."""
-        if self._silence_timer is not None:
-            self._silence_timer.cancel()
-        if self._departures.has_left(server):
-            server = dataclasses.replace(server, is_leaving=True)
-        known = self._target.server
-        if known is None or _state(known) != _state(server):
-            logger.info(
-                "members: backend server %s announced%s",
-                server.instance_id,
-                ", leaving" if server.is_leaving else "",
-            )
-        self._target.set_server(server)
-        if self._members.set_server(self._target.server):
-            self._announce_own_member()
+        self._own_server.announce(server)
 
     def deregister(self, instance_id: str) -> None:
         """Apply that a process of the backend server leaves, known or not."""
-        server = self._target.server
-        if server is not None and server.instance_id == instance_id:
-            self.withdraw()
-        else:
-            self._departures.add(instance_id, int(time.time() * 1000))
+        self._own_server.deregister(instance_id)
 
     async def wait_server_stored(self, deadline: float) -> bool:
         """Wait until the store has what is known of the backend server.
@@ -455,9 +434,7 @@
 
     def withdraw(self) -> None:
         """Stop sending new calls to the backend server."""
-        server = self._target.server
-        if server is not None:
-            self.announce(dataclasses.replace(server, is_leaving=True))
+        self._own_server.withdraw()
 
     @property
     def server(self) -> mesh.BackendServer | None:
@@ -601,7 +578,7 @@
         members = member_table.usable(members)
         for member in members:
             if member.node_id == own_id:
-                self._apply_earlier_record(member)
+                self._own_server.apply_earlier_record(member)
             if member.has_left:
                 self._notices.record_left(member)
         changed = self._members.merge_all(members)
@@ -611,62 +588,6 @@
             self._update_peers_soon()
         return bool(changed)
 
-    def _apply_earlier_record(self, previous: members_lib.Member) -> None:
-        """Apply what an earlier process of this node knew of its server."""
-        server = self._target.server
-        if server is None:
-            self._restore_server(previous)
-        elif previous.has_left and previous.process == server.process:
-            # The heartbeat that announced it here was late.
-            self.withdraw()
-
-    def _restore_server(self, previous: members_lib.Member) -> None:
-        """Restore the backend server known before this process started.
-
-        Its next heartbeat replaces the restored values; without one it is
-        dropped soon, as it may have ended or left unheard. If another backend
-        server has replaced it, that one refuses the calls without running
-        them, as they name the old instance.
-        """
-        if not previous.instance_id or not previous.service:
-            return
-        server = mesh.BackendServer(
-            previous.instance_id,
-            previous.service,
-            previous.version,
-            self._settings.backend_address,
-            previous.slots,
-            previous.has_left,
-            previous.started_ms,
-        )
-        if self._departures.has_left(server):
-            server = dataclasses.replace(server, is_leaving=True)
-        if not server.is_leaving:
-            if self._loop.time() >= self._heartbeat_deadline:
-                logger.info(
-                    "members: backend server %s not restored; no heartbeat",
-                    server.instance_id,
-                )
-                self._announce_own_member()
-                return
-            self._silence_timer = self._loop.call_at(
-                self._heartbeat_deadline, self._drop_silent_server
-            )
-        logger.info(
-            "members: backend server %s restored from an earlier record%s",
-            server.instance_id,
-            ", leaving" if server.is_leaving else "",
-        )
-        self._target.set_server(server)
-        if self._members.set_server(self._target.server):
-            self._announce_own_member()
-
-    def _drop_silent_server(self) -> None:
-        logger.warning("members: restored backend server sent no heartbeat")
-        self._target.set_server(None)
-        if self._members.set_server(None):
-            self._announce_own_member()
-
     def _update_peers_soon(self) -> None:
         """Update the streams once for all changes of this loop iteration."""
         if self._peer_update is None:
@@ -789,11 +710,6 @@
         )
 
 
-def _state(server: mesh.BackendServer) -> tuple[tuple[str, int], bool]:
-    """Return what other nodes need to know about a backend server."""
-    return (server.process, server.is_leaving)
-
-
 async def _until(condition: Callable[[], bool], deadline: float) -> None:
     """Wait until a condition holds, or until an event loop time."""
     loop = asyncio.get_running_loop()
