Count unparsed bytes as missing from an answer without a length

Found by reading the paced parsing as a newcomer. An answer without a length is complete when its connection ends. If it ended while the parsing was paused, the parsed part would pass for the whole body.

--- a/tests/test_gateway/test_gateway_http_client.py
+++ b/tests/test_gateway/test_gateway_http_client.py
@@ -500,3 +500,22 @@
     results, connections = _run(_send(answer + fakes.answer(b"late")), count=2)
     assert results[0].body == b""
     assert connections == 2
+
+
+def test_answer_without_length_is_incomplete_while_bytes_are_unparsed():
+    # Guards against a connection that is lost in a pause of the parsing, so
+    # that the parsed part passes for the whole body.
+    async def run() -> http_client.Result:
+        loop = asyncio.get_running_loop()
+        rate = paced_parsing.ItemRate(lambda: 0.0)
+        connection = http_client._Connection("peer", lambda each: None, rate)
+        connection._waiter = loop.create_future()
+        rate.pause_s(paced_parsing.ITEMS_PER_S)
+        headers = b"a:\r\n" * (2 * paced_parsing.FREE_ITEMS)
+        head = b"HTTP/1.1 200 OK\r\n" + headers + b"\r\n"
+        connection.data_received(head + b"x" * paced_parsing.SLICE_BYTES)
+        connection.connection_lost(None)
+        return await connection._waiter
+
+    result = uvloop.run(run())
+    assert result.reason is errors.Reason.BACKEND_FAILED
--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -328,10 +328,9 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Complete an answer without a length, or fail the pending request."""
         self._is_broken = True
+        has_all = error is None and not self._paced.has_rest
         self._paced.close()
-        is_complete = (
-            error is None and self._is_head_complete and not self._is_framed
-        )
+        is_complete = has_all and self._is_head_complete and not self._is_framed
         if is_complete:
             self.on_message_complete()
         reason = type(error).__name__ if error else "closed"
