Time out a request whose parsing was paused in its head

What callers would have seen: nothing at first; a connection stayed open for ever if its head ended in the pause of the parsing and its body never came, and with it a stopping node waited for that request until its end.

Cause: the time-out of a body was started where bytes are received, and since a part of them may be parsed later.

Why it works: the time-out, and the pause of pipelined requests, now follow the parsing of each slice. The new test fails without the change.

--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -289,3 +289,21 @@
 
 async def _refuse(request: http_types.HttpRequest) -> http_types.HttpAnswer:
     return http_types.HttpAnswer(503, ())
+
+
+def test_body_that_stops_arriving_after_a_pause_of_the_parsing_times_out():
+    # Guards against a connection that stays open for ever, as only received
+    # bytes started its time-out.
+    async def run() -> bytes:
+        limits = mesh.CallerLimits(max_header_bytes=65536, idle_timeout_s=0.3)
+        server = _Server(limits)
+        reader, writer = await server.connect()
+        server.server.rate.pause_s(2 * paced_parsing.ITEMS_PER_S // 5)
+        # The head ends in the slice after the pause.
+        headers = b"a:\r\n" * (2 * paced_parsing.FREE_ITEMS)
+        headers += b"b: " + b"x" * paced_parsing.SLICE_BYTES + b"\r\n"
+        writer.write(_CHUNKED[:-2] + headers + b"\r\n1\r\nx\r\n")
+        async with asyncio.timeout(10.0):
+            return await reader.read()
+
+    assert uvloop.run(run()).startswith(b"HTTP/1.1 408")
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -197,15 +197,6 @@
             limit_s = self._server.limits.header_timeout_s
             self._set_timer(limit_s, self._time_out_request)
         self._paced.feed(data)
-        if self._is_idle and self._is_in_body and not self._is_failed:
-            limit_s = self._server.limits.idle_timeout_s
-            self._set_timer(limit_s, self._time_out_request)
-        if (
-            self._pipelined_bytes > _MAX_PIPELINED_BYTES
-            and not self._is_read_paused
-        ):
-            self._is_read_paused = True
-            self._paced.hold()
 
     def _parse(self, data: memoryview) -> bool:
         """Parse a slice; return False if no further request is read."""
@@ -221,6 +212,15 @@
                 self._reject(_BAD_REQUEST)
         self._received_bytes += len(data)
         self._limit_overhead()
+        if self._is_idle and self._is_in_body and not self._is_failed:
+            limit_s = self._server.limits.idle_timeout_s
+            self._set_timer(limit_s, self._time_out_request)
+        if (
+            self._pipelined_bytes > _MAX_PIPELINED_BYTES
+            and not self._is_read_paused
+        ):
+            self._is_read_paused = True
+            self._paced.hold()
         return not (self._is_failed or self._has_last_request)
 
     def _limit_overhead(self) -> None:
