--- a/tests/test_gateway/fakes.py
+++ b/tests/test_gateway/fakes.py
@@ -125,3 +125,15 @@
         len(body),
         body,
     )
+
+
+async def free_address() -> addresses.Address:
+    """Return an address on which nothing listens."""
+    async with RawServer(_close_at_once) as server:
+        return server.address
+
+
+async def _close_at_once(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    return None
--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -173,8 +173,8 @@
             data_centre=data_centre,
             region="r",
             service=service,
-            caller_address=await _free_address(),
-            peer_address=await _free_address(),
+            caller_address=await fakes.free_address(),
+            peer_address=await fakes.free_address(),
             backend_address=backend.server.address,
             operator_topic=_OPERATOR,
             status_topic=_STATUS,
@@ -219,15 +219,6 @@
     )
 
 
-async def _free_address() -> addresses.Address:
-    async with fakes.RawServer(_close_at_once) as server:
-        return server.address
-
-
-async def _close_at_once(reader, writer) -> None:
-    return None
-
-
 async def _until(condition: Callable[[], bool]) -> None:
     while not condition():
         await asyncio.sleep(0.01)
--- a/tests/test_gateway/test_gateway_planned_stop.py
+++ b/tests/test_gateway/test_gateway_planned_stop.py
@@ -17,7 +17,6 @@
 from trefoilwind.gateway import node_settings
 from trefoilwind.gateway import streams
 from trefoilwind.log import keyed
-from trefoilwind.model import addresses
 from trefoilwind.model import mesh
 from trefoilwind.routing import shared_budget
 from trefoilwind.standins import keyed_store
@@ -128,8 +127,8 @@
             data_centre="d",
             region="r",
             service="s",
-            caller_address=await _free_address(),
-            peer_address=await _free_address(),
+            caller_address=await fakes.free_address(),
+            peer_address=await fakes.free_address(),
             backend_address=server.address,
             operator_topic="operator",
             status_topic="status",
@@ -208,15 +207,6 @@
     return tuple((name, value.strip()) for name, _, value in pairs)
 
 
-async def _free_address() -> addresses.Address:
-    async with fakes.RawServer(_close_at_once) as server:
-        return server.address
-
-
-async def _close_at_once(reader, writer) -> None:
-    return None
-
-
 async def _until(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(20.0):
         while not condition():
--- a/tests/test_platform/test_platform_leavings.py
+++ b/tests/test_platform/test_platform_leavings.py
@@ -18,7 +18,6 @@
 from trefoilwind.gateway import node_settings
 from trefoilwind.gateway import streams
 from trefoilwind.log import keyed
-from trefoilwind.model import addresses
 from trefoilwind.model import mesh
 from trefoilwind.platform import endpoints
 from trefoilwind.routing import shared_budget
@@ -94,8 +93,8 @@
             data_centre="d",
             region="r",
             service=_SERVICE,
-            caller_address=await _free_address(),
-            peer_address=await _free_address(),
+            caller_address=await fakes.free_address(),
+            peer_address=await fakes.free_address(),
             backend_address=self._backend.address,
             operator_topic=_OPERATOR,
             status_topic="status",
@@ -173,14 +172,6 @@
             await writer.drain()
 
 
-async def _free_address() -> addresses.Address:
-    async def close(reader, writer) -> None:
-        return None
-
-    async with fakes.RawServer(close) as server:
-        return server.address
-
-
 def _decode(record: keyed.KeyedRecord) -> mesh.MeshConfiguration:
     return mesh.MeshConfiguration(int(record.value), (_ROUTE,))
 
