--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -1,6 +1,8 @@
 """Tests of the HTTP server: framing, limits and closing of connections."""
 
 import asyncio
+import logging
+import socket
 import tracemalloc
 
 import pytest
@@ -10,6 +12,7 @@
 from trefoilwind.gateway import http_server
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import paced_parsing
+from trefoilwind.logs import json_lines
 from trefoilwind.model import mesh
 
 _LIMITS = mesh.CallerLimits(
@@ -25,6 +28,7 @@
         self.cancelled = asyncio.Event()
         self.started = asyncio.Event()
         self._held = asyncio.Event()
+        self.last = False
         self.limits = limits
         self.server = http_server.HttpServer(self._handle, lambda: self.limits)
 
@@ -37,7 +41,13 @@
             except asyncio.CancelledError:
                 self.cancelled.set()
                 raise
-        return http_types.HttpAnswer(200, ((b"Id", b"1"),), request.body)
+        return http_types.HttpAnswer(
+            200, ((b"Id", b"1"),), request.body, is_last=self.last
+        )
+
+    def release(self) -> None:
+        """Let the held requests be answered."""
+        self._held.set()
 
     async def connect(self):
         """Return the reader and the writer of a connection to the server."""
@@ -143,6 +153,46 @@
     assert b"Connection: close" in uvloop.run(run())
 
 
+def test_closing_over_unread_connections_is_logged(caplog):
+    caplog.set_level(logging.INFO)
+
+    async def run():
+        server = _Server()
+        _, writer = await server.connect()
+        await _until(lambda: server.server.connections_accepted == 1)
+        address = writer.get_extra_info("peername")
+        with socket.create_connection(address) as accepted:
+            await _until(lambda: server.server.connections_accepted == 2)
+            # Nothing is read or accepted before the sockets are closed.
+            accepted.send(b"GET /1 HTTP/1.1\r\n")
+            with socket.create_connection(address):
+                server.server.stop_listening()
+
+    uvloop.run(run())
+    lines = [getattr(r, json_lines.FIELDS, {}) for r in caplog.records]
+    (line,) = [
+        each for each in lines if each.get("kind") == "listening_stopped"
+    ]
+    assert (line["open"], line["idle"], line["unread"]) == (2, 2, 1)
+    assert line["has_unaccepted"]
+
+
+def test_requests_behind_a_last_answer_are_counted_as_dropped():
+    async def run():
+        server = _Server()
+        reader, writer = await server.connect()
+        writer.write(b"GET /held HTTP/1.1\r\nHost: a\r\n\r\n")
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" * 2)
+        await server.started.wait()
+        await asyncio.sleep(0.05)
+        server.last = True
+        server.release()
+        await reader.read()
+        return server.server.requests_dropped
+
+    assert uvloop.run(run()) == 2
+
+
 def test_body_that_arrives_when_listening_stops_is_received():
     async def run():
         server = _Server()
--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import time
 
 import pytest
 import uvloop
@@ -19,6 +20,7 @@
 from trefoilwind.gateway import node_settings
 from trefoilwind.gateway import streams
 from trefoilwind.log import keyed
+from trefoilwind.logs import json_lines
 from trefoilwind.model import addresses
 from trefoilwind.model import members
 from trefoilwind.model import mesh
@@ -800,6 +802,23 @@
     _run(scenario)
 
 
+def test_delay_of_the_event_loop_is_measured_and_logged(caplog):
+    caplog.set_level(logging.INFO)
+
+    async def scenario(cluster: _Cluster) -> None:
+        await cluster.write("config", "config 3")
+        node = await cluster.add("n1")
+        await _until(lambda: node.is_ready)
+        time.sleep(0.6)
+        await _until(lambda: node.gauges.loop_delay_s > 0.3)
+        await _until(lambda: node.gauges.loop_delay_s < 0.3)
+
+    _run(scenario)
+    fields = [getattr(r, json_lines.FIELDS, {}) for r in caplog.records]
+    delays = [f["delay_ms"] for f in fields if f.get("kind") == "loop_delayed"]
+    assert max(delays) > 300
+
+
 def test_rejected_configuration_is_counted_and_the_previous_one_stays():
     async def scenario(cluster: _Cluster) -> None:
         await cluster.write("config", "config 3")
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -315,6 +315,11 @@
             "elapsed_ms": round((now - call.received) * 1000, 1),
             "left_ms": round((call.deadline - now) * 1000, 1),
         }
+        if not math.isinf(self._stop_deadline):
+            # Tells a call that the stop has ended from one that its own
+            # deadline has.
+            left_s = self._stop_deadline - now
+            fields["stop_left_ms"] = round(left_s * 1000, 1)
         if not isinstance(result, errors.CallError):
             write = decisions.success
             if status >= calls.FIRST_FAILURE_STATUS:
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -3,13 +3,16 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import http
 import logging
+import select
 
 import httptools
 
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import paced_parsing
+from trefoilwind.logs import decisions
 from trefoilwind.model import mesh
 
 logger = logging.getLogger(__name__)
@@ -49,6 +52,7 @@
         self._server: asyncio.Server | None = None
         self._is_closing = False
         self._connections_accepted = 0
+        self._requests_dropped = 0
         self._rate: paced_parsing.ItemRate | None = None
 
     @property
@@ -84,6 +88,19 @@
         """Number of connections accepted so far."""
         return self._connections_accepted
 
+    @property
+    def requests_dropped(self) -> int:
+        """Number of requests read and left unanswered at a closed connection.
+
+        They were pipelined behind an answer after which the connection was
+        closed, and have not run.
+        """
+        return self._requests_dropped
+
+    def count_dropped(self, count: int) -> None:
+        """Count requests that were read and are not answered."""
+        self._requests_dropped += count
+
     async def listen(self, host: str, port: int, backlog: int) -> None:
         """Accept connections.
 
@@ -105,11 +122,27 @@
         Requests whose head is complete are still received and run.
         """
         if self._server is not None:
+            self._log_unread()
             self._server.close()
             self._server = None
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def _log_unread(self) -> None:
+        """Log what waits in the kernel and is reset by closing the sockets."""
+        idle = [each for each in self._connections if each.is_idle]
+        listening = [sock.fileno() for sock in self._server.sockets]
+        decisions.failure(
+            logger,
+            "listening_stopped",
+            "callers: listening stopped",
+            open=len(self._connections),
+            idle=len(idle),
+            unread=_count_readable(each.fileno for each in idle),
+            has_unaccepted=bool(_count_readable(listening)),
+            dropped=self._requests_dropped,
+        )
+
     def refuse_incomplete(self, answer: http_types.HttpAnswer) -> None:
         """Answer the requests whose bodies have not arrived completely.
 
@@ -156,6 +189,16 @@
         is_pending = self._task is not None or self._is_in_body
         return is_pending or self._transport.is_closing()
 
+    @property
+    def is_idle(self) -> bool:
+        """True if no request is received or run."""
+        return self._is_idle and not (self._is_in_head or self._is_in_body)
+
+    @property
+    def fileno(self) -> int:
+        """File descriptor of the socket."""
+        return self._transport.get_extra_info("socket").fileno()
+
     def _reset_message(self) -> None:
         self._target = b""
         self._headers: list[http_types.Header] = []
@@ -192,7 +235,7 @@
         """Parse bytes of requests."""
         if self._is_failed or self._has_last_request:
             return
-        if self._is_idle and not (self._is_in_head or self._is_in_body):
+        if self.is_idle:
             self._is_in_head = True
             limit_s = self._server.limits.header_timeout_s
             self._set_timer(limit_s, self._time_out_request)
@@ -346,6 +389,7 @@
         is_last = answer.is_last or not is_persistent or self._server.is_closing
         self._write(answer, is_last, request.method == b"HEAD")
         if is_last:
+            self._server.count_dropped(len(self._pipelined))
             self._transport.close()
             return
         self._start_next()
@@ -402,8 +446,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is received or run."""
-        is_receiving = self._is_in_head or self._is_in_body
-        if self._is_idle and not is_receiving and self._transport:
+        if self.is_idle and self._transport:
             self._transport.close()
 
     def refuse_if_incomplete(self, answer: http_types.HttpAnswer) -> None:
@@ -437,6 +480,15 @@
             self._timer = None
 
 
+def _count_readable(descriptors: Iterable[int]) -> int:
+    """Return how many sockets have bytes or connections that wait."""
+    poller = select.poll()
+    for descriptor in descriptors:
+        if descriptor >= 0:
+            poller.register(descriptor, select.POLLIN)
+    return len(poller.poll(0))
+
+
 def status_line(status: int) -> bytes:
     """Return the status line of an answer."""
     known = _STATUS_LINES.get(status)
--- a/trefoilwind/gateway/metrics_page.py
+++ b/trefoilwind/gateway/metrics_page.py
@@ -25,6 +25,10 @@
         members: Known nodes, including this one.
         peer_streams: Nodes with an open stream.
         in_flight: Requests of callers and calls of peers in flight.
+        loop_delay_s: Seconds by which the last periodic timer of the event loop
+            was late.
+        requests_dropped: Requests that were read and not answered, as their
+            connection was closed after an earlier answer.
         slots: Calls that the backend server runs at once.
         occupied: Calls running at the backend server or waiting for a slot.
         limit_per_s: Calls per second that the backend server accepts; infinity
@@ -39,6 +43,8 @@
     members: int
     peer_streams: int
     in_flight: int
+    loop_delay_s: float
+    requests_dropped: int
     slots: int
     occupied: int
     limit_per_s: float
@@ -99,6 +105,17 @@
         "Requests of callers and calls of peers in flight.",
         gauges.in_flight,
     )
+    yield prometheus.gauge(
+        "event_loop_delay_seconds",
+        "Time by which the last periodic timer was late.",
+        gauges.loop_delay_s,
+    )
+    yield prometheus.gauge(
+        "requests_dropped",
+        "Requests read and not answered behind the last answer of their"
+        " connection, since the start.",
+        gauges.requests_dropped,
+    )
     yield prometheus.gauge(
         "backend_slots",
         "Calls that the backend server runs at once.",
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -68,6 +68,8 @@
 STOP_RESERVE_S = 0.5
 STOP_RESERVE_FRACTION = 1 / 8
 _STOP_CHECK_INTERVAL_S = 0.05
+# Delay of the event loop in seconds above which it is logged.
+LOOP_DELAY_REPORTED_S = 0.1
 
 
 _ROLLOUT_RECORDS = (
@@ -240,6 +242,7 @@
         self._tasks: list[asyncio.Task] = []
         self._peer_update: asyncio.Handle | None = None
         self._last_request_at = 0.0
+        self._loop_delay_s = 0.0
         # Era of the store at the last read of all records of the mesh topic.
         self._era = 0
 
@@ -269,6 +272,8 @@
             members=len(self._board.members.value.members),
             peer_streams=len(self._peers.connected),
             in_flight=self._in_flight,
+            loop_delay_s=self._loop_delay_s,
+            requests_dropped=self._callers.requests_dropped,
             slots=self._target.slots,
             occupied=self._target.occupied,
             limit_per_s=self._target.limit_per_s,
@@ -560,7 +565,9 @@
     async def _tick(self) -> None:
         summary_at = self._loop.time() + decisions.SUMMARY_INTERVAL_S
         while True:
+            due_at = self._loop.time() + rollouts_lib.EVALUATION_INTERVAL_S
             await asyncio.sleep(rollouts_lib.EVALUATION_INTERVAL_S)
+            self._note_loop_delay(self._loop.time() - due_at)
             if self._loop.time() >= summary_at:
                 summary_at += decisions.SUMMARY_INTERVAL_S
                 decisions.log_suppressed_lines()
@@ -570,6 +577,21 @@
             self._state_repair.tick()
             self._peers.close_unused()
 
+    def _note_loop_delay(self, delay_s: float) -> None:
+        """Record how late a timer of the event loop was, and log a long delay.
+
+        All timers, callers and peers waited for as long.
+        """
+        self._loop_delay_s = delay_s
+        if delay_s >= LOOP_DELAY_REPORTED_S:
+            decisions.failure(
+                logger,
+                "loop_delayed",
+                "node: event loop delayed",
+                delay_ms=round(delay_s * 1000),
+                in_flight=self._in_flight,
+            )
+
     # Members.
 
     def _merge_members(self, members: Sequence[members_lib.Member]) -> bool:
