--- a/tests/test_gateway/test_gateway_planned_stop.py
+++ b/tests/test_gateway/test_gateway_planned_stop.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import socket
+import time
 
 import uvloop
 
@@ -29,6 +31,8 @@
 # Seconds from sending a request within which its connection may end without an
 # answer, as the node has not read it.
 _CROSSING_S = 0.2
+# Seconds for which an event loop is late.
+_LATE_S = 0.5
 # Seconds for which the callers wait, longer than the stop.
 _WAIT_S = 6.2
 _ORDERS = mesh.HostRoute(
@@ -436,3 +440,35 @@
         await stop.end()
 
     _run(scenario)
+
+
+def test_requests_that_wait_unread_are_answered_when_listening_stops():
+    """A late event loop closed its sockets over requests that waited unread."""
+
+    async def scenario(nodes: _Nodes) -> None:
+        backend = _Backend("target")
+        entry = await nodes.add_entry_and_target(backend)
+        kept = await _connect(entry)
+        address = entry.settings.caller_address
+        sockets: list[socket.socket] = []
+
+        def delay_loop() -> None:
+            """Let a request on a new connection wait while listening stops."""
+            fresh = socket.create_connection((address.host, address.port))
+            fresh.sendall(_request(_ORDER, "fresh"))
+            kept[1].write(_request(_ORDER, "kept"))
+            sockets.append(fresh)
+            time.sleep(_LATE_S)
+
+        stop = _Stop(entry)
+        await stop.at(_NOT_LISTENING_S - _LATE_S)
+        delay_loop()
+        fresh = await asyncio.open_connection(sock=sockets[0])
+        outcomes = await asyncio.gather(
+            _read_outcome(*fresh, "fresh"), _read_outcome(*kept, "kept")
+        )
+        await stop.end()
+        for outcome in outcomes:
+            _assert_not_run(outcome, backend)
+
+    _run(scenario)
