--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -116,10 +116,25 @@
         """Close each connection after its next answer."""
         self._is_closing = True
 
+    async def read_waiting(self, deadline: float) -> None:
+        """Wait until all that callers have sent so far is read.
+
+        The kernel resets a connection that is closed before its bytes are
+        read, or before it is accepted. The event loop may be late, so these
+        may have waited for long.
+
+        Args:
+            deadline: Event loop time in seconds until which to wait.
+        """
+        loop = asyncio.get_running_loop()
+        while any(self._unread()) and loop.time() < deadline:
+            await asyncio.sleep(0)
+
     def stop_listening(self) -> None:
         """Stop accepting connections and close the idle ones.
 
-        Requests whose head is complete are still received and run.
+        Requests whose head is complete are still received and run. What waits
+        unread is lost, see `read_waiting`.
         """
         if self._server is not None:
             self._log_unread()
@@ -128,18 +143,30 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def _unread(self) -> tuple[int, bool]:
+        """Return what waits in the kernel, which closing the sockets resets.
+
+        Returns:
+            Number of idle connections with bytes or an end that were not read;
+            whether connections wait to be accepted.
+        """
+        listening = self._server.sockets if self._server is not None else ()
+        return (
+            _count_readable(c.fileno for c in self._connections if c.is_idle),
+            bool(_count_readable(sock.fileno() for sock in listening)),
+        )
+
     def _log_unread(self) -> None:
-        """Log what waits in the kernel and is reset by closing the sockets."""
-        idle = [each for each in self._connections if each.is_idle]
-        listening = [sock.fileno() for sock in self._server.sockets]
+        """Log the connections that are closed, and what they lose."""
+        unread, has_unaccepted = self._unread()
         decisions.failure(
             logger,
             "listening_stopped",
             "callers: listening stopped",
             open=len(self._connections),
-            idle=len(idle),
-            unread=_count_readable(each.fileno for each in idle),
-            has_unaccepted=bool(_count_readable(listening)),
+            idle=sum(each.is_idle for each in self._connections),
+            unread=unread,
+            has_unaccepted=has_unaccepted,
             dropped=self._requests_dropped,
         )
 
@@ -191,8 +218,10 @@
 
     @property
     def is_idle(self) -> bool:
-        """True if no request is received or run."""
-        return self._is_idle and not (self._is_in_head or self._is_in_body)
+        """True if it is open and no request is received or run."""
+        if self._is_receiving or self._paced.has_rest:
+            return False
+        return self._is_idle and not self._transport.is_closing()
 
     @property
     def fileno(self) -> int:
@@ -235,7 +264,7 @@
         """Parse bytes of requests."""
         if self._is_failed or self._has_last_request:
             return
-        if self.is_idle:
+        if self._is_idle and not self._is_receiving:
             self._is_in_head = True
             limit_s = self._server.limits.header_timeout_s
             self._set_timer(limit_s, self._time_out_request)
@@ -362,6 +391,10 @@
 
     # Answers.
 
+    @property
+    def _is_receiving(self) -> bool:
+        return self._is_in_head or self._is_in_body
+
     @property
     def _is_idle(self) -> bool:
         return self._task is None and not self._pipelined
@@ -446,7 +479,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is received or run."""
-        if self.is_idle and self._transport:
+        if self.is_idle:
             self._transport.close()
 
     def refuse_if_incomplete(self, answer: http_types.HttpAnswer) -> None:
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -365,6 +365,7 @@
         self._entry.begin_stop(deadline)
         await self._wait_idle(started + STOP_NOTICE_S, last_start)
         self._entry.refuse_later_requests()
+        await self._callers.read_waiting(deadline)
         self._callers.stop_listening()
         await _until(lambda: not self._in_flight, deadline)
         self._callers.refuse_incomplete(self._entry.refusal())
