--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -153,6 +153,33 @@
     assert b"Connection: close" in uvloop.run(run())
 
 
+@pytest.mark.parametrize("unread", [0, 2])
+def test_pipelined_requests_are_answered_before_a_shutdown_closes(unread):
+    """A last answer left the requests behind it without one."""
+    request = b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def run():
+        server = _Server()
+        reader, writer = await server.connect()
+        writer.write(b"GET /held HTTP/1.1\r\nHost: a\r\n\r\n")
+        writer.write(request * (2 - unread))
+        await server.started.wait()
+        await asyncio.sleep(0.05)
+        server.server.close_after_answers()
+        # Sent, but not read when the first one is answered.
+        writer.write(request * unread)
+        server.release()
+        async with asyncio.timeout(10.0):
+            received = await reader.read()
+        return received, server.server.requests_dropped
+
+    received, dropped = uvloop.run(run())
+    assert received.count(b"HTTP/1.1 200") == 3
+    assert received.count(b"Connection: close") == 1
+    assert received.endswith(b"Connection: close\r\n\r\n")
+    assert dropped == 0
+
+
 def test_closing_over_unread_connections_is_logged(caplog):
     caplog.set_level(logging.INFO)
 
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -75,7 +75,7 @@
 
     @property
     def is_closing(self) -> bool:
-        """True if each connection is closed after its next answer."""
+        """True if each connection is closed after the answers it owes."""
         return self._is_closing
 
     @property
@@ -113,7 +113,7 @@
         )
 
     def close_after_answers(self) -> None:
-        """Close each connection after its next answer."""
+        """Close each connection once all requests sent on it are answered."""
         self._is_closing = True
 
     async def read_waiting(self, deadline: float) -> None:
@@ -399,6 +399,13 @@
     def _is_idle(self) -> bool:
         return self._task is None and not self._pipelined
 
+    @property
+    def _has_next_request(self) -> bool:
+        """True if a request, or the beginning of one, was sent already."""
+        if self._pipelined or self._is_receiving or self._paced.has_rest:
+            return True
+        return bool(_count_readable((self.fileno,)))
+
     def _start(
         self, request: http_types.HttpRequest, is_persistent: bool
     ) -> None:
@@ -419,7 +426,9 @@
             logger.exception("callers: unexpected exception in a request")
             answer = _INTERNAL
         self._task = None
-        is_last = answer.is_last or not is_persistent or self._server.is_closing
+        # A request that was sent before this answer is answered as well.
+        is_closing = self._server.is_closing and not self._has_next_request
+        is_last = answer.is_last or not is_persistent or is_closing
         self._write(answer, is_last, request.method == b"HEAD")
         if is_last:
             self._server.count_dropped(len(self._pipelined))
