--- a/tests/test_gateway/test_gateway_planned_stop.py
+++ b/tests/test_gateway/test_gateway_planned_stop.py
@@ -405,6 +405,28 @@
     _run(scenario)
 
 
+def test_upload_complete_late_is_refused_if_its_run_would_outlast_the_stop():
+    """A run was begun and given up at the end of the stop, with 504."""
+
+    async def scenario(nodes: _Nodes) -> None:
+        backend = _Backend("target", 0.8)
+        entry = await nodes.add_entry_and_target(backend)
+        assert (await _call(entry, _ORDER, "first")).status == 200
+        stop = _Stop(entry)
+        await stop.at(0.8)
+        request = _request(_ORDER, "upload", bytes(1000))
+        reader, writer = await _connect(entry)
+        writer.write(request[:-500])
+        await stop.at(2.0)
+        writer.write(request[-500:])
+        outcome = await _read_outcome(reader, writer, "upload")
+        await stop.end()
+        _assert_not_run(outcome, backend)
+        assert outcome.ended - outcome.sent < 0.2
+
+    _run(scenario)
+
+
 def test_upload_that_is_incomplete_at_the_end_of_a_stop_is_refused():
     async def scenario(nodes: _Nodes) -> None:
         backend = _Backend("target")
--- a/tests/test_routing/test_routing_service_time.py
+++ b/tests/test_routing/test_routing_service_time.py
@@ -32,3 +32,16 @@
     later = 5.0 + service_time.HALF_LIFE_S
     assert reported.estimate_s(0.2, later) == pytest.approx(0.6)
     assert service_time.ReportedTime().estimate_s(0.2, 9.0) == 0.2
+
+
+def test_longest_time_is_forgotten_after_two_spans():
+    span = service_time.LONGEST_LIFETIME_S
+    longest = service_time.LongestTime().with_sample(2.0, 100.0)
+    longest = longest.with_sample(0.5, 101.0)
+    assert longest.seconds == 2.0
+    longest = longest.with_sample(0.5, 100.0 + span + 1.0)
+    assert longest.seconds == 2.0
+    longest = longest.with_sample(0.7, 100.0 + span + 2.0)
+    assert longest.seconds == 2.0
+    longest = longest.with_sample(0.5, 100.0 + 2 * span + 2.0)
+    assert longest.seconds == 0.7
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -15,6 +15,7 @@
 from trefoilwind.gateway import picker as picker_lib
 from trefoilwind.logs import decisions
 from trefoilwind.model import mesh
+from trefoilwind.routing import service_time
 from trefoilwind.routing import shared_budget
 from trefoilwind.routing import weighted_choice
 from trefoilwind.telemetry import counts as counts_lib
@@ -35,6 +36,8 @@
 STOP_MARGIN_S = 0.02
 # Largest random fraction added to the retry time given to callers.
 RETRY_JITTER = 0.5
+# Routes whose longest times are kept; the operator names them.
+MAX_ROUTES_MEASURED = 1000
 _STATUS_NOT_FOUND = 404
 _STATUS_BAD_GATEWAY = 502
 _STATUS_UNAVAILABLE = 503
@@ -100,6 +103,8 @@
         # of the end of the calls.
         self._last_start = math.inf
         self._stop_deadline = math.inf
+        # Longest times of attempts, by route.
+        self._longest: dict[str, service_time.LongestTime] = {}
         # Timeouts of the calls in flight, which end with a stop only.
         self._timeouts: set[asyncio.Timeout] = set()
 
@@ -232,6 +237,12 @@
                     not_run=True,
                     retry_s=NO_BACKEND_RETRY_S,
                 )
+            if self._would_be_ended_by_stop(call):
+                return last or self._error(
+                    errors.Reason.DRAINING,
+                    not_run=True,
+                    retry_s=NO_BACKEND_RETRY_S,
+                )
             attempt = self._next_attempt(call, route, progress)
             result = await self._attempt(node_id, attempt)
             last = _with_history(result, progress)
@@ -241,13 +252,39 @@
 
     async def _attempt(self, node_id: str, call: calls.Call) -> calls.Result:
         self._picker.started(node_id)
+        started = self._loop.time()
         outcome = None
         try:
             outcome = await self._run(node_id, call)
         finally:
-            self._picker.ended(node_id, outcome, self._loop.time())
+            now = self._loop.time()
+            self._picker.ended(node_id, outcome, now)
+            is_refused = outcome is not None and _is_refusal(outcome.result)
+            if not is_refused:
+                self._note_time(call.route_name, now - started, now)
         return outcome.result
 
+    def _note_time(self, route_name: str, seconds: float, now: float) -> None:
+        """Note the time of an attempt; one that was ended took no less."""
+        longest = self._longest.pop(route_name, service_time.LongestTime())
+        self._longest[route_name] = longest.with_sample(seconds, now)
+        if len(self._longest) > MAX_ROUTES_MEASURED:
+            del self._longest[next(iter(self._longest))]
+
+    def _would_be_ended_by_stop(self, call: calls.Call) -> bool:
+        """Return True if a call may not end before this node does.
+
+        Its body arrived after the time until which a stop accepts requests, so
+        it must not be begun unless it can end.
+        """
+        now = self._loop.time()
+        if now <= self._last_start or call.deadline < self._stop_deadline:
+            return False
+        longest = self._longest.get(call.route_name)
+        return longest is not None and (
+            now + longest.seconds >= self._stop_deadline - STOP_MARGIN_S
+        )
+
     def _may_retry(
         self,
         result: calls.Result,
@@ -373,6 +410,11 @@
     )
 
 
+def _is_refusal(result: calls.Result) -> bool:
+    """Return True if a call was certainly not run."""
+    return isinstance(result, errors.CallError) and result.not_run
+
+
 def _was_overloaded(result: calls.Result | None) -> bool:
     """Return True if a node refused the call for lack of capacity."""
     is_error = isinstance(result, errors.CallError)
--- a/trefoilwind/routing/service_time.py
+++ b/trefoilwind/routing/service_time.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 # Weight of a new sample in the average that a target node reports: it spans
 # about 30 calls, as the times of single calls vary by half.
@@ -15,6 +16,8 @@
 # Half-life in seconds of the difference between a reported time and the
 # baseline, so that a backend server that was slow for a while is tried again.
 HALF_LIFE_S = 10.0
+# Seconds for which the longest time is kept; at most twice as long.
+LONGEST_LIFETIME_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,3 +64,36 @@
             return baseline_s
         weight = 0.5 ** ((now - self.reported_at) / HALF_LIFE_S)
         return baseline_s + weight * (self.seconds - baseline_s)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LongestTime:
+    """Longest time that a call of some kind has taken recently.
+
+    Attributes:
+        recent_s: Longest time in seconds since `since`.
+        previous_s: Longest time in seconds of the span before.
+        since: Monotonic time in seconds at which the current span began.
+    """
+
+    recent_s: float = 0.0
+    previous_s: float = 0.0
+    since: float = -math.inf
+
+    @property
+    def seconds(self) -> float:
+        """Longest time in seconds; 0 if nothing was measured."""
+        return max(self.recent_s, self.previous_s)
+
+    def with_sample(self, sample_s: float, now: float) -> "LongestTime":
+        """Return the longest time with one more sample.
+
+        Args:
+            sample_s: Time in seconds that a call has taken.
+            now: Monotonic time in seconds of its end.
+        """
+        if now - self.since > LONGEST_LIFETIME_S:
+            return LongestTime(sample_s, self.recent_s, now)
+        if sample_s <= self.recent_s:
+            return self
+        return dataclasses.replace(self, recent_s=sample_s)
