--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import socket
+import time
 import tracemalloc
 
 import pytest
@@ -180,6 +181,36 @@
     assert dropped == 0
 
 
+@pytest.mark.parametrize("begun", [b"", b"GET /1 HT"])
+def test_request_that_waits_unread_is_answered_when_a_timer_is_late(begun):
+    """A late event loop ran its timers before it read its sockets."""
+    limits = mesh.CallerLimits(idle_timeout_s=1.0, header_timeout_s=1.0)
+    request = b"GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+    async def run():
+        server = _Server(limits)
+        reader, writer = await server.connect()
+        writer.write(begun)
+        await asyncio.sleep(0.7)
+
+        def be_late() -> None:
+            """Keep the loop, among its sockets, beyond the timer."""
+            loop.remove_reader(first)
+            # uvloop sends at once what the kernel takes.
+            writer.write(request[len(begun) :])
+            time.sleep(0.6)
+
+        loop = asyncio.get_running_loop()
+        first, second = socket.socketpair()
+        with first, second:
+            loop.add_reader(first, be_late)
+            second.send(b"x")
+            async with asyncio.timeout(10.0):
+                return await reader.read()
+
+    assert uvloop.run(run()).startswith(b"HTTP/1.1 200")
+
+
 def test_closing_over_unread_connections_is_logged(caplog):
     caplog.set_level(logging.INFO)
 
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -27,6 +27,8 @@
 # chunks, their extensions and trailers; and more per byte of the body.
 MAX_OVERHEAD_BYTES = 64 * 1024
 MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Seconds until a late timer acts, in which the event loop reads its sockets.
+_READ_DELAY_S = 0.001
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
     for status in http.HTTPStatus
@@ -404,6 +406,11 @@
         """True if a request, or the beginning of one, was sent already."""
         if self._pipelined or self._is_receiving or self._paced.has_rest:
             return True
+        return self._is_readable
+
+    @property
+    def _is_readable(self) -> bool:
+        """True if bytes or the end of the connection were not read yet."""
         return bool(_count_readable((self.fileno,)))
 
     def _start(
@@ -506,10 +513,18 @@
         rest_s = self._idle_since + limit_s - self._loop.time()
         if rest_s > 0.0:
             self._set_timer(rest_s, self._close_idle)
+        elif self._is_readable:
+            self._set_timer(_READ_DELAY_S, self._close_idle)
         else:
             self._transport.close()
 
     def _time_out_request(self) -> None:
+        if self._is_readable:
+            self._set_timer(_READ_DELAY_S, self._reject_late_request)
+        else:
+            self._reject_late_request()
+
+    def _reject_late_request(self) -> None:
         self._reject(_TIMED_OUT)
 
     def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
