--- a/tests/test_gateway/test_gateway_planned_stop.py
+++ b/tests/test_gateway/test_gateway_planned_stop.py
@@ -14,6 +14,7 @@
 import uvloop
 
 from tests.test_gateway import fakes
+from trefoilwind.distribution import frames
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import node as node_lib
 from trefoilwind.gateway import node_settings
@@ -31,6 +32,8 @@
 # Seconds from sending a request within which its connection may end without an
 # answer, as the node has not read it.
 _CROSSING_S = 0.2
+# Seconds between two reads of a slow peer.
+_READ_PAUSE_S = 0.005
 # Seconds for which an event loop is late.
 _LATE_S = 0.5
 # Seconds for which the callers wait, longer than the stop.
@@ -66,9 +69,12 @@
         ran: Ids of the requests that it has begun to run, in order.
     """
 
-    def __init__(self, name: str, service_s: float = 0.0):
+    def __init__(
+        self, name: str, service_s: float = 0.0, answer_bytes: int = 0
+    ):
         self.name = name
         self.service_s = service_s
+        self._body = name.encode().ljust(answer_bytes, b".")
         self.held: set[str] = set()
         self.ran: list[str] = []
         self.server = fakes.RawServer(self._serve)
@@ -85,10 +91,61 @@
             self.ran.append(name)
             is_held = name in self.held
             await asyncio.sleep(_WAIT_S if is_held else self.service_s)
-            writer.write(fakes.answer(self.name.encode(), request_id))
+            writer.write(fakes.answer(self._body, request_id))
             await writer.drain()
 
 
+class _Peer:
+    """A node that calls another one over a stream and reads slowly."""
+
+    def __init__(self, node: node_lib.MeshNode):
+        address = node.settings.peer_address
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        self._socket.connect((address.host, address.port))
+        self._socket.setblocking(False)
+        self._loop = asyncio.get_running_loop()
+
+    async def send(self, *to_send: frames.Frame) -> None:
+        data = b"".join(map(frames.encode, to_send))
+        await self._loop.sock_sendall(self._socket, data)
+
+    async def call(self, request_id: str) -> None:
+        """Open a stream, which need not be known to the node, and call."""
+        headers = [[b"Host", b"a.example"], [b"Id", request_id.encode()]]
+        await self.send(
+            frames.Hello(frames.PROTOCOL_VERSION, "peer", "d"),
+            frames.CallOpen(
+                call_id=1,
+                method="GET",
+                path="/look-ups/1",
+                headers=headers,
+                remaining_s=_WAIT_S,
+                class_name="look-ups",
+                importance=1,
+                fingerprint="",
+                body=b"",
+                is_last=True,
+                service="s",
+                version="",
+                target_s=_WAIT_S,
+                is_nested=False,
+                sent_at=self._loop.time(),
+            ),
+        )
+
+    async def read_frames(self) -> list[frames.Frame]:
+        """Return the frames until the end of the stream; ping meanwhile."""
+        decoder = frames.Decoder()
+        received: list[frames.Frame] = []
+        while data := await self._loop.sock_recv(self._socket, 16384):
+            received += decoder.feed(data)
+            await self.send(frames.Ping())
+            await asyncio.sleep(_READ_PAUSE_S)
+        self._socket.close()
+        return received
+
+
 @dataclasses.dataclass(frozen=True)
 class _Outcome:
     """What a caller has seen of its request.
@@ -492,3 +549,27 @@
                 _assert_not_run(outcome, backend)
 
     _run(scenario)
+
+
+def test_answer_on_its_way_to_a_peer_outlives_the_end_of_the_process():
+    """The kernel discarded it with the connection, as the peer sent more."""
+    size = 400_000
+
+    async def scenario(nodes: _Nodes) -> None:
+        backend = _Backend("target", 0.2, size)
+        target = await nodes.add(backend)
+        await _until(lambda: target.is_ready)
+        peer = _Peer(target)
+        await peer.call("look-up")
+        await _until(lambda: "look-up" in backend.ran)
+        stop = _Stop(target)
+        await stop.at(1.5)
+        received = await peer.read_frames()
+        await stop.end()
+        kinds = (frames.AnswerHead, frames.AnswerBody)
+        parts = [each for each in received if isinstance(each, kinds)]
+        assert parts[-1].is_last
+        body = parts[0].body + b"".join(each.chunk for each in parts[1:])
+        assert len(body) == size
+
+    _run(scenario)
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -67,6 +67,8 @@
 # be ended only in the last sixth of the stop time.
 STOP_RESERVE_S = 0.5
 STOP_RESERVE_FRACTION = 1 / 8
+# Seconds until peers have read the last answers of a stopping node.
+STREAM_END_S = 0.5
 _STOP_CHECK_INTERVAL_S = 0.05
 # Delay of the event loop in seconds above which it is logged.
 LOOP_DELAY_REPORTED_S = 0.1
@@ -374,6 +376,11 @@
             lambda: not (self._callers.in_flight or self._peers.unsent_bytes),
             answer_deadline,
         )
+        self._peers.finish()
+        await _until(
+            lambda: not self._peers.has_streams,
+            min(answer_deadline, self._loop.time() + STREAM_END_S),
+        )
         self.abort()
         await asyncio.sleep(0)
         logger.info("node: %s stopped", self._settings.node_id)
--- a/trefoilwind/gateway/peers.py
+++ b/trefoilwind/gateway/peers.py
@@ -142,11 +142,28 @@
             if node_id not in self._dialers and not stream.pending_answers:
                 stream.close()
 
-    def close(self) -> None:
-        """Close all streams and stop listening."""
+    @property
+    def has_streams(self) -> bool:
+        """True while a stream is open."""
+        return any(True for _ in self._all_streams())
+
+    def finish(self) -> None:
+        """Stop listening and end this side of all streams.
+
+        The peers close them once they have read everything.
+        """
+        self._stop_listening()
+        for stream in self._all_streams():
+            stream.finish()
+
+    def _stop_listening(self) -> None:
         self.set_peers({})
         if self._server is not None:
             self._server.close()
+
+    def close(self) -> None:
+        """Close all streams and stop listening."""
+        self._stop_listening()
         for stream in self._all_streams():
             stream.close()
 
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -118,6 +118,7 @@
         self._running_calls = 0
         self._run_ended = self._last_received
         self._is_silence_reported = False
+        self._is_finished = False
         # Done once the stream is silent or closed.
         self._ended = self._loop.create_future()
 
@@ -224,7 +225,7 @@
 
     def send(self, frame: frames.Frame) -> None:
         """Send a frame at the end of this iteration of the event loop."""
-        if self._is_closed:
+        if self._is_closed or self._is_finished:
             return
         if not self._unsent and not self._bodies:
             self._loop.call_soon(self._flush)
@@ -241,12 +242,24 @@
         for chunk in self._bodies.pop(call_id, ()):
             self._body_bytes -= len(chunk)
 
+    def finish(self) -> None:
+        """Send the unsent frames and end this side of the connection.
+
+        The peer closes it once it has read everything. Closed by this side,
+        the connection would be reset by the next frame of the peer, and what
+        the peer has not received yet would be lost.
+        """
+        if self._transport is None or self._is_closed or self._is_finished:
+            return
+        self._flush_all()
+        self._is_finished = True
+        if not self._transport.is_closing():
+            self._transport.write_eof()
+
     def close(self) -> None:
         """Send the unsent frames and close the stream."""
         if self._transport is not None and not self._is_closed:
-            self._flush()
-            while self._bodies and not self._transport.is_closing():
-                self._write(self._next_chunk())
+            self._flush_all()
             self._transport.close()
 
     def abort(self) -> None:
@@ -363,6 +376,12 @@
         while self._bodies and not self._is_write_paused:
             self._write(self._next_chunk())
 
+    def _flush_all(self) -> None:
+        """Write all frames, also bodies that the kernel does not take yet."""
+        self._flush()
+        while self._bodies and not self._transport.is_closing():
+            self._write(self._next_chunk())
+
     def _write(self, data: bytes) -> None:
         self._last_sent = self._loop.time()
         self._sent_since_received += len(data)
