--- a/tests/test_gateway/test_gateway_planned_stop.py
+++ b/tests/test_gateway/test_gateway_planned_stop.py
@@ -571,5 +571,7 @@
         assert parts[-1].is_last
         body = parts[0].body + b"".join(each.chunk for each in parts[1:])
         assert len(body) == size
+        # The calls after the first one have not run.
+        assert received[-1] == frames.GoAway(1)
 
     _run(scenario)
--- a/tests/test_gateway/test_gateway_streams.py
+++ b/tests/test_gateway/test_gateway_streams.py
@@ -10,7 +10,9 @@
 
 from tests import virtual_time
 from tests.test_gateway import fakes
+from trefoilwind import errors
 from trefoilwind.distribution import frames
+from trefoilwind.gateway import stream_calls
 from trefoilwind.gateway import streams
 
 _TIMES = streams.StreamTimes(0.2, 30.0, probe_s=0.02, probe_timeout_s=0.05)
@@ -267,3 +269,35 @@
 
     def abort(self) -> None:
         """Do nothing."""
+
+
+def test_call_that_an_ending_peer_has_not_received_is_not_run():
+    """It was reported as perhaps run, so an order could not be repeated."""
+
+    async def script(reader, writer):
+        writer.write(_PEER_HELLO)
+        await reader.readuntil(b"/second")
+        writer.write(frames.encode(frames.GoAway(1)))
+        await reader.read()
+
+    async def scenario(stream: streams.Stream, events: _Events) -> None:
+        await _until(lambda: events.opened)
+        remote = stream_calls.RemoteCalls()
+        tasks = [
+            asyncio.create_task(remote.run(stream, fakes.call(target=target)))
+            for target in ("/first", "/second")
+        ]
+        await _until(lambda: events.received)
+        remote.handle_frame(stream, events.received[0])
+        second = (await tasks[1]).result
+        assert (second.reason, second.not_run) == (
+            errors.Reason.DRAINING,
+            True,
+        )
+        third = (await remote.run(stream, fakes.call())).result
+        assert third.not_run
+        assert not tasks[0].done()
+        remote.closed(stream)
+        assert not (await tasks[0]).result.not_run
+
+    _run(script, scenario)
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -42,7 +42,7 @@
         self, stream: streams.Stream, call: calls.Call
     ) -> calls.Outcome:
         """Run a call at the peer of a stream and return its outcome."""
-        is_unusable = stream.is_closed or stream.is_silent
+        is_unusable = stream.is_closed or stream.is_silent or stream.is_ending
         if is_unusable or stream.is_congested(
             len(call.body) > frames.MAX_CHUNK_BYTES
         ):
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -119,6 +119,9 @@
         self._run_ended = self._last_received
         self._is_silence_reported = False
         self._is_finished = False
+        self._is_ending = False
+        # Largest id of a call of the peer.
+        self._last_call_id = 0
         # Done once the stream is silent or closed.
         self._ended = self._loop.create_future()
 
@@ -147,6 +150,11 @@
         """True if the stream only stays open for the calls in flight on it."""
         return self._is_silent
 
+    @property
+    def is_ending(self) -> bool:
+        """True once the peer has said that it accepts no further calls."""
+        return self._is_ending
+
     @property
     def pending_answers(self) -> int:
         """Number of calls sent to the peer that have no answer yet."""
@@ -247,10 +255,12 @@
 
         The peer closes it once it has read everything. Closed by this side,
         the connection would be reset by the next frame of the peer, and what
-        the peer has not received yet would be lost.
+        the peer has not received yet would be lost. The calls that this side
+        has not received have not run, which the last frame tells.
         """
         if self._transport is None or self._is_closed or self._is_finished:
             return
+        self.send(frames.GoAway(self._last_call_id))
         self._flush_all()
         self._is_finished = True
         if not self._transport.is_closing():
@@ -340,6 +350,10 @@
         elif isinstance(frame, frames.Hello):
             self._handle_hello(frame)
         elif self._peer:
+            if isinstance(frame, frames.CallOpen):
+                self._last_call_id = max(self._last_call_id, frame.call_id)
+            elif isinstance(frame, frames.GoAway):
+                self._is_ending = True
             self._events.received(self, frame)
         else:
             logger.warning("stream: received a frame before the hello; closing")
