--- a/tests/test_platform/test_platform_program.py
+++ b/tests/test_platform/test_platform_program.py
@@ -166,6 +166,26 @@
     _run(scenario)
 
 
+def test_stop_request_while_the_program_loads_ends_it_with_success(
+    tmp_path: pathlib.Path,
+):
+    """SIGTERM ended a process that had no handler yet, with -15."""
+
+    async def scenario() -> None:
+        address = await fakes.StoreServer().start()
+        options = ("-X", "importtime")
+        process = await _start(
+            tmp_path, _free_ports(), str(address), options=options
+        )
+        while b"uvloop" not in (line := await process.stderr.readline()):
+            assert line
+        process.send_signal(signal.SIGTERM)
+        await asyncio.gather(process.stderr.read(), process.stdout.read())
+        assert await process.wait() == 0
+
+    _run(scenario)
+
+
 def test_metrics_port_in_use_does_not_stop_the_node(tmp_path: pathlib.Path):
     async def scenario() -> None:
         store = fakes.StoreServer()
--- a/trefoilwind/cmd/platform_node.py
+++ b/trefoilwind/cmd/platform_node.py
@@ -3,8 +3,10 @@
 import signal
 
 # The settings are read after the modules, which take a while to load; until
-# then a change of the settings needs no action and must not end the process.
+# then a change of the settings needs no action and must not end the process. A
+# request to stop waits until the program handles it.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
 
 import argparse
 import sys
--- a/trefoilwind/platform/program.py
+++ b/trefoilwind/platform/program.py
@@ -75,6 +75,10 @@
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    if signal.SIGTERM in signal.sigpending():
+        logger.info("node: received SIGTERM before the start")
+        return None
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
     address = settings_lib.address(settings.platform.platform.address)
     node = node_lib.MeshNode(
         mesh_settings(settings),
