--- a/tests/test_platform/test_platform_program.py
+++ b/tests/test_platform/test_platform_program.py
@@ -186,6 +186,28 @@
     _run(scenario)
 
 
+def test_signals_until_its_last_moment_do_not_end_a_stopping_program(
+    tmp_path: pathlib.Path,
+):
+    """A second signal after the event loop's end ended it with -1 or -15."""
+
+    async def scenario() -> None:
+        address = await fakes.StoreServer().start()
+        ports = _free_ports()
+        process = await _start(tmp_path, ports, str(address), grace_s=1)
+        await _until_served(ports["outbound"], "/a")
+        reading = asyncio.create_task(process.stdout.read())
+        ended = asyncio.create_task(process.wait())
+        while not ended.done():
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.001)
+        await reading
+        assert ended.result() == 0
+
+    _run(scenario)
+
+
 def test_metrics_port_in_use_does_not_stop_the_node(tmp_path: pathlib.Path):
     async def scenario() -> None:
         store = fakes.StoreServer()
--- a/trefoilwind/platform/program.py
+++ b/trefoilwind/platform/program.py
@@ -100,6 +100,11 @@
     watcher.cancel()
     logger.info("node: received SIGTERM; stopping")
     await node.stop()
+    # At its end the event loop would restore the default actions, which end
+    # the process.
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
     return None
 
 
