--- a/tests/test_platform/fakes.py
+++ b/tests/test_platform/fakes.py
@@ -15,6 +15,10 @@
 HOST = "127.0.0.1"
 
 
+# Seconds for which a silent store leaves a call unanswered.
+_SILENCE_S = 3600.0
+
+
 class StoreServer:
     """HTTP server with keyed topics in memory.
 
@@ -22,11 +26,13 @@
         answers: Statuses of the next answers; such calls are not executed.
             With 0 a call is executed and its connection closed unanswered.
         calls: Paths of the calls received so far.
+        delay_s: Seconds until each call is executed; infinite for silence.
     """
 
     def __init__(self) -> None:
         self.answers: list[int] = []
         self.calls: list[str] = []
+        self.delay_s = 0.0
         self._topics: dict[str, list[tuple[bytes, bytes]]] = (
             collections.defaultdict(list)
         )
@@ -67,6 +73,8 @@
     ) -> http_types.HttpAnswer:
         path, _, query = request.target.decode().partition("?")
         self.calls.append(path)
+        if self.delay_s:
+            await asyncio.sleep(min(self.delay_s, _SILENCE_S))
         fields = dict(urllib.parse.parse_qsl(query))
         assert fields["topic"].startswith("keyed.")
         assert fields["part"] == "0"
--- a/tests/test_soak/plan.py
+++ b/tests/test_soak/plan.py
@@ -38,6 +38,10 @@
     delay_s: float
     bytes_per_s: float
     faults: tuple[Fault, ...]
+    # Names of the habits of the callers, see `peers`.
+    habits: str = "mixed"
+    # Cores that all nodes and the busy processes share; 0 for all cores.
+    cores: int = 0
 
 
 def draw(seed: int, seconds: float) -> Plan:
@@ -65,6 +69,59 @@
     )
 
 
+def draw_planned(seed: int, seconds: float, count: int = 0) -> Plan:
+    """Return a plan of planned work and trouble of the store only.
+
+    Nothing in it excuses a lost request. Timeouts and deadlines of the callers
+    are shorter than a grace; the nodes may share cores with busy processes.
+
+    Args:
+        seed: The seed.
+        seconds: Seconds in which faults begin.
+        count: Number of nodes; 0 to draw it.
+    """
+    rng = random.Random(f"planned {seed}")
+    count = count or rng.randint(6, 13)
+    zones = rng.randint(2, 4)
+    faults: list[Fault] = []
+    start = _CALM_S
+    while start + _CALM_S < seconds:
+        end = min(seconds, start + _SERIES_S)
+        faults += _planned(rng, count, start, end)
+        faults += _signals(rng, count, start, end)
+        how = rng.choice(("", "silence", "refuse", "slow"))
+        if how:
+            at = rng.uniform(start - 1.0, end)
+            for_s = rng.uniform(1.0, 6.0)
+            faults.append(Fault(at, "harm_store", (), for_s, how))
+        start = end + _CALM_S
+    cores = rng.choice((0, 0, 2))
+    if cores:
+        busy = tuple(range(rng.randint(2, 8)))
+        faults.append(Fault(_CALM_S, "load", busy, seconds - _CALM_S))
+    return Plan(
+        seed,
+        tuple(f"z{index % zones}" for index in range(count)),
+        # One in four serves uploads, as in small deployments.
+        tuple("b" if index % 4 == 1 else "a" for index in range(count)),
+        False,
+        0.0,
+        1e9,
+        tuple(sorted(faults, key=lambda fault: fault.at)),
+        "short",
+        cores,
+    )
+
+
+def _signals(
+    rng: random.Random, count: int, start: float, end: float
+) -> Iterator[Fault]:
+    """Yield signals that come more than once, and while a node stops."""
+    for at in _times(rng, start, end, 2.0):
+        nodes = tuple(rng.sample(range(count), rng.randint(1, 3)))
+        yield Fault(at, rng.choice(("reload", "term_again")), nodes, 1.0)
+
+
 def _planned(
     rng: random.Random, count: int, start: float, end: float
 ) -> Iterator[Fault]:
