--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,4 @@
 
 soak: setup
 	$(BIN)/python -m tests.test_soak.run --seeds 20 --seconds 20 --jobs 2
+	$(BIN)/python -m tests.test_soak.run --planned --seeds 20 --seconds 20 --jobs 2
