--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -211,6 +211,83 @@
     assert uvloop.run(run()).startswith(b"HTTP/1.1 200")
 
 
+async def _read_slowly(sock: socket.socket) -> bytes:
+    """Return all bytes of a connection; send a request after the first."""
+    loop = asyncio.get_running_loop()
+    received = await loop.sock_recv(sock, 4096)
+    await loop.sock_sendall(sock, b"GET /crossing HTTP/1.1\r\nHost: a\r\n\r\n")
+    while data := await loop.sock_recv(sock, 16 * 1024):
+        received += data
+        await asyncio.sleep(0.002)
+    return received
+
+
+@pytest.mark.parametrize("ends", ["stop", "caller"])
+def test_answer_on_its_way_outlives_a_request_that_crosses_its_end(ends):
+    """The kernel discarded it with the connection, as the caller sent more."""
+    body = bytes(400_000)
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        server = _Server(mesh.CallerLimits())
+        _, writer = await server.connect()
+        address = writer.get_extra_info("peername")
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+            sock.connect(address)
+            sock.setblocking(False)
+            if ends == "stop":
+                server.server.close_after_answers()
+            own = b"Connection: close\r\n" if ends == "caller" else b""
+            head = (
+                b"POST /1 HTTP/1.1\r\nHost: a\r\n%bContent-Length: %d\r\n\r\n"
+            )
+            await loop.sock_sendall(sock, head % (own, len(body)) + body)
+            async with asyncio.timeout(10.0):
+                return await _read_slowly(sock)
+
+    received = uvloop.run(run())
+    assert received.endswith(b"Connection: close\r\n\r\n" + body)
+
+
+def test_refusal_of_an_upload_outlives_the_rest_of_its_body():
+    """The kernel reset the connection over the unread rest of the body."""
+    head = b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 6000\r\n\r\n"
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        server = _Server()
+        _, writer = await server.connect()
+        address = writer.get_extra_info("peername")
+        with socket.create_connection(address) as sock:
+            sock.setblocking(False)
+            await loop.sock_sendall(sock, head)
+            # A caller that sends its body before it reads.
+            for _ in range(5):
+                await loop.sock_sendall(sock, bytes(1000))
+                await asyncio.sleep(0.01)
+            return await loop.sock_recv(sock, 4096)
+
+    assert uvloop.run(run()).startswith(b"HTTP/1.1 413")
+
+
+def test_connection_that_its_caller_does_not_close_is_closed():
+    # Guards against connections that stay open after their last answer.
+    async def run():
+        server = _Server()
+        reader, writer = await server.connect()
+        server.server.close_after_answers()
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        await reader.read()
+        ended = asyncio.get_running_loop().time()
+        assert server.server.in_flight == 1
+        await _until(lambda: not server.server.in_flight)
+        lasted_s = asyncio.get_running_loop().time() - ended
+        assert lasted_s < http_server.LINGER_S + 0.5
+
+    uvloop.run(run())
+
+
 def test_closing_over_unread_connections_is_logged(caplog):
     caplog.set_level(logging.INFO)
 
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -29,6 +29,9 @@
 MAX_OVERHEAD_PER_BODY_BYTE = 8
 # Seconds until a late timer acts, in which the event loop reads its sockets.
 _READ_DELAY_S = 0.001
+# Seconds from the end of the last answer within which the caller has to close
+# its connection.
+LINGER_S = 1.0
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
     for status in http.HTTPStatus
@@ -82,7 +85,11 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of connections with a request or an unsent last answer."""
+        """Number of connections with a request or a last answer.
+
+        A last answer counts until the caller has closed the connection, for
+        `LINGER_S` at most once the kernel has taken all of it.
+        """
         return sum(connection.is_busy for connection in self._connections)
 
     @property
@@ -208,6 +215,8 @@
         self._is_in_body = False
         self._is_failed = False
         self._has_last_request = False
+        self._is_ended = False
+        self._discarded_bytes = 0
         self._is_read_paused = False
         self._pipelined_bytes = 0
         self._reset_message()
@@ -216,14 +225,15 @@
     def is_busy(self) -> bool:
         """True while a request is received or run, or its answer is sent."""
         is_pending = self._task is not None or self._is_in_body
-        return is_pending or self._transport.is_closing()
+        return is_pending or self._is_ended or self._transport.is_closing()
 
     @property
     def is_idle(self) -> bool:
         """True if it is open and no request is received or run."""
         if self._is_receiving or self._paced.has_rest:
             return False
-        return self._is_idle and not self._transport.is_closing()
+        is_closing = self._is_ended or self._transport.is_closing()
+        return self._is_idle and not is_closing
 
     @property
     def fileno(self) -> int:
@@ -264,7 +274,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of requests."""
-        if self._is_failed or self._has_last_request:
+        if self._is_ended:
+            self._discard(len(data))
+        if self._is_failed or self._has_last_request or self._is_ended:
             return
         if self._is_idle and not self._is_receiving:
             self._is_in_head = True
@@ -439,7 +451,7 @@
         self._write(answer, is_last, request.method == b"HEAD")
         if is_last:
             self._server.count_dropped(len(self._pipelined))
-            self._transport.close()
+            self._end()
             return
         self._start_next()
 
@@ -449,7 +461,7 @@
             self._pipelined_bytes -= len(request.body)
             self._start(request, is_persistent)
         elif self._is_failed:
-            self._transport.close()
+            self._end()
         elif not self._is_in_head:
             if self._is_in_body:
                 limit_s = self._server.limits.idle_timeout_s
@@ -489,6 +501,31 @@
         self._clear_timer()
         if self._task is None and not self._pipelined:
             self._write(answer, True, False)
+            self._end()
+
+    def _end(self) -> None:
+        """End this side of the connection after its last answer.
+
+        The caller closes it; what it sends until then is read and discarded.
+        Closed by this side, the connection would be reset by bytes that are
+        unread or still arrive, and the kernel would discard what the caller
+        has not received of the answers.
+        """
+        if self._is_ended or self._transport.is_closing():
+            return
+        self._is_ended = True
+        self._pipelined.clear()
+        self._paced.close()
+        self._transport.resume_reading()
+        self._transport.write_eof()
+        self._set_timer(LINGER_S, self._close_ended)
+
+    def _discard(self, count: int) -> None:
+        """Count bytes after the end; close if a request would have fewer."""
+        self._discarded_bytes += count
+        limits = self._server.limits
+        most = limits.max_header_bytes + limits.max_body_bytes
+        if self._discarded_bytes > most:
             self._transport.close()
 
     # Timers.
@@ -503,6 +540,12 @@
         if self._is_in_body:
             self._reject(answer)
 
+    def _close_ended(self) -> None:
+        if self._transport.get_write_buffer_size():
+            self._set_timer(LINGER_S, self._close_ended)
+        else:
+            self._transport.close()
+
     def _start_idle(self) -> None:
         self._idle_since = self._loop.time()
         self._set_timer(self._server.limits.idle_timeout_s, self._close_idle)
