--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -288,6 +288,26 @@
     uvloop.run(run())
 
 
+def test_request_that_waits_for_its_parsing_is_in_flight():
+    """A stop could end the process over requests that it had read."""
+
+    async def run():
+        server = _Server(mesh.CallerLimits(max_header_bytes=65536))
+        reader, writer = await server.connect()
+        server.server.rate.pause_s(2 * paced_parsing.ITEMS_PER_S // 5)
+        # The head ends in the slice after the pause.
+        headers = b"a:\r\n" * (2 * paced_parsing.FREE_ITEMS)
+        headers += b"b: " + b"x" * paced_parsing.SLICE_BYTES + b"\r\n"
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n" + headers + b"\r\n")
+        await asyncio.sleep(0.05)
+        assert not server.requests
+        assert server.server.in_flight == 1
+        async with asyncio.timeout(10.0):
+            return await reader.readline()
+
+    assert uvloop.run(run()).startswith(b"HTTP/1.1 200")
+
+
 def test_closing_over_unread_connections_is_logged(caplog):
     caplog.set_level(logging.INFO)
 
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -225,7 +225,9 @@
     def is_busy(self) -> bool:
         """True while a request is received or run, or its answer is sent."""
         is_pending = self._task is not None or self._is_in_body
-        return is_pending or self._is_ended or self._transport.is_closing()
+        if is_pending or self._paced.has_rest:
+            return True
+        return self._is_ended or self._transport.is_closing()
 
     @property
     def is_idle(self) -> bool:
