--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -308,6 +308,27 @@
     assert uvloop.run(run()).startswith(b"HTTP/1.1 200")
 
 
+def test_rest_of_a_head_that_waits_is_read_before_a_stop_goes_on():
+    """Only connections without a head were waited for."""
+    request = b"GET /held HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        server = _Server()
+        reader, writer = await server.connect()
+        writer.write(request[:9])
+        await asyncio.sleep(0.05)
+        # uvloop sends at once what the kernel takes.
+        writer.write(request[9:])
+        await server.server.read_waiting(loop.time() + 5.0)
+        assert server.server.in_flight == 1
+        server.release()
+        async with asyncio.timeout(10.0):
+            return await reader.readline()
+
+    assert uvloop.run(run()).startswith(b"HTTP/1.1 200")
+
+
 def test_closing_over_unread_connections_is_logged(caplog):
     caplog.set_level(logging.INFO)
 
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -106,6 +106,11 @@
         """
         return self._requests_dropped
 
+    @property
+    def has_unread(self) -> bool:
+        """True if closing the sockets would reset what callers have sent."""
+        return any(self._unread())
+
     def count_dropped(self, count: int) -> None:
         """Count requests that were read and are not answered."""
         self._requests_dropped += count
@@ -136,7 +141,7 @@
             deadline: Event loop time in seconds until which to wait.
         """
         loop = asyncio.get_running_loop()
-        while any(self._unread()) and loop.time() < deadline:
+        while self.has_unread and loop.time() < deadline:
             await asyncio.sleep(0)
 
     def stop_listening(self) -> None:
@@ -156,12 +161,15 @@
         """Return what waits in the kernel, which closing the sockets resets.
 
         Returns:
-            Number of idle connections with bytes or an end that were not read;
-            whether connections wait to be accepted.
+            Number of connections with bytes or an end that were not read,
+            without those that are busy; whether connections wait to be
+            accepted.
         """
         listening = self._server.sockets if self._server is not None else ()
         return (
-            _count_readable(c.fileno for c in self._connections if c.is_idle),
+            _count_readable(
+                each.fileno for each in self._connections if not each.is_busy
+            ),
             bool(_count_readable(sock.fileno() for sock in listening)),
         )
 
