--- a/tests/test_soak/ledger.py
+++ b/tests/test_soak/ledger.py
@@ -10,6 +10,9 @@
 GRACE_S = 6.0
 DRAIN_S = 2.5
 LOSS_SLACK_S = 0.2
+# Seconds before its deadline from which an end counts as that of the deadline:
+# nodes end a call 0.01 s before it, and it is given in whole milliseconds.
+DUE_SLACK_S = 0.03
 STABLE_WINDOW_S = 4.0
 # Seconds after SIGTERM until which a request may be begun that the node need
 # not end, and the part of the grace after which it may be given up.
@@ -245,14 +248,22 @@
         self._check_reloads(cut)
         self._check_configurations(cut)
 
+    def _is_read(self, request: Request) -> bool:
+        """Return True if a node that cut a request off had read it whole."""
+        # The soak sees the end late if it is late itself.
+        delay_s = self.delay_s(request.sent, request.ended)
+        slack_s = LOSS_SLACK_S + delay_s
+        is_run = bool(self.runs[request.request_id])
+        return is_run or request.ended > request.sent + slack_s
+
     def _is_lost(self, request: Request) -> bool:
-        """Return True if a sound node passed a request on and cut it off."""
+        """Return True if a sound node read a request and cut it off."""
         runs = self.runs[request.request_id]
         nodes = {request.node, *(run.node for run in runs)}
         return (
             request.end == "cut"
-            and bool(runs)
-            and request.ended < request.due - LOSS_SLACK_S
+            and self._is_read(request)
+            and request.ended < request.due - DUE_SLACK_S
             and all(run.end != "crashed" for run in runs)
             and all(
                 self.nodes[node].is_sound(request.sent, request.ended)
@@ -265,6 +276,7 @@
             each
             for each in cut
             if each.is_kept
+            and self.runs[each.request_id]
             and self.nodes[each.node].is_in_touch(each.sent, each.ended)
         ]
         if len(kept) > MAX_KEPT_CUTS:
@@ -313,7 +325,7 @@
     def _check_around_stop(self, request: Request) -> None:
         runs = self.runs[request.request_id]
         is_excused = (
-            request.ended >= request.due - LOSS_SLACK_S
+            request.ended >= request.due - DUE_SLACK_S
             or any(run.end == "crashed" for run in runs)
             or any(self._may_give_up(request, run) for run in runs)
             or not all(
@@ -324,10 +336,7 @@
         if is_excused or request.end in ("late", "unsent"):
             return
         if request.end == "cut":
-            # The soak sees the end late if it is late itself.
-            delay_s = self.delay_s(request.sent, request.ended)
-            slack_s = LOSS_SLACK_S + delay_s
-            if runs or request.ended > request.sent + slack_s:
+            if self._is_read(request):
                 self.break_promise("answered", self._describe(request))
         elif not request.seal and any(
             run.started < request.ended
--- a/tests/test_soak/test_soak_ledger.py
+++ b/tests/test_soak/test_soak_ledger.py
@@ -1,6 +1,7 @@
 """Each promise of the soak can be broken."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -87,6 +88,160 @@
     ledger.check_end(now + 2.0 + ledger_lib.RECOVERY_S)
 
 
+def _give_up_late(ledger, request, now: float, sent_s: float) -> None:
+    """End a run late in a grace; its request was begun early enough."""
+    term = now - 2.9
+    request.sent = term + sent_s
+    request.ended = term + ledger_lib.EXCUSED_PART * ledger_lib.GRACE_S
+    request.due = request.ended + 9.0
+    run = _run(request, request.sent, ended=request.ended, end="dropped")
+    ledger.start_run(run, "sum", "a")
+    ledger.nodes[0].stops.append(ledger_lib.Stop(term, term + 6.0))
+    ledger.check_end(now)
+
+
+def _give_up_after_an_early_last_byte(ledger, request, now: float) -> None:
+    _give_up_late(ledger, request, now, ledger_lib.LAST_EXCUSED_S)
+
+
+def _give_up_after_a_late_last_byte(ledger, request, now: float) -> None:
+    _give_up_late(ledger, request, now, ledger_lib.LAST_EXCUSED_S + 0.1)
+
+
+def _give_up_before_the_last_part(ledger, request, now: float) -> None:
+    request.sent = now
+    request.ended = now + 1.0
+    run = _run(request, now, ended=request.ended, end="dropped")
+    ledger.start_run(run, "sum", "a")
+    term = request.ended - ledger_lib.EXCUSED_PART * ledger_lib.GRACE_S + 0.1
+    ledger.nodes[0].stops.append(ledger_lib.Stop(term, term + 6.0))
+    ledger.check_end(now)
+
+
+def _cut(ledger, request, now: float, count: int, ended_s: float) -> None:
+    """Add requests that are passed on and then cut."""
+    for number in range(count):
+        request_id = f"cut-{number}"
+        each = dataclasses.replace(request, request_id=request_id, end="cut")
+        each.ended = now + ended_s
+        ledger.requests[request_id] = each
+        run = _run(each, now, ended=each.ended, end="dropped")
+        ledger.start_run(run, "sum", "a")
+
+
+def _cut_thrice(ledger, request, now: float) -> None:
+    _cut(ledger, request, now, ledger_lib.MAX_KEPT_CUTS, 1.0)
+    ledger.check_end(now)
+
+
+def _cut_often(ledger, request, now: float) -> None:
+    _cut(ledger, request, now, ledger_lib.MAX_KEPT_CUTS + 1, 1.0)
+    ledger.check_end(now)
+
+
+def _cut_often_when_due(ledger, request, now: float) -> None:
+    ended_s = request.due - now - ledger_lib.DUE_SLACK_S + 0.001
+    _cut(ledger, request, now, ledger_lib.MAX_KEPT_CUTS + 1, ended_s)
+    ledger.check_end(now)
+
+
+def _cut_often_before_due(ledger, request, now: float) -> None:
+    ended_s = request.due - now - ledger_lib.DUE_SLACK_S - 0.001
+    _cut(ledger, request, now, ledger_lib.MAX_KEPT_CUTS + 1, ended_s)
+    ledger.check_end(now)
+
+
+def _cut_unread_by_a_reload(ledger, request, now: float) -> None:
+    ledger.nodes[0].reloads.append(now)
+    request.ended = now + ledger_lib.LOSS_SLACK_S - 0.001
+    ledger.check_end(now)
+
+
+def _cut_read_by_a_reload(ledger, request, now: float) -> None:
+    ledger.nodes[0].reloads.append(now)
+    request.ended = now + ledger_lib.LOSS_SLACK_S + 0.001
+    ledger.check_end(now)
+
+
+def _cut_often_near_a_fault(ledger, request, now: float) -> None:
+    ledger.nodes[1].faults.append((now - 4.0, now - 3.0))
+    _cut_often(ledger, request, now)
+
+
+def _cut_often_near_a_stop(ledger, request, now: float) -> None:
+    # The requests are sent after it, so only "in touch" excuses them.
+    stop = ledger_lib.Stop(now - 9.0, now - 5.0, now - 3.0)
+    ledger.nodes[0].stops.append(stop)
+    _cut_often(ledger, request, now)
+
+
+def _cut_often_by_a_crash(ledger, request, now: float) -> None:
+    _cut(ledger, request, now, ledger_lib.MAX_KEPT_CUTS + 1, 1.0)
+    for (run,) in ledger.runs.values():
+        run.end = "crashed"
+    ledger.check_end(now)
+
+
+def _cut_after_a_reload(ledger, request, now: float) -> None:
+    ledger.nodes[0].reloads.append(now - ledger_lib.APPLY_S + 0.1)
+    _cut(ledger, request, now, 1, 1.0)
+    ledger.check_end(now)
+
+
+def _cut_by_a_reload(ledger, request, now: float) -> None:
+    ledger.nodes[0].reloads.append(now + 0.5)
+    _cut(ledger, request, now, 1, 1.0)
+    ledger.check_end(now)
+
+
+def _cut_before_a_reload(ledger, request, now: float) -> None:
+    ledger.nodes[0].reloads.append(now + 1.1)
+    _cut(ledger, request, now, 1, 1.0)
+    ledger.check_end(now)
+
+
+def _cut_long_after_a_reload(ledger, request, now: float) -> None:
+    ledger.nodes[0].reloads.append(now - ledger_lib.APPLY_S - 0.1)
+    _cut(ledger, request, now, 1, 1.0)
+    ledger.check_end(now)
+
+
+def _cut_after_a_reload_elsewhere(ledger, request, now: float) -> None:
+    ledger.nodes[1].reloads.append(now)
+    _cut(ledger, request, now, 1, 1.0)
+    ledger.check_end(now)
+
+
+def _cut_after_a_configuration(ledger, request, now: float) -> None:
+    ledger.configured.append(now - ledger_lib.APPLY_S - 0.9)
+    _cut(ledger, request, now, 1, 1.0)
+    ledger.check_end(now)
+
+
+def _cut_long_after_a_configuration(ledger, request, now: float) -> None:
+    ledger.configured.append(now - ledger_lib.APPLY_S - 1.1)
+    _cut(ledger, request, now, 1, 1.0)
+    ledger.check_end(now)
+
+
+def _cut_in_the_last_part_of_its_time(ledger, request, now: float) -> None:
+    ledger.configured.append(now)
+    _cut(ledger, request, now, 1, 0.7 * (request.due - now) + 0.1)
+    ledger.check_end(now)
+
+
+def _cut_as_often_otherwise(ledger, request, now: float) -> None:
+    _cut(ledger, request, now, 1, 1.0)
+    near = dataclasses.replace(request, request_id="near", end="cut")
+    near.begun = near.sent = now + 9.0
+    near.ended, near.due = now + 10.0, now + 18.0
+    ledger.requests[near.request_id] = near
+    run = _run(near, near.sent, ended=near.ended, end="dropped")
+    ledger.start_run(run, "sum", "a")
+    ledger.configured.append(now + 9.0)
+    ledger.check_end(now)
+
+
 @pytest.mark.parametrize(
     ("act", "fields", "broken"),
     [
@@ -105,6 +260,30 @@
         (_end_in_stop, {"status": 500, "seal": "x"}, []),
         (_end_in_stop_near_a_fault, {"status": 502}, []),
         (_restart_without_answers, {}, ["serves again"]),
+        (_give_up_after_an_early_last_byte, {"end": "cut"}, []),
+        (_give_up_after_an_early_last_byte, {"status": 504}, []),
+        (_give_up_after_a_late_last_byte, {"end": "cut"}, ["answered"]),
+        (_give_up_after_a_late_last_byte, {"status": 504}, ["not given up"]),
+        (_give_up_before_the_last_part, {"status": 504}, ["not given up"]),
+        (_cut_often, {"is_kept": True}, ["kept connection"] * 4),
+        (_cut_often, {"is_kept": False}, []),
+        (_cut_thrice, {"is_kept": True}, []),
+        (_cut_often_when_due, {"is_kept": True}, []),
+        (_cut_often_before_due, {"is_kept": True}, ["kept connection"] * 4),
+        (_cut_unread_by_a_reload, {"end": "cut"}, []),
+        (_cut_read_by_a_reload, {"end": "cut"}, ["reload"]),
+        (_cut_often_near_a_fault, {"is_kept": True}, []),
+        (_cut_often_near_a_stop, {"is_kept": True}, []),
+        (_cut_often_by_a_crash, {"is_kept": True}, []),
+        (_cut_after_a_reload, {}, ["reload"]),
+        (_cut_by_a_reload, {}, ["reload"]),
+        (_cut_before_a_reload, {}, []),
+        (_cut_long_after_a_reload, {}, []),
+        (_cut_after_a_reload_elsewhere, {}, []),
+        (_cut_after_a_configuration, {}, ["configured"]),
+        (_cut_long_after_a_configuration, {}, []),
+        (_cut_in_the_last_part_of_its_time, {}, []),
+        (_cut_as_often_otherwise, {}, []),
     ],
 )
 def test_broken_promise_is_reported(act, fields, broken):
