--- a/tests/test_gateway/test_gateway_streams.py
+++ b/tests/test_gateway/test_gateway_streams.py
@@ -6,10 +6,12 @@
 import threading
 import time
 
+import pytest
 import uvloop
 
 from tests import virtual_time
 from tests.test_gateway import fakes
+from tests.test_gateway import late_loop
 from trefoilwind import errors
 from trefoilwind.distribution import frames
 from trefoilwind.gateway import stream_calls
@@ -243,6 +245,60 @@
     uvloop.run(run())
 
 
+@pytest.mark.parametrize("pending_answers", [0, 1])
+def test_peer_whose_bytes_wait_unread_is_not_silent(pending_answers):
+    """A late event loop ran the liveness timer before it read the stream."""
+    times = streams.StreamTimes(0.1, 0.4)
+
+    async def run() -> None:
+        events = _Events()
+        with socket.create_server((fakes.HOST, 0)) as server:
+            address, port = server.getsockname()
+            peer = threading.Thread(target=_send_pongs, args=(server, 1.5))
+            peer.start()
+            _, stream = await asyncio.get_running_loop().create_connection(
+                lambda: streams.Stream(_HELLO, times, events.port(), "n2"),
+                address,
+                port,
+            )
+            await _until(lambda: events.opened)
+            for _ in range(pending_answers):
+                stream.begin_call()
+            await late_loop.block(1.0)
+            await asyncio.sleep(0.2)
+            assert not stream.is_silent
+            assert not stream.is_closed
+            stream.abort()
+            await asyncio.to_thread(peer.join)
+
+    uvloop.run(run())
+
+
+def test_peer_whose_answer_to_a_probe_waits_unread_is_responsive():
+    """Calls were refused or sent elsewhere by a late event loop."""
+
+    async def run() -> bool:
+        events = _Events()
+        with socket.create_server((fakes.HOST, 0)) as server:
+            _, stream = await asyncio.get_running_loop().create_connection(
+                lambda: streams.Stream(_HELLO, _TIMES, events.port(), "n2"),
+                *server.getsockname(),
+            )
+            peer, _ = server.accept()
+            with peer:
+                peer.sendall(_PEER_HELLO)
+                await _until(lambda: events.opened)
+                stream.begin_call()
+                await _until(lambda: stream._probed_at > stream._last_received)
+                pong = frames.encode(frames.Pong())
+                await late_loop.block(0.3, lambda: peer.sendall(pong))
+                is_unresponsive = stream.is_unresponsive
+                stream.abort()
+        return is_unresponsive
+
+    assert not uvloop.run(run())
+
+
 def _send_pongs(server: socket.socket, seconds: float) -> None:
     """Accept a connection and send a frame every 20 ms."""
     end = time.monotonic() + seconds
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -3,15 +3,14 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterable
 import http
 import logging
-import select
 
 import httptools
 
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import paced_parsing
+from trefoilwind.gateway import unread
 from trefoilwind.logs import decisions
 from trefoilwind.model import mesh
 
@@ -27,8 +26,6 @@
 # chunks, their extensions and trailers; and more per byte of the body.
 MAX_OVERHEAD_BYTES = 64 * 1024
 MAX_OVERHEAD_PER_BODY_BYTE = 8
-# Seconds until a late timer acts, in which the event loop reads its sockets.
-_READ_DELAY_S = 0.001
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
     for status in http.HTTPStatus
@@ -154,20 +151,22 @@
         """
         listening = self._server.sockets if self._server is not None else ()
         return (
-            _count_readable(c.fileno for c in self._connections if c.is_idle),
-            bool(_count_readable(sock.fileno() for sock in listening)),
+            unread.count_readable(
+                c.fileno for c in self._connections if c.is_idle
+            ),
+            bool(unread.count_readable(sock.fileno() for sock in listening)),
         )
 
     def _log_unread(self) -> None:
         """Log the connections that are closed, and what they lose."""
-        unread, has_unaccepted = self._unread()
+        unread_count, has_unaccepted = self._unread()
         decisions.failure(
             logger,
             "listening_stopped",
             "callers: listening stopped",
             open=len(self._connections),
             idle=sum(each.is_idle for each in self._connections),
-            unread=unread,
+            unread=unread_count,
             has_unaccepted=has_unaccepted,
             dropped=self._requests_dropped,
         )
@@ -411,7 +410,7 @@
     @property
     def _is_readable(self) -> bool:
         """True if bytes or the end of the connection were not read yet."""
-        return bool(_count_readable((self.fileno,)))
+        return unread.is_readable(self._transport)
 
     def _start(
         self, request: http_types.HttpRequest, is_persistent: bool
@@ -514,13 +513,13 @@
         if rest_s > 0.0:
             self._set_timer(rest_s, self._close_idle)
         elif self._is_readable:
-            self._set_timer(_READ_DELAY_S, self._close_idle)
+            self._set_timer(unread.READ_DELAY_S, self._close_idle)
         else:
             self._transport.close()
 
     def _time_out_request(self) -> None:
         if self._is_readable:
-            self._set_timer(_READ_DELAY_S, self._reject_late_request)
+            self._set_timer(unread.READ_DELAY_S, self._reject_late_request)
         else:
             self._reject_late_request()
 
@@ -537,15 +536,6 @@
             self._timer = None
 
 
-def _count_readable(descriptors: Iterable[int]) -> int:
-    """Return how many sockets have bytes or connections that wait."""
-    poller = select.poll()
-    for descriptor in descriptors:
-        if descriptor >= 0:
-            poller.register(descriptor, select.POLLIN)
-    return len(poller.poll(0))
-
-
 def status_line(status: int) -> bytes:
     """Return the status line of an answer."""
     known = _STATUS_LINES.get(status)
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -9,6 +9,7 @@
 
 from trefoilwind import errors
 from trefoilwind.distribution import frames
+from trefoilwind.gateway import unread
 from trefoilwind.logs import decisions
 
 logger = logging.getLogger(__name__)
@@ -187,7 +188,15 @@
         """True if the peer has not answered a probe in time."""
         if self._probed_at <= self._last_received:
             return False
-        return self._loop.time() - self._probed_at > self._times.probe_timeout_s
+        elapsed_s = self._loop.time() - self._probed_at
+        if elapsed_s <= self._times.probe_timeout_s:
+            return False
+        return not self.has_unread
+
+    @property
+    def has_unread(self) -> bool:
+        """True if bytes of the peer wait to be read, as this node is late."""
+        return unread.is_readable(self._transport)
 
     def queueing_delay_s(self, sent_at: float) -> float:
         """Return the latency of a frame above the minimum of this stream.
@@ -438,7 +447,12 @@
         self._timer = None
         now = self._loop.time()
         if now - self._last_received >= self._times.silence_s:
-            self._handle_silence(now)
+            if self.has_unread and not self._transport.is_closing():
+                self._timer = self._loop.call_later(
+                    unread.READ_DELAY_S, self._check_liveness
+                )
+            else:
+                self._handle_silence(now)
             return
         if self._needs_probe(now):
             self._probed_at = now
