--- a/tests/test_gateway/test_gateway_http_client.py
+++ b/tests/test_gateway/test_gateway_http_client.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from tests.test_gateway import fakes
+from tests.test_gateway import late_loop
 from trefoilwind import errors
 from trefoilwind.gateway import http_client
 from trefoilwind.gateway import http_types
@@ -519,3 +520,33 @@
 
     result = uvloop.run(run())
     assert result.reason is errors.Reason.BACKEND_FAILED
+
+
+def test_answer_that_waits_unread_at_the_deadline_is_returned():
+    """A late event loop ended the call, whose answer was there in time."""
+
+    async def run():
+        sent = asyncio.Event()
+        released = asyncio.Event()
+        writers = []
+
+        async def script(reader, writer):
+            await fakes.read_head(reader)
+            writers.append(writer)
+            sent.set()
+            await released.wait()
+
+        async with fakes.RawServer(script) as server:
+            client = http_client.HttpClient(server.address, 4)
+            deadline = asyncio.get_running_loop().time() + 0.5
+            call = asyncio.create_task(client.call(_HEAD, b"", deadline))
+            await sent.wait()
+            await late_loop.block(
+                0.7, lambda: writers[0].write(fakes.answer(b""))
+            )
+            result = await call
+            released.set()
+            client.close()
+            return result
+
+    assert uvloop.run(run()).status == 200
--- a/tests/test_gateway/test_gateway_streams.py
+++ b/tests/test_gateway/test_gateway_streams.py
@@ -357,3 +357,39 @@
         assert not (await tasks[0]).result.not_run
 
     _run(script, scenario)
+
+
+def test_answer_of_a_peer_that_waits_unread_at_the_deadline_is_returned():
+    """A late event loop ended the call, whose answer was there in time."""
+    head = frames.AnswerHead(1, 200, [], b"done", True, 0.1, 0, 0.0, 0.1)
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        remote = stream_calls.RemoteCalls()
+        opened = asyncio.Event()
+        events = streams.StreamEvents(
+            lambda stream: opened.set(),
+            remote.handle_frame,
+            lambda stream: None,
+            remote.closed,
+            lambda node_id: None,
+        )
+        with socket.create_server((fakes.HOST, 0)) as server:
+            _, stream = await loop.create_connection(
+                lambda: streams.Stream(_HELLO, _TIMES, events, "n2"),
+                *server.getsockname(),
+            )
+            peer, _ = server.accept()
+            with peer:
+                peer.sendall(_PEER_HELLO)
+                await opened.wait()
+                call = fakes.call(deadline=loop.time() + 0.5)
+                task = asyncio.create_task(remote.run(stream, call))
+                await asyncio.sleep(0.1)
+                answer = frames.encode(head)
+                await late_loop.block(0.7, lambda: peer.sendall(answer))
+                outcome = await task
+                stream.abort()
+        return outcome.result
+
+    assert uvloop.run(run()).body == b"done"
--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -12,6 +12,7 @@
 from trefoilwind import errors
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import paced_parsing
+from trefoilwind.gateway import unread
 from trefoilwind.logs import decisions
 from trefoilwind.model import addresses
 
@@ -481,7 +482,15 @@
         )
         if self._received_bytes and self._loop.time() < progress_deadline:
             self._timer = self._loop.call_at(progress_deadline, self._time_out)
-            return
+        elif unread.is_readable(self._transport):
+            # The event loop is late, the answer may not be.
+            self._timer = self._loop.call_later(
+                unread.READ_DELAY_S, self._give_up
+            )
+        else:
+            self._give_up()
+
+    def _give_up(self) -> None:
         self._finish(self._error(errors.Reason.DEADLINE_EXCEEDED))
 
     def _error(
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -12,6 +12,7 @@
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import streams
+from trefoilwind.gateway import unread
 from trefoilwind.logs import decisions
 
 logger = logging.getLogger(__name__)
@@ -57,17 +58,20 @@
         stream.begin_call()
         now = self._loop.time()
         self._send(stream, call_id, call, now)
+        timer = self._loop.call_at(
+            call.deadline - DEADLINE_MARGIN_S,
+            self._time_out,
+            stream,
+            call_id,
+            waiter,
+        )
         try:
-            async with asyncio.timeout_at(call.deadline - DEADLINE_MARGIN_S):
-                return await waiter
-        except TimeoutError:
-            stream.send(frames.Cancel(call_id))
-            reason = errors.Reason.DEADLINE_EXCEEDED
-            return calls.Outcome(_error(stream, reason))
+            return await waiter
         except asyncio.CancelledError:
             stream.send(frames.Cancel(call_id))
             raise
         finally:
+            timer.cancel()
             pending.pop(call_id, None)
             self._repeatable.discard(call_id)
             stream.discard_body(call_id)
@@ -113,6 +117,25 @@
         for waiter in self._pending.pop(stream, {}).values():
             self._fail(stream, waiter)
 
+    def _time_out(
+        self, stream: streams.Stream, call_id: int, waiter: asyncio.Future
+    ) -> None:
+        if stream.has_unread:
+            # The event loop is late, the answer may not be.
+            self._loop.call_later(
+                unread.READ_DELAY_S, self._give_up, stream, call_id, waiter
+            )
+        else:
+            self._give_up(stream, call_id, waiter)
+
+    def _give_up(
+        self, stream: streams.Stream, call_id: int, waiter: asyncio.Future
+    ) -> None:
+        if not waiter.done():
+            stream.send(frames.Cancel(call_id))
+            reason = errors.Reason.DEADLINE_EXCEEDED
+            waiter.set_result(calls.Outcome(_error(stream, reason)))
+
     def _fail(self, stream: streams.Stream, waiter: asyncio.Future) -> None:
         if not waiter.done():
             reason = errors.Reason.PEER_UNREACHABLE
