--- a/tests/test_gateway/test_gateway_planned_stop.py
+++ b/tests/test_gateway/test_gateway_planned_stop.py
@@ -14,6 +14,7 @@
 import uvloop
 
 from tests.test_gateway import fakes
+from tests.test_gateway import late_loop
 from trefoilwind.distribution import frames
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import node as node_lib
@@ -67,6 +68,7 @@
         service_s: Seconds until the next answers; requests with the id in
             `held` are answered after `_WAIT_S`.
         ran: Ids of the requests that it has begun to run, in order.
+        writer: Connection of the last of them.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self._body = name.encode().ljust(answer_bytes, b".")
         self.held: set[str] = set()
         self.ran: list[str] = []
+        self.writer: asyncio.StreamWriter | None = None
         self.server = fakes.RawServer(self._serve)
 
     async def _serve(
@@ -89,6 +92,7 @@
             await reader.readexactly(int(length or b"0"))
             name = request_id.decode()
             self.ran.append(name)
+            self.writer = writer
             is_held = name in self.held
             await asyncio.sleep(_WAIT_S if is_held else self.service_s)
             writer.write(fakes.answer(self._body, request_id))
@@ -575,3 +579,26 @@
         assert received[-1] == frames.GoAway(1)
 
     _run(scenario)
+
+
+def test_answer_that_waits_unread_when_a_stop_ends_its_call_is_returned():
+    """A late event loop replaced it by a 504 of the node."""
+
+    async def scenario(nodes: _Nodes) -> None:
+        backend = _Backend("target")
+        backend.held = {"held"}
+        node = await nodes.add(backend)
+        await _until(lambda: node.is_ready)
+        call = asyncio.create_task(_call(node, _ORDER, "held"))
+        await _until(lambda: "held" in backend.ran)
+        stop = _Stop(node)
+        reserve_s = node_lib.STOP_RESERVE_FRACTION * _STOP_TIMEOUT_S
+        end_s = _STOP_TIMEOUT_S - min(reserve_s, node_lib.STOP_RESERVE_S)
+        await stop.at(end_s - 0.1)
+        answer = fakes.answer(b"done", b"held")
+        await late_loop.block(0.15, lambda: backend.writer.write(answer))
+        await stop.end()
+        outcome = await call
+        assert outcome.status == 200, outcome
+
+    _run(scenario)
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -13,6 +13,7 @@
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import picker as picker_lib
+from trefoilwind.gateway import unread
 from trefoilwind.logs import decisions
 from trefoilwind.model import mesh
 from trefoilwind.routing import service_time
@@ -116,8 +117,17 @@
                 answered.
         """
         self._stop_deadline = deadline
+        # Answers that have arrived are read first, also by a late event loop.
+        self._loop.call_at(
+            self._timeout_at,
+            self._loop.call_later,
+            unread.READ_DELAY_S,
+            self._end_calls,
+        )
+
+    def _end_calls(self) -> None:
         for timeout in self._timeouts:
-            timeout.reschedule(self._timeout_at)
+            timeout.reschedule(self._loop.time())
 
     def refuse_later_requests(self) -> None:
         """Refuse the requests whose head is received from now on."""
@@ -206,7 +216,7 @@
         self, call: calls.Call, route: mesh.HostRoute, progress: _Progress
     ) -> calls.Result:
         """Run a call; a stop ends it in time, also one that begins later."""
-        timeout = asyncio.timeout_at(self._timeout_at)
+        timeout = asyncio.timeout_at(None)
         self._timeouts.add(timeout)
         try:
             async with timeout:
