--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -308,6 +308,32 @@
     assert uvloop.run(run()).startswith(b"HTTP/1.1 200")
 
 
+@pytest.mark.parametrize("at_once", [True, False])
+def test_requests_pipelined_beyond_the_limit_are_answered(at_once):
+    """They were read and ended with the connection."""
+    count = 100
+    request = b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def run():
+        server = _Server()
+        reader, writer = await server.connect()
+        writer.write(b"GET /held HTTP/1.1\r\nHost: a\r\n\r\n")
+        for _ in range(count):
+            writer.write(request)
+            if not at_once:
+                await asyncio.sleep(0.001)
+        await server.started.wait()
+        await asyncio.sleep(0.05)
+        # The others are not read, or wait to be parsed.
+        assert len(server.requests) == 1
+        server.server.close_after_answers()
+        server.release()
+        async with asyncio.timeout(10.0):
+            return await reader.read()
+
+    assert uvloop.run(run()).count(b"HTTP/1.1 200") == 1 + count
+
+
 def test_rest_of_a_head_that_waits_is_read_before_a_stop_goes_on():
     """Only connections without a head were waited for."""
     request = b"GET /held HTTP/1.1\r\nHost: a\r\n\r\n"
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -19,7 +19,7 @@
 
 Handler = Callable[[http_types.HttpRequest], Awaitable[http_types.HttpAnswer]]
 
-# Requests that a caller may pipeline on one connection.
+# Pipelined requests of one connection from which on reading is paused.
 _MAX_PIPELINED = 16
 # Bytes of pipelined request bodies above which reading is paused.
 _MAX_PIPELINED_BYTES = 256 * 1024
@@ -311,10 +311,7 @@
         if self._is_idle and self._is_in_body and not self._is_failed:
             limit_s = self._server.limits.idle_timeout_s
             self._set_timer(limit_s, self._time_out_request)
-        if (
-            self._pipelined_bytes > _MAX_PIPELINED_BYTES
-            and not self._is_read_paused
-        ):
+        if self._is_queue_full and not self._is_read_paused:
             self._is_read_paused = True
             self._paced.hold()
         return not (self._is_failed or self._has_last_request)
@@ -402,11 +399,9 @@
             self._has_last_request = True
         if self._task is None:
             self._start(request, is_persistent)
-        elif len(self._pipelined) < _MAX_PIPELINED:
+        else:
             self._pipelined.append((request, is_persistent))
             self._pipelined_bytes += len(request.body)
-        else:
-            self._reject(_BAD_REQUEST)
 
     def _count_head(self, count: int) -> None:
         self._head_bytes += count
@@ -423,6 +418,11 @@
     def _is_idle(self) -> bool:
         return self._task is None and not self._pipelined
 
+    @property
+    def _is_queue_full(self) -> bool:
+        is_long = len(self._pipelined) >= _MAX_PIPELINED
+        return is_long or self._pipelined_bytes > _MAX_PIPELINED_BYTES
+
     @property
     def _has_next_request(self) -> bool:
         """True if a request, or the beginning of one, was sent already."""
@@ -478,10 +478,7 @@
                 self._set_timer(limit_s, self._time_out_request)
             else:
                 self._start_idle()
-        if (
-            self._is_read_paused
-            and self._pipelined_bytes <= _MAX_PIPELINED_BYTES
-        ):
+        if self._is_read_paused and not self._is_queue_full:
             self._is_read_paused = False
             self._paced.release()
 
--- a/trefoilwind/gateway/paced_parsing.py
+++ b/trefoilwind/gateway/paced_parsing.py
@@ -73,7 +73,7 @@
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes, now or after a pause."""
-        if self._timer is not None:
+        if self._timer is not None or self._is_held:
             # Received before the pause took effect.
             self._rest = memoryview(bytes(self._rest) + data)
             return
@@ -81,15 +81,15 @@
         self._parse_rest()
 
     def hold(self) -> None:
-        """Pause reading until `release`; received bytes are parsed."""
+        """Pause reading, and parsing after this slice, until `release`."""
         self._is_held = True
         self._transport.pause_reading()
 
     def release(self) -> None:
-        """Resume reading, unless the parsing is paused."""
+        """Resume parsing and reading, unless the parsing is paused."""
         self._is_held = False
         if self._timer is None:
-            self._transport.resume_reading()
+            self._resume()
 
     def close(self) -> None:
         """Discard the bytes that have not been parsed."""
@@ -98,7 +98,7 @@
             self._timer.cancel()
 
     def _parse_rest(self) -> None:
-        while self._rest:
+        while self._rest and not self._is_held:
             part = self._rest[:SLICE_BYTES]
             self._rest = self._rest[SLICE_BYTES:]
             self._items = 0
