--- a/trefoilwind/admin/client.py
+++ b/trefoilwind/admin/client.py
@@ -81,7 +81,29 @@
         if body is not None:
             data = json.dumps(documents.to_plain(body)).encode()
         try:
-            response = self._pool.request(
+            response = self._send(method, path, data)
+        except (urllib3.exceptions.HTTPError, ValueError, OSError) as error:
+            reason = errors.Reason.PEER_UNREACHABLE
+            return self._error(reason, type(error).__name__)
+        return self.read_answer(response.status, response.data, cls)
+
+    def _send(
+        self, method: str, path: str, data: bytes | None
+    ) -> urllib3.BaseHTTPResponse:
+        """Return the response; send the request again if it met a close.
+
+        A node closes connections that are idle, also one on which a request
+        arrives at that moment. A record that is sent again has no further
+        effect, as its id is the same.
+
+        Raises:
+            urllib3.exceptions.HTTPError: The node gave no valid answer.
+            ValueError: The URL is invalid.
+            OSError: The connection failed.
+        """
+
+        def send() -> urllib3.BaseHTTPResponse:
+            return self._pool.request(
                 method,
                 self._url + path,
                 body=data,
@@ -89,10 +111,11 @@
                 timeout=self._timeout_s,
                 redirect=False,
             )
-        except (urllib3.exceptions.HTTPError, ValueError, OSError) as error:
-            reason = errors.Reason.PEER_UNREACHABLE
-            return self._error(reason, type(error).__name__)
-        return self.read_answer(response.status, response.data, cls)
+
+        try:
+            return send()
+        except urllib3.exceptions.ProtocolError:
+            return send()
 
     def read_answer(
         self, status: int, data: bytes, cls: Any
