--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -181,56 +181,6 @@
     assert dropped == 0
 
 
-# Soak --planned seed 103: the first of three pipelined requests was answered,
-# and the others reset its connection, as they met one that was closed.
-def test_request_that_crosses_a_close_does_not_reset_the_answer_before_it():
-    body = bytes(300_000)
-    head = b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
-
-    async def run() -> bytes:
-        server = _Server(mesh.CallerLimits())
-        _, first = await server.connect()
-        address = first.get_extra_info("peername")
-        first.close()
-        loop = asyncio.get_running_loop()
-        received = b""
-        with socket.socket() as sock:
-            sock.setblocking(False)
-            # The caller holds less than the answer.
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
-            await loop.sock_connect(sock, address)
-            server.server.close_after_answers()
-            await loop.sock_sendall(sock, head % len(body) + body)
-            await server.started.wait()
-            await asyncio.sleep(0.1)
-            await loop.sock_sendall(sock, b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
-            await asyncio.sleep(0.1)
-            async with asyncio.timeout(10.0):
-                while part := await loop.sock_recv(sock, 65536):
-                    received += part
-        await _until(lambda: not server.server.in_flight)
-        return received
-
-    received = uvloop.run(run())
-    assert b"Connection: close" in received
-    assert received.endswith(b"\r\n\r\n" + body)
-
-
-def test_ended_connection_is_closed_though_its_caller_keeps_it():
-    async def run() -> float:
-        server = _Server()
-        reader, writer = await server.connect()
-        writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
-        await reader.read()
-        ended = asyncio.get_running_loop().time()
-        assert server.server.in_flight == 1
-        # The caller has read the end and does not close its side.
-        await _until(lambda: not server.server.in_flight)
-        return asyncio.get_running_loop().time() - ended
-
-    assert uvloop.run(run()) < 2 * http_server.END_S
-
-
 @pytest.mark.parametrize("begun", [b"", b"GET /1 HT"])
 def test_request_that_waits_unread_is_answered_when_a_timer_is_late(begun):
     """A late event loop ran its timers before it read its sockets."""
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -29,8 +29,6 @@
 MAX_OVERHEAD_PER_BODY_BYTE = 8
 # Seconds until a late timer acts, in which the event loop reads its sockets.
 _READ_DELAY_S = 0.001
-# Seconds for which a caller may keep a connection that has ended.
-END_S = 0.5
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
     for status in http.HTTPStatus
@@ -84,7 +82,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of connections with a request or an unread last answer."""
+        """Number of connections with a request or an unsent last answer."""
         return sum(connection.is_busy for connection in self._connections)
 
     @property
@@ -210,7 +208,6 @@
         self._is_in_body = False
         self._is_failed = False
         self._has_last_request = False
-        self._is_ended = False
         self._is_read_paused = False
         self._pipelined_bytes = 0
         self._reset_message()
@@ -219,12 +216,12 @@
     def is_busy(self) -> bool:
         """True while a request is received or run, or its answer is sent."""
         is_pending = self._task is not None or self._is_in_body
-        return is_pending or self._is_ended or self._transport.is_closing()
+        return is_pending or self._transport.is_closing()
 
     @property
     def is_idle(self) -> bool:
         """True if it is open and no request is received or run."""
-        if self._is_receiving or self._paced.has_rest or self._is_ended:
+        if self._is_receiving or self._paced.has_rest:
             return False
         return self._is_idle and not self._transport.is_closing()
 
@@ -267,9 +264,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of requests."""
-        if self._is_ended:
-            self._discard(len(data))
-            return
         if self._is_failed or self._has_last_request:
             return
         if self._is_idle and not self._is_receiving:
@@ -445,7 +439,7 @@
         self._write(answer, is_last, request.method == b"HEAD")
         if is_last:
             self._server.count_dropped(len(self._pipelined))
-            self._end()
+            self._transport.close()
             return
         self._start_next()
 
@@ -472,7 +466,7 @@
     def _write(
         self, answer: http_types.HttpAnswer, is_last: bool, is_head: bool
     ) -> None:
-        if self._is_ended or self._transport.is_closing():
+        if self._transport.is_closing():
             return
         parts = [status_line(answer.status)]
         parts += [b"%b: %b\r\n" % pair for pair in answer.headers]
@@ -489,7 +483,7 @@
         The connection is closed; if earlier requests are in flight, it is
         closed after their answers and the rejected request gets none.
         """
-        if self._is_failed or self._is_ended:
+        if self._is_failed:
             return
         self._is_failed = True
         self._clear_timer()
@@ -497,27 +491,6 @@
             self._write(answer, True, False)
             self._transport.close()
 
-    def _end(self) -> None:
-        """End the answers; discard what comes until the caller ends as well.
-
-        The kernel resets a closed connection at the next bytes of the caller,
-        and then discards the answers that the caller has not received.
-        """
-        if self._transport.is_closing():
-            return
-        self._is_ended = True
-        self._received_bytes = 0
-        self._paced.close()
-        self._transport.write_eof()
-        self._transport.resume_reading()
-        self._set_timer(END_S, self._close_ended)
-
-    def _discard(self, count: int) -> None:
-        """Count bytes behind the end; stop reading if they don't end."""
-        self._received_bytes += count
-        if self._received_bytes > _MAX_PIPELINED_BYTES:
-            self._transport.pause_reading()
-
     # Timers.
 
     def close_if_idle(self) -> None:
@@ -545,12 +518,6 @@
         else:
             self._transport.close()
 
-    def _close_ended(self) -> None:
-        if self._transport.get_write_buffer_size():
-            self._set_timer(END_S, self._close_ended)
-        else:
-            self._transport.close()
-
     def _time_out_request(self) -> None:
         if self._is_readable:
             self._set_timer(_READ_DELAY_S, self._reject_late_request)
