--- a/tests/test_platform/test_platform_program.py
+++ b/tests/test_platform/test_platform_program.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import socket
+import subprocess
 import sys
 
 import uvloop
@@ -186,6 +187,16 @@
     _run(scenario)
 
 
+# Tests hung on processes that they had started: these did not get SIGTERM.
+def test_import_of_the_program_leaves_the_signals_as_they_are():
+    code = (
+        "import signal, trefoilwind.cmd.platform_node as _; "
+        "assert not signal.pthread_sigmask(signal.SIG_BLOCK, ()); "
+        "assert signal.getsignal(signal.SIGHUP) is signal.SIG_DFL"
+    )
+    subprocess.run([sys.executable, "-c", code], check=True, timeout=30)
+
+
 def test_signals_until_its_last_moment_do_not_end_a_stopping_program(
     tmp_path: pathlib.Path,
 ):
--- a/tests/test_soak/behind_proxy.py
+++ b/tests/test_soak/behind_proxy.py
@@ -5,6 +5,13 @@
 program is changed.
 """
 
+import signal
+
+# As in the program itself, before its modules are loaded.
+if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+
 import os
 
 from trefoilwind.cmd import platform_node
--- a/trefoilwind/cmd/platform_node.py
+++ b/trefoilwind/cmd/platform_node.py
@@ -2,11 +2,18 @@
 
 import signal
 
+
 # The settings are read after the modules, which take a while to load; until
 # then a change of the settings needs no action and must not end the process. A
-# request to stop waits until the program handles it.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
-signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+# request to stop waits until the program handles it. Both also hold for the
+# children of a process, so one that only imports this module keeps its own.
+def _hold_signals() -> None:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+
+
+if __name__ == "__main__":
+    _hold_signals()
 
 import argparse
 import sys
@@ -25,6 +32,7 @@
 
 def main() -> None:
     """Run a node until SIGTERM."""
+    _hold_signals()
     arguments = _parse()
     settings = settings_lib.load_from_environment()
     if isinstance(settings, errors.Error):
