--- a/tests/test_gateway/test_gateway_planned_stop.py
+++ b/tests/test_gateway/test_gateway_planned_stop.py
@@ -11,6 +11,7 @@
 import socket
 import time
 
+import pytest
 import uvloop
 
 from tests.test_gateway import fakes
@@ -581,8 +582,9 @@
     _run(scenario)
 
 
-def test_answer_that_waits_unread_when_a_stop_ends_its_call_is_returned():
-    """A late event loop replaced it by a 504 of the node."""
+@pytest.mark.parametrize("late_s", [0.15, 0.35])
+def test_answer_that_waits_unread_when_a_stop_ends_its_call_is_returned(late_s):
+    """A late event loop replaced it by a 504 of the node, or a reset."""
 
     async def scenario(nodes: _Nodes) -> None:
         backend = _Backend("target")
@@ -596,7 +598,7 @@
         end_s = _STOP_TIMEOUT_S - min(reserve_s, node_lib.STOP_RESERVE_S)
         await stop.at(end_s - 0.1)
         answer = fakes.answer(b"done", b"held")
-        await late_loop.block(0.15, lambda: backend.writer.write(answer))
+        await late_loop.block(late_s, lambda: backend.writer.write(answer))
         await stop.end()
         outcome = await call
         assert outcome.status == 200, outcome
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -70,6 +70,9 @@
 # Seconds until peers have read the last answers of a stopping node.
 STREAM_END_S = 0.5
 _STOP_CHECK_INTERVAL_S = 0.05
+# Seconds beyond a deadline of a stop in which an event loop that is late reads
+# its sockets and passes on the answers that waited there.
+_STOP_READ_S = 0.01
 # Delay of the event loop in seconds above which it is logged.
 LOOP_DELAY_REPORTED_S = 0.1
 
@@ -741,7 +744,12 @@
 
 
 async def _until(condition: Callable[[], bool], deadline: float) -> None:
-    """Wait until a condition holds, or until an event loop time."""
+    """Wait until a condition holds, or until an event loop time.
+
+    The event loop reads its sockets before the wait ends, also when it is late.
+    """
     loop = asyncio.get_running_loop()
     while not condition() and loop.time() < deadline:
         await asyncio.sleep(_STOP_CHECK_INTERVAL_S)
+    if not condition():
+        await asyncio.sleep(_STOP_READ_S)
