--- a/tests/test_gateway/test_gateway_http_client.py
+++ b/tests/test_gateway/test_gateway_http_client.py
@@ -550,3 +550,31 @@
             return result
 
     assert uvloop.run(run()).status == 200
+
+
+def test_connection_whose_end_waits_unread_is_not_reused():
+    """A late event loop sent a request on a connection that was closed."""
+
+    async def run():
+        with socket.create_server((fakes.HOST, 0)) as server:
+            address = addresses.Address(*server.getsockname())
+            client = http_client.HttpClient(address, 4)
+            deadline = asyncio.get_running_loop().time() + 5.0
+            call = asyncio.create_task(client.call(_HEAD, b"", deadline))
+            first = (await asyncio.to_thread(server.accept))[0]
+            await asyncio.to_thread(first.recv, 4096)
+            first.sendall(fakes.answer(b""))
+            await call
+            await late_loop.block(0.1, first.close)
+            call = asyncio.create_task(client.call(_HEAD, b"", deadline))
+            server.settimeout(2.0)
+            try:
+                second = (await asyncio.to_thread(server.accept))[0]
+            except TimeoutError:
+                return await call
+            with second:
+                second.sendall(fakes.answer(b""))
+                return await call
+
+    result = uvloop.run(run())
+    assert isinstance(result, http_types.HttpAnswer), result
--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -265,8 +265,11 @@
         return self._is_reusable and not self._is_broken
 
     def is_usable(self, now: float) -> bool:
-        """Return True unless the connection closed or its idle time expired."""
-        return self.is_reusable and now < self._idle_until
+        """Return True unless the connection ended or its idle time expired."""
+        if not self.is_reusable or now >= self._idle_until:
+            return False
+        # Its end, or bytes of no request, may wait to be read.
+        return not unread.is_readable(self._transport)
 
     def mark_idle(self) -> None:
         """Start the idle time of a connection that has had no request yet."""
