--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -85,12 +85,17 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of connections with a request or a last answer.
+        """Number of connections with a request or an unsent last answer."""
+        return sum(connection.is_busy for connection in self._connections)
+
+    @property
+    def lingering(self) -> int:
+        """Number of connections that callers have to close.
 
-        A last answer counts until the caller has closed the connection, for
-        `LINGER_S` at most once the kernel has taken all of it.
+        They have had their last answer, and last for `LINGER_S` at most once
+        the kernel has taken it.
         """
-        return sum(connection.is_busy for connection in self._connections)
+        return sum(connection.is_ended for connection in self._connections)
 
     @property
     def connections_accepted(self) -> int:
@@ -168,7 +173,9 @@
         listening = self._server.sockets if self._server is not None else ()
         return (
             _count_readable(
-                each.fileno for each in self._connections if not each.is_busy
+                each.fileno
+                for each in self._connections
+                if not (each.is_busy or each.is_ended)
             ),
             bool(_count_readable(sock.fileno() for sock in listening)),
         )
@@ -235,7 +242,13 @@
         is_pending = self._task is not None or self._is_in_body
         if is_pending or self._paced.has_rest:
             return True
-        return self._is_ended or self._transport.is_closing()
+        is_unsent = self._is_ended and self._transport.get_write_buffer_size()
+        return bool(is_unsent) or self._transport.is_closing()
+
+    @property
+    def is_ended(self) -> bool:
+        """True if it has had its last answer."""
+        return self._is_ended
 
     @property
     def is_idle(self) -> bool:
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -69,6 +69,8 @@
 STOP_RESERVE_FRACTION = 1 / 8
 # Seconds until peers have read the last answers of a stopping node.
 STREAM_END_S = 0.5
+# Seconds until callers have closed the connections of their last answers.
+CALLER_END_S = 0.1
 _STOP_CHECK_INTERVAL_S = 0.05
 # Delay of the event loop in seconds above which it is logged.
 LOOP_DELAY_REPORTED_S = 0.1
@@ -377,9 +379,14 @@
             answer_deadline,
         )
         self._peers.finish()
+        ended = self._loop.time()
+        await _until(
+            lambda: not self._callers.lingering,
+            min(answer_deadline, ended + CALLER_END_S),
+        )
         await _until(
             lambda: not self._peers.has_streams,
-            min(answer_deadline, self._loop.time() + STREAM_END_S),
+            min(answer_deadline, ended + STREAM_END_S),
         )
         self.abort()
         await asyncio.sleep(0)
