--- a/tests/test_soak/peers.py
+++ b/tests/test_soak/peers.py
@@ -490,19 +490,12 @@
                         await asyncio.sleep(planned.send_s / _PARTS)
                     writer.write(data[start : start + size])
                     await writer.drain()
-                request.sent = self._loop.time()
-                status, headers, body = await _read_answer(reader)
         except TimeoutError:
             request.end = "late"
         except _LOST:
-            is_sent = request.sent <= self._loop.time()
-            request.end = "cut" if is_sent else "unsent"
+            request.end = "unsent"
         else:
-            request.end = "answered"
-            request.status = status
-            request.seal = headers.get("x-server-seal", "")
-            if headers.get("connection") == "close":
-                self._close()
-            return body
+            request.sent = self._loop.time()
+            return await self._read(request, reader)
         self._close()
         return b""
