--- a/tests/test_platform/test_platform_program.py
+++ b/tests/test_platform/test_platform_program.py
@@ -189,8 +189,12 @@
 
 # Tests hung on processes that they had started: these did not get SIGTERM.
 def test_import_of_the_program_leaves_the_signals_as_they_are():
+    # The defaults are set first, as a child inherits an ignored SIGHUP.
     code = (
-        "import signal, trefoilwind.cmd.platform_node as _; "
+        "import signal; "
+        "signal.signal(signal.SIGHUP, signal.SIG_DFL); "
+        "signal.pthread_sigmask(signal.SIG_SETMASK, ()); "
+        "import trefoilwind.cmd.platform_node; "
         "assert not signal.pthread_sigmask(signal.SIG_BLOCK, ()); "
         "assert signal.getsignal(signal.SIGHUP) is signal.SIG_DFL"
     )
