--- a/tests/test_gateway/test_gateway_streams.py
+++ b/tests/test_gateway/test_gateway_streams.py
@@ -1,6 +1,7 @@
 """Tests of peer streams: heartbeats, unresponsive peers, order of frames."""
 
 import asyncio
+from collections.abc import AsyncIterator
 import contextlib
 import socket
 import threading
@@ -219,28 +220,35 @@
     _run(script, scenario)
 
 
+@contextlib.asynccontextmanager
+async def _stream_with_pongs() -> AsyncIterator[streams.Stream]:
+    """Yield a stream with short timeouts, whose peer sends all the time."""
+    times = streams.StreamTimes(0.1, 0.4)
+    events = _Events()
+    with socket.create_server((fakes.HOST, 0)) as server:
+        address, port = server.getsockname()
+        peer = threading.Thread(target=_send_pongs, args=(server, 1.5))
+        peer.start()
+        _, stream = await asyncio.get_running_loop().create_connection(
+            lambda: streams.Stream(_HELLO, times, events.port(), "n2"),
+            address,
+            port,
+        )
+        await _until(lambda: events.opened)
+        yield stream
+        stream.abort()
+        await asyncio.to_thread(peer.join)
+
+
 def test_stream_is_not_closed_for_the_pause_of_its_own_process():
     """Guards against a verdict on a peer whose bytes were not read."""
-    times = streams.StreamTimes(0.1, 0.4)
 
     async def run() -> None:
-        events = _Events()
-        with socket.create_server((fakes.HOST, 0)) as server:
-            address, port = server.getsockname()
-            peer = threading.Thread(target=_send_pongs, args=(server, 1.5))
-            peer.start()
-            _, stream = await asyncio.get_running_loop().create_connection(
-                lambda: streams.Stream(_HELLO, times, events.port(), "n2"),
-                address,
-                port,
-            )
-            await _until(lambda: events.opened)
+        async with _stream_with_pongs() as stream:
             # Blocks the event loop, as a suspended process would be.
             time.sleep(1.0)
             await asyncio.sleep(0.2)
             assert not stream.is_closed
-            stream.abort()
-            await asyncio.to_thread(peer.join)
 
     uvloop.run(run())
 
@@ -248,28 +256,15 @@
 @pytest.mark.parametrize("pending_answers", [0, 1])
 def test_peer_whose_bytes_wait_unread_is_not_silent(pending_answers):
     """A late event loop ran the liveness timer before it read the stream."""
-    times = streams.StreamTimes(0.1, 0.4)
 
     async def run() -> None:
-        events = _Events()
-        with socket.create_server((fakes.HOST, 0)) as server:
-            address, port = server.getsockname()
-            peer = threading.Thread(target=_send_pongs, args=(server, 1.5))
-            peer.start()
-            _, stream = await asyncio.get_running_loop().create_connection(
-                lambda: streams.Stream(_HELLO, times, events.port(), "n2"),
-                address,
-                port,
-            )
-            await _until(lambda: events.opened)
+        async with _stream_with_pongs() as stream:
             for _ in range(pending_answers):
                 stream.begin_call()
             await late_loop.block(1.0)
             await asyncio.sleep(0.2)
             assert not stream.is_silent
             assert not stream.is_closed
-            stream.abort()
-            await asyncio.to_thread(peer.join)
 
     uvloop.run(run())
 
