Add types, decoding and settings for customers, evacuations and limits

The operators' configuration may now hold customers with keys, ranks and rates, regions of routes and customers, public routes and limits of cold backend servers; an evacuation of a data centre is a record of its own. They are decoded and validated here and used by the parts that follow. An invalid table of customers rejects the configuration as a whole.

A call on a peer stream may name its customer and regions; a frame without them is encoded as in the previous release.

--- a/trefoilwind/distribution/frames.py
+++ b/trefoilwind/distribution/frames.py
@@ -76,6 +76,10 @@
         target_s: Seconds until its answer is late, counted from receipt.
         is_nested: True if another running call waits for this one.
         sent_at: Sender's monotonic time in seconds; 0 if unknown.
+        customer: Name of the caller's customer; empty for none.
+        allowed_regions: Regions whose backend servers may run it; empty for
+            all, unless `is_restricted`.
+        is_restricted: True if `allowed_regions` is to be obeyed also if empty.
     """
 
     call_id: int
@@ -93,6 +97,9 @@
     target_s: float = 0.0
     is_nested: bool = False
     sent_at: float = 0.0
+    customer: str = ""
+    allowed_regions: list = dataclasses.field(default_factory=list)
+    is_restricted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -230,12 +237,20 @@
 _TYPES = tuple(
     tuple(field.type for field in dataclasses.fields(cls)) for cls in _CLASSES
 )
+# Fields that a node of the previous release does not know, at the end of their
+# frame. They are sent only if one of them has a value of its own.
+_LATER_FIELDS = {CallOpen: ("", [], False)}
+_LATER_COUNTS = tuple(len(_LATER_FIELDS.get(cls, ())) for cls in _CLASSES)
 
 
 def encode(frame: Frame) -> bytes:
     """Return the bytes of a frame."""
     tag, getter = _TAGS[type(frame)]
-    return msgpack.packb((tag, *getter(frame)))
+    values = getter(frame)
+    defaults = _LATER_FIELDS.get(type(frame))
+    if defaults is not None and values[-len(defaults) :] == defaults:
+        values = values[: -len(defaults)]
+    return msgpack.packb((tag, *values))
 
 
 class Decoder:
@@ -269,9 +284,10 @@
     if type(tag) is not int or not 0 <= tag < len(_CLASSES):
         raise ValueError("unknown frame tag")
     expected = _TYPES[tag]
-    if len(fields) != len(expected):
+    missing = len(expected) - len(fields)
+    if missing not in (0, _LATER_COUNTS[tag]):
         raise ValueError("wrong number of frame fields")
-    for value, type_ in zip(fields, expected, strict=True):
+    for value, type_ in zip(fields, expected, strict=missing == 0):
         if type(value) is not type_ and (type_, type(value)) != (float, int):
             raise ValueError("wrong type of a frame field")
     return _CLASSES[tag](*fields)
--- a/trefoilwind/gateway/calls.py
+++ b/trefoilwind/gateway/calls.py
@@ -21,6 +21,8 @@
         host: Value of the Host header.
         remaining_s: Seconds for which the caller waits; None if not given.
         forwarded: Headers that are forwarded to the backend server.
+        key: Key that the caller sent; empty if none. Never logged or passed
+            on.
     """
 
     request_id: bytes
@@ -28,6 +30,7 @@
     host: str
     remaining_s: float | None
     forwarded: tuple[http_types.Header, ...]
+    key: bytes = dataclasses.field(default=b"", repr=False)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,6 +86,9 @@
         received: Event loop time in seconds at which this node received it.
         may_repeat: True if the entry node may send it to another node though
             this attempt may have run it.
+        customer: Name of the customer whose caller sent it; empty for none.
+        allowed_regions: Regions whose backend servers may run it; None for
+            all.
     """
 
     method: str
@@ -98,6 +104,8 @@
     deadline: float
     received: float = 0.0
     may_repeat: bool = False
+    customer: str = ""
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -163,6 +163,9 @@
                 target_s=call.target_deadline - now,
                 is_nested=call.is_nested,
                 sent_at=now,
+                customer=call.customer,
+                allowed_regions=sorted(call.allowed_regions or ()),
+                is_restricted=call.allowed_regions is not None,
             )
         )
         for start in range(size, len(call.body), size):
@@ -394,6 +397,10 @@
         target_deadline=received + call_open.target_s,
         deadline=received + call_open.remaining_s,
         received=received,
+        customer=call_open.customer,
+        allowed_regions=frozenset(call_open.allowed_regions)
+        if call_open.is_restricted
+        else None,
     )
 
 
--- a/trefoilwind/model/mesh.py
+++ b/trefoilwind/model/mesh.py
@@ -36,6 +36,9 @@
         destinations: Services among which the calls are divided.
         max_attempts: Largest number of backend servers that one call is sent
             to.
+        is_public: True if calls need no customer's key.
+        allowed_regions: Regions whose backend servers may run the calls; empty
+            for all.
     """
 
     name: str
@@ -47,6 +50,8 @@
     rank: int
     destinations: tuple[Destination, ...]
     max_attempts: int
+    is_public: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,10 +62,39 @@
         name: Name of the service.
         max_connections: Largest number of connections that a backend server
             accepts.
+        cold_s: Seconds for which a backend server is cold after its start.
+        cold_per_s: Calls per second that a cold backend server accepts; 0 for
+            no limit.
     """
 
     name: str
     max_connections: int
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer whose callers identify themselves by a key.
+
+    Attributes:
+        name: Name of the customer.
+        keys: Keys of its callers; never logged or passed on.
+        rank: Priority of its calls, which goes before that of their route;
+            None to use the route's.
+        rate_per_s: Calls per second that it may send to all nodes together; 0
+            for no limit.
+        burst: Calls that it may send beyond the rate.
+        allowed_regions: Regions whose backend servers may run its calls; empty
+            for all.
+    """
+
+    name: str
+    keys: tuple[str, ...] = dataclasses.field(default=(), repr=False)
+    rank: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,12 +116,39 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MeshConfiguration:
-    """One complete configuration; version 0 if there is none yet."""
+    """One complete configuration; version 0 if there is none yet.
+
+    Attributes:
+        version: Version of the configuration.
+        routes: Routes.
+        services: Limits of the services.
+        limits: Limits on the requests of callers.
+        customers: Customers, sorted by name.
+        has_customers: True if requests need a customer's key, except on public
+            routes; there may be no customer yet.
+    """
 
     version: int = 0
     routes: tuple[HostRoute, ...] = ()
     services: tuple[ServicePolicy, ...] = ()
     limits: CallerLimits = CallerLimits()
+    customers: tuple[Customer, ...] = ()
+    has_customers: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """An operator's order to send no calls to a data centre.
+
+    Attributes:
+        data_centre: The data centre.
+        is_active: False once the operator has taken the order back.
+        offset: Position of the record in the operators' topic.
+    """
+
+    data_centre: str
+    is_active: bool
+    offset: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/trefoilwind/platform/documents.py
+++ b/trefoilwind/platform/documents.py
@@ -13,6 +13,7 @@
 
 CONFIGURATION_KEY = "config"
 ROLLOUT_KEY = "rollout/"
+EVACUATION_KEY = "evacuate/"
 _STEP = "platform.decode"
 # The only kind of calls that may run more than once.
 _IDEMPOTENT_KIND = "safe"
@@ -39,16 +40,25 @@
 
 def decode_operator_record(
     record: keyed.KeyedRecord,
-) -> mesh.MeshConfiguration | mesh.RolloutOrder | errors.RecordError | None:
+) -> (
+    mesh.MeshConfiguration
+    | mesh.RolloutOrder
+    | mesh.Evacuation
+    | errors.RecordError
+    | None
+):
     """Decode a record of the operator; never raises.
 
     Returns:
-        The configuration or rollout order, an error if the record is
-        malformed, or None if it was deleted or has another key.
+        The configuration, rollout order or evacuation, an error if the record
+        is malformed, or None if it has another key or, other than an
+        evacuation, was deleted.
     """
-    if not record.value:
-        return None
     try:
+        if record.key.startswith(EVACUATION_KEY):
+            return _decode_evacuation(record)
+        if not record.value:
+            return None
         if record.key == CONFIGURATION_KEY:
             return _decode_configuration(json.loads(record.value))
         if record.key.startswith(ROLLOUT_KEY):
@@ -65,6 +75,14 @@
     return None
 
 
+def _decode_evacuation(record: keyed.KeyedRecord) -> mesh.Evacuation:
+    return mesh.Evacuation(
+        data_centre=_require_name(record.key.removeprefix(EVACUATION_KEY)),
+        is_active=bool(record.value),
+        offset=record.offset,
+    )
+
+
 def _table_rows(table: Any) -> list[dict[str, Any]]:
     """Return the rows of a table as dictionaries, without null values."""
     columns = table["columns"]
@@ -91,6 +109,8 @@
             mesh.ServicePolicy(
                 _require_text(row["name"]),
                 _require_integer(row.get("max_conns", 0)),
+                _require_number(row.get("cold_s", 0)),
+                _require_number(row.get("cold_per_s", 0)),
             )
             for row in _table_rows(document["services"])
         ),
@@ -108,7 +128,46 @@
                 limits.get("idle_timeout_s", default.idle_timeout_s)
             ),
         ),
+        customers=_decode_customers(document.get("tenants")),
+        has_customers=document.get("tenants") is not None,
+    )
+
+
+def _decode_customers(table: Any) -> tuple[mesh.Customer, ...]:
+    """Return the customers, sorted by name.
+
+    Raises:
+        ValueError: A name stands twice, or a key has two customers.
+    """
+    if table is None:
+        return ()
+    customers = tuple(
+        mesh.Customer(
+            name=_require_name(row["name"]),
+            keys=tuple(_require_text(key) for key in row.get("api_keys", ())),
+            rank=_require_integer(row["priority"])
+            if "priority" in row
+            else None,
+            rate_per_s=_require_number(row.get("rate_per_s", 0)),
+            burst=_require_number(row.get("burst", 0)),
+            allowed_regions=_decode_regions(row),
+        )
+        for row in _table_rows(table)
     )
+    names = {customer.name for customer in customers}
+    if len(names) < len(customers):
+        raise ValueError("a customer's name stands twice")
+    keys = [key for customer in customers for key in set(customer.keys)]
+    if len(set(keys)) < len(keys):
+        raise ValueError("a key has two customers")
+    return tuple(sorted(customers, key=lambda customer: customer.name))
+
+
+def _decode_regions(row: dict[str, Any]) -> tuple[str, ...]:
+    regions = row.get("allowed_regions", [])
+    if type(regions) is not list:
+        raise TypeError("list of regions expected")
+    return tuple(_require_text(region) for region in regions)
 
 
 def _decode_route(row: dict[str, Any]) -> mesh.HostRoute:
@@ -133,6 +192,8 @@
         rank=_require_integer(row.get("priority", 0)),
         destinations=destinations,
         max_attempts=max(1, _require_integer(row.get("max_attempts", 1))),
+        is_public=_require_flag(row.get("public", False)),
+        allowed_regions=_decode_regions(row),
     )
 
 
@@ -216,6 +277,12 @@
     return text
 
 
+def _require_flag(value: Any) -> bool:
+    if type(value) is not bool:
+        raise TypeError("true or false expected")
+    return value
+
+
 def _require_integer(value: Any) -> int:
     if type(value) is not int or not bounds.is_count(value):
         raise TypeError("non-negative integer of at most 53 bits expected")
--- a/trefoilwind/platform/program.py
+++ b/trefoilwind/platform/program.py
@@ -28,6 +28,7 @@
 # Seconds between two checks of the settings file.
 FILE_CHECK_INTERVAL_S = 1.0
 _LISTEN_BACKLOG = 64
+_BYTES_PER_MB = 1_000_000
 
 
 def mesh_settings(
@@ -57,6 +58,20 @@
         ),
         stop_timeout_s=bounds.grace_s,
         heartbeat_interval_s=settings.platform.heartbeat_interval_s,
+        customers=node_settings.CustomerTerms(
+            bounds.strict_revoke,
+            bounds.revoke_s,
+            bounds.quota_window_s,
+            bounds.quota_overage,
+            bounds.quota_slack,
+        ),
+        cold=node_settings.ColdTerms(bounds.cold_overage, bounds.cold_slack),
+        evacuation_s=bounds.evacuation_s,
+        data_centres=settings.network.zones,
+        process=node_settings.ProcessLimits(
+            int(machine.limits.memory_mb * _BYTES_PER_MB),
+            machine.limits.max_fds,
+        ),
     )
 
 
--- a/trefoilwind/platform/settings.py
+++ b/trefoilwind/platform/settings.py
@@ -19,6 +19,21 @@
     return dataclasses.field(default=default, metadata={"limits": limits})
 
 
+@dataclasses.dataclass(frozen=True)
+class ProcessLimits:
+    """Table `self.limits`.
+
+    Attributes:
+        memory_mb: Memory of the process in megabytes.
+        max_fds: File descriptors of the process.
+        link_mbps: Rate of the machine's link in megabits per second.
+    """
+
+    memory_mb: float = _field(_POSITIVE, 300.0)
+    max_fds: int = _field(_POSITIVE, 4100)
+    link_mbps: float = _field(_POSITIVE, 1000.0)
+
+
 @dataclasses.dataclass(frozen=True)
 class Machine:
     """Table `self`: the machine and the backend server on it.
@@ -30,6 +45,7 @@
         ip: IP address of the machine.
         app_addr: Address of the backend server.
         service: Service of the backend server.
+        limits: Limits of the process.
     """
 
     node: str = _field(_NAME)
@@ -38,6 +54,7 @@
     ip: str = _field(_NAME)
     app_addr: str = _field(_NAME)
     service: str = _field(_NAME)
+    limits: ProcessLimits = ProcessLimits()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,9 +76,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Network:
-    """Table `network`."""
+    """Table `network`.
+
+    Attributes:
+        listen: Addresses that the node serves.
+        zones: Region of each data centre.
+    """
 
     listen: Listen
+    zones: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,6 +125,19 @@
         expose_slack: Requests that it may receive beyond that share.
         rollback_s: Maximum seconds from the fault of a version to the last
             request that it receives.
+        strict_revoke: True if no request with a withdrawn key may run later
+            than `revoke_s`, whatever the node knows.
+        revoke_s: Maximum seconds from the withdrawal of a key to the last
+            request that runs with it.
+        config_apply_s: Maximum seconds until a configuration is in force.
+        quota_window_s: Seconds over which the calls of a customer are counted.
+        quota_overage: Share by which they may exceed its limit.
+        quota_slack: Calls by which they may exceed it in addition.
+        cold_overage: Factor by which the calls of a second may exceed the
+            limit of a cold backend server.
+        cold_slack: Calls by which they may exceed it in addition.
+        evacuation_s: Maximum seconds from the evacuation of a data centre to
+            the last call that is sent there.
     """
 
     grace_s: float = _field(_POSITIVE, 6.0)
@@ -111,6 +147,15 @@
     expose_share: float = 0.1
     expose_slack: float = 50.0
     rollback_s: float = 5.0
+    strict_revoke: bool = False
+    revoke_s: float = _field(_POSITIVE, 5.0)
+    config_apply_s: float = _field(_POSITIVE, 3.0)
+    quota_window_s: float = _field(_POSITIVE, 5.0)
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
+    cold_overage: float = 1.5
+    cold_slack: float = 8.0
+    evacuation_s: float = _field(_POSITIVE, 5.0)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/trefoilwind/routing/route_validation.py
+++ b/trefoilwind/routing/route_validation.py
@@ -36,6 +36,29 @@
             yield _error(errors.Reason.DUPLICATE, f"{path}.path_prefix", text)
         names.add(route.name)
         prefixes.add(key)
+    yield from _problems_of_customers(configuration)
+
+
+def _problems_of_customers(
+    configuration: mesh.MeshConfiguration,
+) -> Iterator[errors.SettingsError]:
+    names: set[str] = set()
+    owners: dict[str, int] = {}
+    for index, customer in enumerate(configuration.customers):
+        path = f"customers[{index}]"
+        if customer.name in names:
+            yield _error(errors.Reason.DUPLICATE, f"{path}.name", customer.name)
+        names.add(customer.name)
+        for name in ("rate_per_s", "burst"):
+            if not 0.0 <= getattr(customer, name) < math.inf:
+                detail = "finite and not negative"
+                yield _error(
+                    errors.Reason.OUT_OF_RANGE, f"{path}.{name}", detail
+                )
+        if any(owners.setdefault(key, index) != index for key in customer.keys):
+            # The key itself is a secret.
+            detail = "key of another customer"
+            yield _error(errors.Reason.DUPLICATE, f"{path}.keys", detail)
 
 
 def _problems_of_route(
