Keep calls out of evacuated data centres and disallowed regions

Cause: an operator could not empty a data centre, and a route could not be restricted to regions.

Change: routing/regions.py decides which members may run a call. The picker, the choice of a version, the count of a rollout's servers and the target node use it. Reads of the newest records note the evacuations that are present, so that deletions reach nodes that hold the deleted record, also through peers. A target node refuses calls until it has had the operator's records.

--- a/trefoilwind/errors.py
+++ b/trefoilwind/errors.py
@@ -55,6 +55,9 @@
     DUPLICATE_KEY = "duplicate-key"
     KEEPER_UNAVAILABLE = "keeper-unavailable"
     POISON_REQUEST = "poison-request"
+    EVACUATED = "evacuated"
+    REGION_NOT_ALLOWED = "region-not-allowed"
+    RECORDS_UNKNOWN = "records-unknown"
     BODY_TOO_LARGE = "body-too-large"
     # Administration.
     UNAUTHORIZED = "unauthorized"
--- a/trefoilwind/gateway/board.py
+++ b/trefoilwind/gateway/board.py
@@ -6,6 +6,7 @@
 from trefoilwind.membership import directory
 from trefoilwind.model import mesh
 from trefoilwind.routing import host_routes
+from trefoilwind.routing import regions
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,4 +43,7 @@
         self.routes = sections.Section("routes", host_routes.HostRouteTable())
         self.members = sections.Section("members", directory.Snapshot())
         self.versions = sections.Section("versions", VersionTable())
+        self.evacuations = sections.Section(
+            "evacuations", regions.Evacuations()
+        )
         self.is_draining = sections.Section("is_draining", False)
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -16,6 +16,7 @@
 from trefoilwind.gateway import unread
 from trefoilwind.logs import decisions
 from trefoilwind.model import mesh
+from trefoilwind.routing import regions
 from trefoilwind.routing import service_time
 from trefoilwind.routing import shared_budget
 from trefoilwind.routing import weighted_choice
@@ -86,6 +87,9 @@
         counts: counts_lib.MeshCounts,
         rng: random.Random,
         configuration_age_s: Callable[[], float] = lambda: 0.0,
+        regions_of_running: Callable[
+            [bytes], frozenset[str] | None
+        ] = lambda request_id: None,
     ):
         self._board = board
         self._headers = headers
@@ -98,6 +102,7 @@
         self._counts = counts
         self._random = rng
         self._configuration_age_s = configuration_age_s
+        self._regions_of_running = regions_of_running
         self._weighted_choice = weighted_choice.WeightedChoice(rng.random)
         self._loop = asyncio.get_running_loop()
         # Event loop times of a stop: after which no request is accepted, and
@@ -194,6 +199,9 @@
             remaining_s = DEFAULT_DEADLINE_S
         limit_s = min(remaining_s, route.timeout_s)
         service = self._weighted_choice.choose(route, version)
+        allowed = regions.allowed_regions(
+            route, None, self._regions_of_running(metadata.parent_id)
+        )
         return calls.Call(
             method=request.method.decode("latin-1"),
             target=request.target.decode("latin-1"),
@@ -203,13 +211,14 @@
             ),
             body=request.body,
             service=service,
-            version=self._picker.choose_version(service),
+            version=self._picker.choose_version(service, allowed),
             route_name=route.name,
             rank=route.rank,
             is_nested=self._is_running(metadata.parent_id),
             target_deadline=request.received + route.target_s,
             deadline=request.received + limit_s,
             received=request.received,
+            allowed_regions=allowed,
         )
 
     async def _run_until_stop(
@@ -362,6 +371,8 @@
             "elapsed_ms": round((now - call.received) * 1000, 1),
             "left_ms": round((call.deadline - now) * 1000, 1),
         }
+        if call.allowed_regions is not None:
+            fields["allowed_regions"] = sorted(call.allowed_regions)
         if not math.isinf(self._stop_deadline):
             # Tells a call that the stop has ended from one that its own
             # deadline has.
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -69,6 +69,7 @@
         on_read_again: Callable[
             [tuple[keyed.KeyedRecord, ...]], None
         ] = lambda records: None,
+        on_newest: Callable[[keyed.KeyedPage], None] = lambda page: None,
     ):
         """Initialize the follower of a topic.
 
@@ -86,7 +87,10 @@
                 while records are written faster than they are read.
             on_read_again: Called with the newest records of all keys after
                 these had to be read again, as the offset had expired.
+            on_newest: Called after `on_records` with each page that holds the
+                newest records of all keys; a deleted key is absent from it.
         """
+        self._on_newest = on_newest
         self._store = store
         self._topic = topic
         self._on_records = on_records
@@ -212,8 +216,9 @@
         offset = self._offset
         started = asyncio.get_running_loop().time()
         self._reading_since = started
+        is_newest = offset is None or self._reads_newest(plan, started)
         try:
-            if offset is None or self._reads_newest(plan, started):
+            if is_newest:
                 page = await self._store.newest(self._topic)
             else:
                 page = await self._read_next(offset, plan.wait_s)
@@ -227,6 +232,8 @@
         newest = newest_by_key(page.records)
         self._report_read(page, len(newest), offset, elapsed_s)
         self._hand_over(newest)
+        if is_newest:
+            self._on_newest(page)
         written = 0 if offset is None else page.next_offset - offset
         # After one record in each of two reads, the next may return several.
         self._has_backlog = written > 1 or (written > 0 and self._was_written)
--- a/trefoilwind/gateway/metrics_page.py
+++ b/trefoilwind/gateway/metrics_page.py
@@ -34,6 +34,7 @@
         limit_per_s: Calls per second that the backend server accepts; infinity
             if it names no limit.
         is_store_unavailable: True while reads of the store fail.
+        evacuated: Evacuated data centres, sorted.
     """
 
     is_ready: bool
@@ -49,6 +50,7 @@
     occupied: int
     limit_per_s: float
     is_store_unavailable: bool
+    evacuated: tuple[str, ...] = ()
 
 
 class MetricsPage:
@@ -136,3 +138,12 @@
         "0 while reads of the store fail, else 1.",
         int(not gauges.is_store_unavailable),
     )
+    # Without evacuations the page is the same as before there were any.
+    if gauges.evacuated:
+        yield prometheus.Family(
+            prometheus.Kind.GAUGE,
+            "data_centre_evacuated",
+            "1 while nothing is sent to the backend servers of a data centre.",
+            ("data_centre",),
+            {(name,): 1 for name in gauges.evacuated},
+        )
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -16,6 +16,7 @@
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import control_messages
 from trefoilwind.gateway import entry as entry_lib
+from trefoilwind.gateway import evacuations as evacuations_lib
 from trefoilwind.gateway import follower as follower_lib
 from trefoilwind.gateway import http_server
 from trefoilwind.gateway import http_types
@@ -44,6 +45,7 @@
 from trefoilwind.model import positions
 from trefoilwind.rollout import messages as evidence_messages
 from trefoilwind.routing import host_routes
+from trefoilwind.routing import regions
 from trefoilwind.routing import shared_budget
 from trefoilwind.routing import suspect_messages
 from trefoilwind.telemetry import counts as counts_lib
@@ -99,13 +101,20 @@
         decode: Returns the content of a record, an error if it is malformed,
             or None if nodes do not use it.
         status: Returns the record that reports the status of a rollout.
+        is_removable: Returns True for a key whose deletion matters; None if
+            there is no such key.
     """
 
     decode: Callable[
         [keyed.KeyedRecord],
-        mesh.MeshConfiguration | mesh.RolloutOrder | errors.RecordError | None,
+        mesh.MeshConfiguration
+        | mesh.RolloutOrder
+        | mesh.Evacuation
+        | errors.RecordError
+        | None,
     ]
     status: Callable[[mesh.RolloutStatus], keyed.KeyedRecord]
+    is_removable: Callable[[str], bool] | None = None
 
 
 class MeshNode:
@@ -146,7 +155,12 @@
             self._counts,
             self.withdraw,
             lambda: self._incoming.arriving,
+            self._region_refusal,
         )
+        self._evacuations = evacuations_lib.EvacuationTable(
+            self._board, settings.data_centres, self._loop.time
+        )
+        self._board.evacuations.subscribe(self._apply_evacuations)
         self._own_server = own_server.OwnServer(
             self._target,
             self._members,
@@ -200,6 +214,7 @@
             self._counts,
             self._random,
             lambda: self._operator_records.age_s,
+            self._target.regions_of,
         )
         self._callers = http_server.HttpServer(self._serve, self._limits)
         self._publisher = publisher_lib.Publisher(
@@ -215,6 +230,7 @@
             lambda: self._mesh_follower.has_read,
             self._random,
             self._counts,
+            operator.is_removable,
         )
         self._mesh_follower = follower_lib.Follower(
             store,
@@ -274,6 +290,7 @@
         return metrics_page.Gauges(
             is_ready=self.is_ready,
             configuration_version=self._board.configuration.value.version,
+            evacuated=tuple(sorted(self._board.evacuations.value.evacuated)),
             configuration_age_s=self._operator_records.age_s,
             operator_read_s=self._operator_records.read_s,
             members=len(self._board.members.value.members),
@@ -495,6 +512,22 @@
             self._notices.record(member, self._headers.notice(result))
         return outcome
 
+    def _region_refusal(self, call: calls.Call) -> errors.Reason | None:
+        """Return why no backend server of this data centre may run a call."""
+        # Until then an evacuation of this data centre may be unknown.
+        if not self._operator_records.has_records:
+            return errors.Reason.RECORDS_UNKNOWN
+        return regions.refusal(
+            self._settings.data_centre,
+            self._settings.region,
+            call.allowed_regions,
+            self._board.evacuations.value,
+        )
+
+    def _apply_evacuations(self, evacuations: regions.Evacuations) -> None:
+        if self._settings.data_centre in evacuations.evacuated:
+            self._target.refuse_queued()
+
     async def _run_at(self, node_id: str, call: calls.Call) -> calls.Outcome:
         if node_id == self._settings.node_id:
             return await self._target.run(call)
@@ -730,6 +763,11 @@
             logger.warning("store: %s", decoded)
         elif isinstance(decoded, mesh.MeshConfiguration):
             self._apply_configuration(decoded)
+        elif isinstance(decoded, mesh.Evacuation):
+            problem = self._evacuations.apply(decoded)
+            if problem is not None:
+                self._counts.record_rejected(problem.reason.value)
+                logger.warning("store: %s", problem)
         elif isinstance(decoded, mesh.RolloutOrder):
             self._rollouts.handle_order(decoded)
 
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -55,6 +55,7 @@
         has_discovered: Callable[[], bool],
         rng: random.Random,
         counts: counts_lib.MeshCounts,
+        is_removable: Callable[[str], bool] | None = None,
     ):
         """Initialize the reception of operator records.
 
@@ -69,6 +70,8 @@
             has_discovered: Returns True once the members have been read.
             rng: Source of random numbers.
             counts: Counters of the node.
+            is_removable: Returns True for a key whose deletion matters; None
+                if there is no such key.
         """
         self._node_id = settings.node_id
         self._data_centre = settings.data_centre
@@ -79,7 +82,7 @@
         self._random = rng
         self._counts = counts
         self._loop = asyncio.get_running_loop()
-        self._sharing = record_sharing.RecordSharing(on_record)
+        self._sharing = record_sharing.RecordSharing(on_record, is_removable)
         self._follower = follower_lib.Follower(
             store,
             settings.operator_topic,
@@ -90,6 +93,7 @@
             self._announce_read,
             self._announce_failure,
             skips_superseded=True,
+            on_newest=self._sharing.note_newest,
         )
         self._selection = reader_selection.ReaderSelection(
             settings.node_id,
@@ -107,6 +111,11 @@
         """True while reads of the store fail."""
         return self._follower.is_unavailable
 
+    @property
+    def has_records(self) -> bool:
+        """True once this node has had the newest record of each key."""
+        return self._follower.has_read
+
     @property
     def age_s(self) -> float:
         """Seconds since this node was last known to have the newest records."""
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -16,6 +16,7 @@
 from trefoilwind.routing import cold_start
 from trefoilwind.routing import failures
 from trefoilwind.routing import placement
+from trefoilwind.routing import regions
 from trefoilwind.routing import service_time
 
 # Seconds assumed for a call before the first measurement.
@@ -36,6 +37,7 @@
         errors.Reason.DEADLINE_EXCEEDED,
         errors.Reason.CANCELLED,
         errors.Reason.BACKEND_FAILED,
+        errors.Reason.REGION_NOT_ALLOWED,
     }
 )
 
@@ -117,17 +119,30 @@
             self._selection = peer_selection.select(members, self._own)
         return self._selection
 
-    def choose_version(self, service: str) -> str:
-        """Return the version for a call; empty if any version may run it."""
+    def choose_version(
+        self, service: str, allowed: regions.Regions | None = None
+    ) -> str:
+        """Return the version for a call; empty if any version may run it.
+
+        Args:
+            service: Service of the call.
+            allowed: Regions that may run it; None for all.
+        """
         plan = self._board.versions.value.by_service.get(service)
         if plan is None:
             return ""
-        if plan.candidate and self._draw() < plan.share:
+        if (
+            plan.candidate
+            and self._draw() < plan.share
+            and not self._is_excluded(service, plan.candidate, allowed)
+        ):
             return plan.candidate
         serving = self._board.members.value.serving
-        if serving(service, plan.stable):
+        if serving(service, plan.stable) and not self._is_excluded(
+            service, plan.stable, allowed
+        ):
             return plan.stable
-        return self._fallback_version(service, plan)
+        return self._fallback_version(service, plan, allowed)
 
     def pick(
         self,
@@ -146,20 +161,33 @@
         """
         self._note_appearances(now)
 
+        evacuations = self._board.evacuations.value
+        held_back = regions.held_back(evacuations, now, self._draw)
+
         def is_available(member: members_lib.Member) -> bool:
             node_id = member.node_id
-            return node_id not in tried and self._is_available(node_id, now)
+            return (
+                node_id not in tried
+                and regions.allows(member, call.allowed_regions, evacuations)
+                and member.data_centre not in held_back
+                and self._is_available(node_id, now)
+            )
 
-        candidates = [
-            self._candidate(member, distance, now)
-            for distance, group in self._groups(call.service, call.version)
-            for member in placement.sample(group, is_available, self._draw)
-        ]
         choose = placement.choose
         if was_refused:
             choose = placement.choose_after_refusal
-        chosen = choose(candidates, len(call.body))
-        return chosen.node_id if chosen else ""
+        while True:
+            candidates = [
+                self._candidate(member, distance, now)
+                for distance, group in self._groups(call.service, call.version)
+                for member in placement.sample(group, is_available, self._draw)
+            ]
+            chosen = choose(candidates, len(call.body))
+            if chosen is not None:
+                return chosen.node_id
+            if not held_back:
+                return ""
+            held_back = frozenset()
 
     def _note_appearances(self, now: float) -> None:
         """Note which backend servers are new since the previous call."""
@@ -219,14 +247,31 @@
             if not state.in_flight and not is_known(node_id):
                 del self._states[node_id]
 
+    def _is_excluded(
+        self, service: str, version: str, allowed: regions.Regions | None
+    ) -> bool:
+        """Return True if a version has members, but none may run a call."""
+        evacuations = self._board.evacuations.value
+        if allowed is None and not evacuations.evacuated:
+            return False
+        group = self._board.members.value.serving(service, version)
+        return bool(group) and not any(
+            regions.allows(member, allowed, evacuations) for member in group
+        )
+
     def _fallback_version(
-        self, service: str, plan: board_lib.VersionPlan
+        self,
+        service: str,
+        plan: board_lib.VersionPlan,
+        allowed: regions.Regions | None,
     ) -> str:
-        """Return a version to use while the stable one has no member."""
+        """Return a version to use while the stable one has no usable member."""
         versions = [
             version
             for name, version in self._board.members.value.by_version
-            if name == service and version not in plan.banned
+            if name == service
+            and version not in plan.banned
+            and not self._is_excluded(service, version, allowed)
         ]
         others = [v for v in versions if v != plan.candidate]
         return next(iter(others or versions), plan.stable)
--- a/trefoilwind/gateway/record_sharing.py
+++ b/trefoilwind/gateway/record_sharing.py
@@ -20,6 +20,9 @@
 # Configurations are repetitive text, for which the fastest level is
 # sufficient.
 _COMPRESSION_LEVEL = 1
+# Key of a record that nodes make for each other: the removable keys that had a
+# value at its position. The store's adapter accepts no key with this character.
+PRESENT_KEY = "\0present"
 _STEP = "records.unpack"
 
 RecordsRequest = (
@@ -30,14 +33,21 @@
 class RecordSharing:
     """Keeps the newest record of each key, from the store or from peers."""
 
-    def __init__(self, on_record: Callable[[keyed.KeyedRecord], None]):
+    def __init__(
+        self,
+        on_record: Callable[[keyed.KeyedRecord], None],
+        is_removable: Callable[[str], bool] | None = None,
+    ):
         """Initialize an empty set of records.
 
         Args:
             on_record: Called with each record that is newer than the stored
                 one of its key.
+            is_removable: Returns True for a key whose deletion matters; None
+                if there is no such key.
         """
         self._on_record = on_record
+        self._is_removable = is_removable
         # Last records of each key, the newest one last.
         self._history: dict[str, list[keyed.KeyedRecord]] = {}
         self._next_request_at = 0.0
@@ -52,6 +62,9 @@
 
     def add(self, record: keyed.KeyedRecord) -> None:
         """Add a record from the store or a peer unless it is outdated."""
+        if self._was_removed(record):
+            _report_drop(record, self._history[PRESENT_KEY][-1])
+            return
         known = self._history.setdefault(record.key, [])
         if known and known[-1].offset >= record.offset:
             if known[-1].value != record.value:
@@ -60,7 +73,46 @@
         known.append(record)
         del known[:-HISTORY_RECORDS]
         self._packed.clear()
-        self._on_record(record)
+        if record.key == PRESENT_KEY:
+            self._remove_absent()
+        else:
+            self._on_record(record)
+
+    def note_newest(self, page: keyed.KeyedPage) -> None:
+        """Note a page with the newest records of all keys.
+
+        A removable key that is absent from it was deleted. Peers learn of that
+        from a record with the keys that are present, as this node does not know
+        which deleted keys they have.
+        """
+        if self._is_removable is None or not page.next_offset:
+            return
+        present = sorted(
+            record.key
+            for record in page.records
+            if record.value and self._is_removable(record.key)
+        )
+        value = "\n".join(present).encode()
+        self.add(keyed.KeyedRecord(PRESENT_KEY, value, page.next_offset - 1))
+
+    def _was_removed(self, record: keyed.KeyedRecord) -> bool:
+        """Return True if a later read of all keys did not find a record."""
+        history = self._history.get(PRESENT_KEY)
+        if self._is_removable is None or not history or not record.value:
+            return False
+        present = history[-1]
+        return (
+            record.offset < present.offset
+            and self._is_removable(record.key)
+            and record.key not in _keys(present)
+        )
+
+    def _remove_absent(self) -> None:
+        present = self._history[PRESENT_KEY][-1]
+        for records in list(self._history.values()):
+            if self._was_removed(records[-1]):
+                key = records[-1].key
+                self.add(keyed.KeyedRecord(key, b"", present.offset))
 
     def request(
         self, held_offset: int, needs_peer: bool, now: float
@@ -194,6 +246,10 @@
         return _malformed(f"unknown base {record.base_offset}")
 
 
+def _keys(present: keyed.KeyedRecord) -> list[str]:
+    return present.value.decode(errors="replace").split("\n")
+
+
 def _report_drop(record: keyed.KeyedRecord, newer: keyed.KeyedRecord) -> None:
     decisions.failure(
         logger,
--- a/trefoilwind/gateway/rollouts.py
+++ b/trefoilwind/gateway/rollouts.py
@@ -17,6 +17,7 @@
 from trefoilwind.rollout import ramp
 from trefoilwind.rollout import verdicts
 from trefoilwind.routing import cold_start
+from trefoilwind.routing import regions
 
 logger = logging.getLogger(__name__)
 
@@ -342,9 +343,7 @@
         now = self._clock()
         order = rollout.order
         counters = self.evidence_of(rollout.move_id)
-        servers = len(
-            self._board.members.value.serving(order.service, order.version)
-        )
+        servers = self._usable_servers(order)
         rollout.history.update(now, counters)
         verdict = rollout.judge.judge(rollout.history, servers)
         rollout.verdict = verdict
@@ -369,6 +368,16 @@
             rollout.brake is not None,
         )
 
+    def _usable_servers(self, order: mesh.RolloutOrder) -> int:
+        """Return the number of servers of a version outside evacuations."""
+        evacuations = self._board.evacuations.value
+        return sum(
+            regions.allows(member, None, evacuations)
+            for member in self._board.members.value.serving(
+                order.service, order.version
+            )
+        )
+
     def _set_brake(self, rollout: _OpenRollout, brake: evidence.Brake) -> None:
         rollout.brake = brake
         logger.warning(
@@ -503,9 +512,7 @@
 
     def _current_progress(self, rollout: _OpenRollout) -> ramp.Progress:
         order = rollout.order
-        servers = len(
-            self._board.members.value.serving(order.service, order.version)
-        )
+        servers = self._usable_servers(order)
         verdict = rollout.verdict
         if verdict is None:
             verdict = rollout.judge.judge(rollout.history, servers)
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -51,6 +51,9 @@
         counts: counts_lib.MeshCounts,
         on_leaving: Callable[[], None] = lambda: None,
         arriving: Callable[[], int] = lambda: 0,
+        region_refusal: Callable[
+            [calls.Call], errors.Reason | None
+        ] = lambda call: None,
     ):
         """Initialize the target node's part without a backend server.
 
@@ -62,7 +65,10 @@
             on_leaving: Called when the backend server says in an answer that
                 it is leaving.
             arriving: Returns the number of calls whose bodies are arriving.
+            region_refusal: Returns why no backend server of this data centre
+                may run a call, or None if it may.
         """
+        self._region_refusal = region_refusal
         self._node_id = node_id
         self._arriving = arriving
         self._on_leaving = on_leaving
@@ -89,6 +95,8 @@
         self._waiters: dict[int, asyncio.Future[bool]] = {}
         self._queue_timer: asyncio.TimerHandle | None = None
         self._running_ids: collections.Counter[bytes] = collections.Counter()
+        # Allowed regions of the running requests that are restricted, by id.
+        self._running_regions: dict[bytes, frozenset[str]] = {}
         self._interrupted_calls: list[calls.Call] = []
         self._death_check: asyncio.Task | None = None
         self._deaths = 0
@@ -141,6 +149,14 @@
         """Return True if a request with this id runs at the backend server."""
         return request_id in self._running_ids
 
+    def regions_of(self, request_id: bytes) -> frozenset[str] | None:
+        """Return the allowed regions of a running request; None for all."""
+        return self._running_regions.get(request_id)
+
+    def refuse_queued(self) -> None:
+        """Refuse the calls that wait for a slot."""
+        self._refuse_waiting()
+
     def set_server(self, server: mesh.BackendServer | None) -> None:
         """Apply an announcement of the backend server; None if unknown.
 
@@ -255,6 +271,9 @@
         if isinstance(verdict, call_queue.Queued):
             is_started = await self._wait_for_slot(ticket)
             if not is_started:
+                refusal = self._check_server(call)
+                if refusal is not None:
+                    return calls.Outcome(refusal, occupied=self.load)
                 return self._overloaded(self._queue.retry_s())
         self._counts.slot_acquired(call.service, self._now() - arrived)
         return await self._run_in_slot(call, ticket)
@@ -298,6 +317,9 @@
     def _check_server(self, call: calls.Call) -> errors.CallError | None:
         if self._is_draining or self._is_leaving:
             return self._refusal(errors.Reason.DRAINING)
+        reason = self._region_refusal(call)
+        if reason is not None:
+            return self._refusal(reason)
         server = self._server
         if server is None or server.service != call.service:
             return self._refusal(errors.Reason.NO_BACKEND)
@@ -363,6 +385,8 @@
         )
         request_id = self._headers.request_id(call.headers)
         self._running_ids[request_id] += 1
+        if call.allowed_regions is not None:
+            self._running_regions[request_id] = call.allowed_regions
         self._sent += 1
         try:
             result = await client.call(
@@ -375,6 +399,7 @@
             self._running_ids[request_id] -= 1
             if not self._running_ids[request_id]:
                 del self._running_ids[request_id]
+                self._running_regions.pop(request_id, None)
         if isinstance(result, errors.CallError):
             self._handle_call_failure(call, result)
             return result
--- a/trefoilwind/platform/documents.py
+++ b/trefoilwind/platform/documents.py
@@ -75,6 +75,11 @@
     return None
 
 
+def is_removable(key: str) -> bool:
+    """Return True for a key whose deletion nodes have to learn of."""
+    return key.startswith(EVACUATION_KEY)
+
+
 def _decode_evacuation(record: keyed.KeyedRecord) -> mesh.Evacuation:
     return mesh.Evacuation(
         data_centre=_require_name(record.key.removeprefix(EVACUATION_KEY)),
--- a/trefoilwind/platform/program.py
+++ b/trefoilwind/platform/program.py
@@ -100,7 +100,9 @@
         store_lib.PlatformStore(address),
         headers.port(),
         node_lib.OperatorPort(
-            documents.decode_operator_record, documents.encode_rollout_status
+            documents.decode_operator_record,
+            documents.encode_rollout_status,
+            documents.is_removable,
         ),
     )
     problem = await node.start() or await _serve_platform(node, settings)
