--- a/tests/test_gateway/test_gateway_picker.py
+++ b/tests/test_gateway/test_gateway_picker.py
@@ -9,6 +9,7 @@
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import picker as picker_lib
 from trefoilwind.membership import directory
+from trefoilwind.routing import regions
 
 _OK = http_types.HttpAnswer(200, ())
 _FAILED = http_types.HttpAnswer(500, ())
@@ -102,3 +103,32 @@
         _attempt(picker, "n2", shed, later)
         _attempt(picker, "n3", calls.Outcome(_OK, 0.09, 0), later)
     assert picker.pick(_CALL, (), later + 0.1) == "n3"
+
+
+def test_version_whose_servers_are_all_evacuated_gets_no_calls():
+    board = board_lib.MeshBoard()
+    old = test_gateway_entry.make_member(1)
+    new = dataclasses.replace(
+        test_gateway_entry.make_member(2), version="v2", data_centre="e"
+    )
+    board.members.claim("test")(directory.snapshot([old, new]))
+    plan = board_lib.VersionPlan("v1", "v2", 1.0)
+    board.versions.claim("test")(board_lib.VersionTable({"s": plan}))
+    publish = board.evacuations.claim("test")
+    picker = picker_lib.Picker(old, board, lambda node: True, int, lambda: 0.5)
+    assert picker.choose_version("s") == "v2"
+    publish(regions.Evacuations(frozenset({"e"})))
+    assert picker.choose_version("s") == "v1"
+    publish(regions.Evacuations(frozenset({"d"})))
+    assert picker.choose_version("s") == "v2"
+    # The stable version is in the evacuated data centre.
+    picker = picker_lib.Picker(old, board, lambda node: True, int, lambda: 1.0)
+    assert picker.choose_version("s") == "v2"
+
+
+def test_only_server_of_a_returning_data_centre_is_found():
+    picker = _picker(far=(2, 3))
+    evacuations = regions.Evacuations(returned_at={"e": 1.0})
+    picker._board.evacuations.claim("test")(evacuations)
+    assert picker.pick(_CALL, (), 1.1) == "n1"
+    assert picker.pick(_CALL, ("n1",), 1.1) in ("n2", "n3")
--- a/tests/test_gateway/test_gateway_record_sharing.py
+++ b/tests/test_gateway/test_gateway_record_sharing.py
@@ -8,6 +8,7 @@
 from trefoilwind.gateway import control_messages
 from trefoilwind.gateway import record_sharing
 from trefoilwind.log import keyed
+from trefoilwind.model import positions
 
 _OLD = keyed.KeyedRecord("config", b"old" * 1000, 4)
 _NEW = keyed.KeyedRecord("config", b"new" * 1000, 7)
@@ -147,3 +148,52 @@
         request = control_messages.DeltasRequest(offset)
         assert node.sharing.apply_shared(sender.sharing.answer(request, 9))
         assert node.received[-1] == records[-1]
+
+
+def _make_evacuation_node() -> _Node:
+    node = _Node()
+    node.sharing = record_sharing.RecordSharing(
+        node.received.append, lambda key: key.startswith("evacuate/")
+    )
+    return node
+
+
+_EVACUATION = keyed.KeyedRecord("evacuate/d", b"{}", 5)
+
+
+@pytest.mark.parametrize("era", [0, 1])
+def test_key_absent_in_a_newest_only_read_is_not_kept(era):
+    node = _make_evacuation_node()
+    for record in (_OLD, _EVACUATION):
+        node.sharing.add(record)
+    end = positions.position(era, 9)
+    node.sharing.note_newest(keyed.KeyedPage((_OLD,), 6))
+    assert node.received[-1] == _EVACUATION
+    node.sharing.note_newest(keyed.KeyedPage((_OLD, _EVACUATION), 8))
+    assert node.received[-1] == _EVACUATION
+    node.sharing.note_newest(keyed.KeyedPage((_OLD,), end))
+    removed = keyed.KeyedRecord("evacuate/d", b"", end - 1)
+    assert node.received == [_OLD, _EVACUATION, removed]
+    again = keyed.KeyedRecord("evacuate/d", b"{}", end + 1)
+    node.sharing.add(again)
+    assert node.received[-1] == again
+
+
+def test_deletion_reaches_a_peer_from_a_node_that_never_had_the_key():
+    sender, receiver = _make_evacuation_node(), _make_evacuation_node()
+    for record in (_OLD, _EVACUATION):
+        receiver.sharing.add(record)
+    sender.sharing.add(_NEW)
+    sender.sharing.note_newest(keyed.KeyedPage((_NEW,), 9))
+    shared = sender.sharing.answer(control_messages.DeltasRequest(5), 9)
+    assert receiver.sharing.apply_shared(shared)
+    assert receiver.received[-1] == keyed.KeyedRecord("evacuate/d", b"", 8)
+
+
+def test_outdated_peer_does_not_bring_a_deleted_key_back():
+    sender, receiver = _make_evacuation_node(), _make_evacuation_node()
+    for record in (_OLD, _EVACUATION):
+        sender.sharing.add(record)
+    receiver.sharing.note_newest(keyed.KeyedPage((), 9))
+    assert receiver.sharing.apply_shared(sender.sharing.answer(_request(-1), 6))
+    assert receiver.received == [_OLD]
--- a/tests/test_gateway/test_gateway_target.py
+++ b/tests/test_gateway/test_gateway_target.py
@@ -25,8 +25,13 @@
             loop.time, self.sent_updates.append
         )
         self.counts = counts_lib.MeshCounts()
+        self.region_refusal: errors.Reason | None = None
         self.target = target_lib.Target(
-            "n1", fakes.header_port(), self.suspects, self.counts
+            "n1",
+            fakes.header_port(),
+            self.suspects,
+            self.counts,
+            region_refusal=lambda call: self.region_refusal,
         )
         self.answer_headers = b""
         self.running = 0
@@ -145,6 +150,29 @@
     _run(scenario)
 
 
+def test_target_that_alone_knows_of_its_evacuation_refuses_queued_calls():
+    async def scenario(fixture: _TargetFixture) -> None:
+        fixture.announce(slots=1)
+        allowed = frozenset({"eu"})
+        call = fakes.call(allowed_regions=allowed)
+        running = asyncio.create_task(fixture.target.run(call))
+        await fixture.started.wait()
+        # A nested call of the running one inherits its regions.
+        assert fixture.target.regions_of(b"1") == allowed
+        waiting = asyncio.create_task(fixture.target.run(fakes.call()))
+        await asyncio.sleep(0)
+        fixture.region_refusal = errors.Reason.EVACUATED
+        fixture.target.refuse_queued()
+        for outcome in (await waiting, await fixture.target.run(fakes.call())):
+            assert outcome.result.reason is errors.Reason.EVACUATED
+            assert outcome.result.not_run
+        fixture.release.set()
+        assert (await running).result.body == b"x"
+        assert fixture.target.regions_of(b"1") is None
+
+    _run(scenario)
+
+
 def _crashing_server() -> fakes.RawServer:
     async def script(reader, writer):
         await fakes.read_head(reader)
