Pass on no part of an answer and no odd status

Cause: on the thread path, sending an upload reported a reset of the connection, after which the socket shows a regular end, so that the part of an answer without a length counted as complete. http.client accepts statuses such as 600, 0200 and 2_00. On the event loop, a status below 100 counted as an interim answer until the deadline, and 600 to 999 were passed on.

Change: the thread path fails an answer that the end of the connection delimits if sending the upload failed, and accepts three digits from 100 to 599 only; so does the HTTP client of the event loop.

--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from tests.test_gateway import fakes
+from tests.test_gateway import test_gateway_broken_answers as broken
 from trefoilwind import codec
 from trefoilwind import errors
 from trefoilwind.gateway import control_messages
@@ -948,3 +949,42 @@
         assert abs(len(cluster.backends[0].ran) - counts[0] - 30) <= 2
 
     _run(scenario)
+
+
+async def _post(node: node_lib.MeshNode, body: bytes) -> bytes:
+    address = node.settings.caller_address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(
+        b"POST /a/1 HTTP/1.1\r\nHost: a.example\r\nId: 1\r\nWait: 4\r\n"
+        b"Content-Length: %d\r\nConnection: close\r\n\r\n" % len(body) + body
+    )
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+@pytest.mark.parametrize("nodes", [1, 2])
+@pytest.mark.parametrize("status", [b"", b"000", b"600", b"1000"])
+def test_no_broken_answer_reaches_a_caller_through_nodes(nodes, status):
+    async def odd(reader, writer):
+        await fakes.read_head(reader)
+        writer.write(broken.odd_answer(status))
+        await reader.read()
+
+    async def scenario(cluster: _Cluster) -> None:
+        if nodes == 2:
+            entry, target = await _add_entry_and_target(cluster)
+            await _until(lambda: target.is_ready)
+        else:
+            await cluster.write("config", "config 3")
+            entry = await cluster.add("n1")
+            await _until(lambda: entry.is_ready)
+        server = cluster.backends[-1].server
+        server._script = odd if status else broken.cut_upload
+        answer = await _post(entry, b"x" * 4_000_000)
+        assert server.connections
+        assert answer.startswith(b"HTTP/1.1 502")
+        assert b"part" not in answer
+        assert b"odd!" not in answer
+
+    _run(scenario)
--- a/tests/test_proxy/fakes.py
+++ b/tests/test_proxy/fakes.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 import contextlib
 import socket
+import struct
 import threading
 import time
 
@@ -77,6 +78,20 @@
     return data
 
 
+def cut_upload(connection: socket.socket) -> None:
+    """Answer while an upload arrives, and reset the connection.
+
+    The answer and the reset arrive while the client is blocked in sending.
+    """
+    read_head(connection)
+    time.sleep(0.02)
+    connection.sendall(b"HTTP/1.1 200 OK\r\n\r\npart")
+    # With a linger time of zero, closing sends a reset.
+    option = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    connection.close()
+
+
 def answers(text: bytes) -> Callable[[socket.socket], None]:
     """Return a script that answers each request with the same bytes."""
 
--- a/tests/test_proxy/test_proxy_backend.py
+++ b/tests/test_proxy/test_proxy_backend.py
@@ -236,3 +236,29 @@
     error = client.call(fakes.request(path="/a b\r\nx: y"))
     assert error.reason is errors.Reason.BAD_REQUEST
     assert error.not_run
+
+
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+@pytest.mark.parametrize(
+    "status", [b"000", b"99", b"600", b"1000", b"0200", b"2_00", b"+200"]
+)
+def test_an_answer_with_an_odd_status_fails_the_call(serve, status, interim):
+    text = b"HTTP/1.1 %b X\r\nContent-Length: 4\r\n\r\nodd!" % status
+    _, client = serve(fakes.answers(interim + text))
+    error = client.call(fakes.request())
+    assert isinstance(error, errors.CallError)
+    assert error.reason is errors.Reason.BACKEND_FAILED
+    assert not error.not_run
+
+
+def test_a_part_of_an_answer_that_a_reset_ends_in_an_upload_is_not_whole(serve):
+    _, client = serve(fakes.cut_upload)
+    for _ in range(20):
+        chunks = (b"x" * 65536 for _ in range(1000))
+        result = client.call(fakes.request(chunks, 65_536_000, "POST"))
+        if isinstance(result, errors.CallError):
+            assert not result.not_run
+            continue
+        with pytest.raises(calls.BodyCut):
+            list(result.body)
+        result.close()
--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -50,7 +50,9 @@
     (socket.TCP_KEEPINTVL, 1),
     (socket.TCP_KEEPCNT, 2),
 )
+_FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
+_LAST_STATUS = 599
 _BODILESS = frozenset({204, 304})
 
 Result = http_types.HttpAnswer | errors.CallError
@@ -404,9 +406,17 @@
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Determine how the body ends and whether to reuse the connection."""
+        """Determine how the body ends and whether to reuse the connection.
+
+        Raises:
+            _CallEndedError: The status is none of HTTP. One below 100 would
+                count as an interim answer, one above 599 would be passed on.
+        """
         headers = tuple(self._headers)
         status = self._parser.get_status_code()
+        if not _FIRST_STATUS <= status <= _LAST_STATUS:
+            self._fail("odd status")
+            raise _CallEndedError
         length = http_types.find_header(headers, b"content-length")
         coding = http_types.find_header(headers, b"transfer-encoding")
         self._is_framed = bool(length or coding) or status in _BODILESS
--- a/trefoilwind/proxy/backend.py
+++ b/trefoilwind/proxy/backend.py
@@ -1,6 +1,7 @@
 """Calls from a node to the backend server beside it."""
 
 from collections.abc import Iterator
+import enum
 import http.client
 import time
 
@@ -27,6 +28,22 @@
 )
 
 
+@enum.unique
+class _Upload(enum.Enum):
+    """State of a request's body when its answer is received.
+
+    Members:
+        SENT: It was sent completely.
+        STOPPED: It was stopped, as the answer had begun to arrive.
+        FAILED: Sending it failed. The socket has reported the error and shows
+            a reset of the connection as its regular end from then on.
+    """
+
+    SENT = 1
+    STOPPED = 2
+    FAILED = 3
+
+
 class BackendClient:
     """Calls one backend server over pooled connections."""
 
@@ -78,7 +95,7 @@
         if result is None:
             result = self._send_body(pooled, request)
         if not isinstance(result, errors.CallError):
-            result = self._receive(pooled, request, is_body_sent=result)
+            result = self._receive(pooled, request, result)
         if isinstance(result, errors.CallError):
             cancellation.discard(pooled.abort)
             pooled.discard()
@@ -110,15 +127,15 @@
 
     def _send_body(
         self, pooled: connections.PooledConnection, request: calls.Request
-    ) -> bool | errors.CallError:
-        """Send the body; return False if the answer arrived before its end."""
+    ) -> _Upload | errors.CallError:
+        """Send the body, or a part of it if an answer arrives before."""
         if not request.body_length:
-            return True
+            return _Upload.SENT
         is_chunked = _is_chunked(request)
         try:
             for chunk in request.body:
                 if connections.is_readable(pooled.sock):
-                    return False
+                    return _Upload.STOPPED
                 if not chunk:
                     continue
                 pooled.sock.settimeout(_remaining_s(request))
@@ -130,15 +147,15 @@
             return self._error(reason, str(error), False)
         except _CONNECTION_ERRORS as error:
             if _may_have_answered(pooled, error):
-                return False
+                return _Upload.FAILED
             return self._connection_error(request, error, False)
-        return True
+        return _Upload.SENT
 
     def _receive(
         self,
         pooled: connections.PooledConnection,
         request: calls.Request,
-        is_body_sent: bool,
+        upload: _Upload,
     ) -> calls.Answer | errors.CallError:
         try:
             pooled.sock.settimeout(_remaining_s(request))
@@ -146,18 +163,18 @@
         except _CONNECTION_ERRORS as error:
             return self._connection_error(request, error, False)
         buffered = None
-        if is_body_sent and _is_short(response):
+        if upload is _Upload.SENT and _is_short(response):
             try:
                 buffered = response.read()
             except _CONNECTION_ERRORS as error:
                 return self._connection_error(request, error, False)
-        return self._answer(pooled, request, is_body_sent, response, buffered)
+        return self._answer(pooled, request, upload, response, buffered)
 
     def _answer(
         self,
         pooled: connections.PooledConnection,
         request: calls.Request,
-        is_body_sent: bool,
+        upload: _Upload,
         response: http.client.HTTPResponse,
         buffered: bytes | None,
     ) -> calls.Answer:
@@ -168,7 +185,7 @@
             return calls.Answer(
                 response.status, headers, body, _do_nothing, len(buffered)
             )
-        streamed = _StreamedAnswer(self, pooled, request, is_body_sent)
+        streamed = _StreamedAnswer(self, pooled, request, upload)
         return calls.Answer(
             response.status, headers, streamed.read(response), streamed.close
         )
@@ -216,12 +233,12 @@
         client: BackendClient,
         pooled: connections.PooledConnection,
         request: calls.Request,
-        is_reusable: bool,
+        upload: _Upload,
     ):
         self._client = client
         self._pooled = pooled
         self._request = request
-        self._is_reusable = is_reusable
+        self._upload = upload
         self._is_closed = False
 
     def read(self, response: http.client.HTTPResponse) -> Iterator[bytes]:
@@ -239,7 +256,7 @@
                 cancelled = errors.Reason.DEADLINE_EXCEEDED
             reason = cancelled or errors.Reason.BACKEND_FAILED
             raise calls.BodyCut(type(error).__name__, reason) from error
-        self._finish(self._is_reusable)
+        self._finish(self._upload is _Upload.SENT)
 
     def close(self) -> None:
         """Close the connection unless the body was read to its end."""
@@ -252,6 +269,9 @@
             self._pooled.sock.settimeout(_remaining_s(self._request))
         if response.length:
             raise http.client.IncompleteRead(b"", response.length)
+        is_delimited_by_end = response.length is None and not response.chunked
+        if is_delimited_by_end and self._upload is _Upload.FAILED:
+            raise http.client.IncompleteRead(b"")
         response.close()
 
     def _finish(self, is_reusable: bool) -> None:
--- a/trefoilwind/proxy/connections.py
+++ b/trefoilwind/proxy/connections.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import dataclasses
 import http.client
+import re
 import select
 import socket
 import time
@@ -17,21 +18,31 @@
 _SOCKET_OPTIONS = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),)
 
 
-class _LastLineReader:
-    """Records the last line that was read from a head."""
+# Start of a status line; `http.client` also accepts statuses such as 600, 0200
+# and 2_00.
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d +[1-5]\d\d[ \r\n]")
+
+
+class _LineReader:
+    """Records the last line and the last status line read from a head."""
 
     def __init__(self, file: Any):
         self._file = file
+        self.status_line = b""
         self.last_line = b""
 
     def readline(self, limit: int) -> bytes:
         """Read a line of at most `limit` bytes."""
-        self.last_line = self._file.readline(limit)
-        return self.last_line
+        line = self._file.readline(limit)
+        # The head of an interim answer may precede that of the final one.
+        if not self.last_line.strip():
+            self.status_line = line
+        self.last_line = line
+        return line
 
 
 class _CompleteHeadResponse(http.client.HTTPResponse):
-    """Response that fails if the connection closed inside its head.
+    """Response that fails if its head is incomplete or has an odd status.
 
     `http.client` accepts such a head as complete, and therefore a truncated
     answer without a length as an empty one.
@@ -46,7 +57,7 @@
             OSError: The connection failed.
         """
         file = self.fp
-        reader = _LastLineReader(file)
+        reader = _LineReader(file)
         self.fp = reader
         try:
             super().begin()
@@ -55,6 +66,8 @@
                 self.fp = file
         if not reader.last_line:
             raise http.client.IncompleteRead(b"")
+        if not _STATUS_LINE.match(reader.status_line):
+            raise http.client.BadStatusLine(str(self.status))
         if self.status < http.HTTPStatus.OK:
             # The final answer follows; it must not be read as the answer to the
             # next request.
