Bound the calls that a cold backend server receives in a second

Cause: a backend server that has just started crashes above a few calls a second, and each entry node sent it its share of the whole load.

Change: the target node passes on at most what the bound allows in any second and refuses the rest on arrival, without running it.

With the limit taken away the bound's tests fail.

--- a/tests/test_gateway/test_gateway_target.py
+++ b/tests/test_gateway/test_gateway_target.py
@@ -12,6 +12,7 @@
 from trefoilwind.gateway import suspect_table
 from trefoilwind.gateway import target as target_lib
 from trefoilwind.model import mesh
+from trefoilwind.routing import cold_limit
 from trefoilwind.telemetry import counts as counts_lib
 
 
@@ -361,3 +362,36 @@
         return (await target.run(fakes.call())).occupied
 
     assert uvloop.run(scenario()) == 3
+
+
+def test_cold_server_gets_all_calls_of_a_burst():
+    async def scenario(fixture: _TargetFixture) -> None:
+        bound = cold_limit.limit(6.5, 1.5, 8.0, 2)
+        target = target_lib.Target(
+            "n1",
+            fakes.header_port(),
+            fixture.suspects,
+            fixture.counts,
+            limit_cold=lambda server: bound,
+            cold_s=lambda server: server.cold_s,
+        )
+        fixture.target = target
+        fixture.announce(sequence=1, cold_s=60.0)
+        await asyncio.sleep(1.0)
+        tasks = [
+            asyncio.create_task(target.run(fakes.call())) for _ in range(40)
+        ]
+        fixture.release.set()
+        results = [(await task).result for task in tasks]
+        refused = [r for r in results if isinstance(r, errors.CallError)]
+        assert 34 <= len(refused) < 40
+        for each in refused:
+            assert each.reason is errors.Reason.RATE_LIMITED
+            assert each.not_run and 0.0 < each.retry_s <= 1.0
+        # Other nodes learn from the load that it takes no call now.
+        assert target.load > target.slots
+        fixture.announce(sequence=2, cold_s=0.0)
+        outcome = await target.run(fakes.call())
+        assert outcome.result.status == 200
+
+    _run(scenario)
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -14,6 +14,7 @@
 from trefoilwind.distribution import frames
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import calls
+from trefoilwind.gateway import cold_servers
 from trefoilwind.gateway import control_messages
 from trefoilwind.gateway import entry as entry_lib
 from trefoilwind.gateway import follower as follower_lib
@@ -139,6 +140,9 @@
         self._suspects = suspect_table.SuspectTable(
             self._loop.time, self._send_suspects
         )
+        self._cold = cold_servers.ColdServers(
+            settings.node_id, self._board, settings.cold
+        )
         self._target = target_lib.Target(
             settings.node_id,
             headers,
@@ -146,6 +150,8 @@
             self._counts,
             self.withdraw,
             lambda: self._incoming.arriving,
+            self._cold.limit,
+            self._cold.cold_s,
         )
         self._own_server = own_server.OwnServer(
             self._target,
@@ -186,6 +192,7 @@
             self._may_call,
             lambda: self._target.load,
             self._random.random,
+            self._cold.share,
         )
         self._budget = shared_budget.SharedBudget(settings.budget)
         self._entry = entry_lib.Entry(
@@ -429,6 +436,7 @@
     def announce(self, server: mesh.BackendServer) -> None:
         """Apply an announcement of this node's backend server."""
         self._own_server.announce(server)
+        self._announce_cold()
 
     def deregister(self, instance_id: str) -> None:
         """Apply that a process of the backend server leaves, known or not."""
@@ -515,6 +523,9 @@
             known = self._suspects.full_update()
             if known.entries:
                 stream.send(peers_lib.control_frame(known))
+            cold = self._cold.own_message(self._loop.time())
+            if cold is not None:
+                stream.send(peers_lib.control_frame(cold))
             notice = self._notices.message(stream.peer)
             if notice is not None:
                 stream.send(peers_lib.control_frame(notice))
@@ -563,6 +574,9 @@
             self._target.apply_notice_of_peer(
                 (message.instance_id, message.started_ms), message.notice
             )
+        elif isinstance(message, cold_servers.ColdServer):
+            if self._cold.merge(message, self._loop.time()):
+                self._spreading.pass_on(stream, message)
         elif isinstance(message, operator_records.RecordMessage):
             self._operator_records.handle_message(stream, message)
 
@@ -640,11 +654,18 @@
         known = self._board.members.value.by_node
         self._picker.evict(known.__contains__)
         self._notices.evict(known.__contains__)
+        self._cold.evict(known.__contains__)
 
     def _announce_own_member(self) -> None:
         own = self._members.own
         self._spreading.send_all(control_messages.MemberChanged(own))
         self._publisher.put(*self._own_record())
+        self._announce_cold()
+
+    def _announce_cold(self) -> None:
+        cold = self._cold.note_own(self._target.server, self._loop.time())
+        if cold is not None:
+            self._spreading.send_all(cold)
 
     async def _publish_own_member(self) -> None:
         """Write the own record to the store, after the earlier one was read.
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -92,12 +92,27 @@
         is_reachable: Callable[[str], bool],
         own_occupied: Callable[[], int],
         draw: Callable[[], float],
+        cold_share: Callable[
+            [members_lib.Member, float, float], float
+        ] = lambda member, service_s, now: 1.0,
     ):
+        """Initialize without knowledge of any backend server.
+
+        Args:
+            own: Member record of this node.
+            board: Board with members and versions.
+            is_reachable: Returns whether calls may be sent to a node.
+            own_occupied: Returns the load of the own backend server.
+            draw: Returns a random number from 0 to 1.
+            cold_share: Returns the share of its usual calls that a member is
+                considered for, given the service time and the time.
+        """
         self._own = own
         self._board = board
         self._is_reachable = is_reachable
         self._own_occupied = own_occupied
         self._draw = draw
+        self._cold_share = cold_share
         self._states: dict[str, _BackendState] = {}
         self._typical_s = INITIAL_SERVICE_S
         # Backend servers of the members, by node id, and the snapshot from
@@ -150,17 +165,35 @@
             node_id = member.node_id
             return node_id not in tried and self._is_available(node_id, now)
 
-        candidates = [
-            self._candidate(member, distance, now)
-            for distance, group in self._groups(call.service, call.version)
-            for member in placement.sample(group, is_available, self._draw)
-        ]
+        def is_warm(member: members_lib.Member) -> bool:
+            share = self._cold_share(member, self._typical_s, now)
+            is_drawn = share >= 1.0 or self._draw() < share
+            return is_drawn and is_available(member)
+
+        groups = list(self._groups(call.service, call.version))
+        candidates = self._sampled(groups, is_warm, now) or self._sampled(
+            groups, is_available, now
+        )
         choose = placement.choose
         if was_refused:
             choose = placement.choose_after_refusal
         chosen = choose(candidates, len(call.body))
         return chosen.node_id if chosen else ""
 
+    def _sampled(
+        self,
+        groups: Sequence[
+            tuple[placement.Distance, Sequence[members_lib.Member]]
+        ],
+        is_eligible: Callable[[members_lib.Member], bool],
+        now: float,
+    ) -> list[placement.Candidate]:
+        return [
+            self._candidate(member, distance, now)
+            for distance, group in groups
+            for member in placement.sample(group, is_eligible, self._draw)
+        ]
+
     def _note_appearances(self, now: float) -> None:
         """Note which backend servers are new since the previous call."""
         members = self._board.members.value
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -16,6 +16,7 @@
 from trefoilwind.logs import decisions
 from trefoilwind.model import mesh
 from trefoilwind.routing import call_queue
+from trefoilwind.routing import cold_limit
 from trefoilwind.routing import failures
 from trefoilwind.routing import service_time
 from trefoilwind.telemetry import counts as counts_lib
@@ -38,6 +39,9 @@
 # Seconds for which no calls are sent to a backend server that refused a
 # connection.
 UNREACHABLE_PAUSE_S = 0.3
+# Largest load in calls by which a cold backend server exceeds its slots in
+# reports: enough to prefer any other server.
+MAX_COLD_EXCESS = 100
 
 
 class Target:
@@ -51,6 +55,10 @@
         counts: counts_lib.MeshCounts,
         on_leaving: Callable[[], None] = lambda: None,
         arriving: Callable[[], int] = lambda: 0,
+        limit_cold: Callable[
+            [mesh.BackendServer], cold_limit.Limit | None
+        ] = lambda server: None,
+        cold_s: Callable[[mesh.BackendServer], float] = lambda server: 0.0,
     ):
         """Initialize the target node's part without a backend server.
 
@@ -62,9 +70,16 @@
             on_leaving: Called when the backend server says in an answer that
                 it is leaving.
             arriving: Returns the number of calls whose bodies are arriving.
+            limit_cold: Returns the limit of a backend server while it is
+                cold, or None.
+            cold_s: Returns the seconds for which an announced backend server
+                is cold.
         """
         self._node_id = node_id
         self._arriving = arriving
+        self._limit_cold = limit_cold
+        self._cold_s = cold_s
+        self._cold = cold_limit.ColdLimiter()
         self._on_leaving = on_leaving
         self._headers = headers
         self._suspects = suspects
@@ -135,7 +150,15 @@
         Those whose bodies arrive count, as they delay others on the path and
         then in the queue.
         """
-        return self._queue.load + self._arriving()
+        load = self._queue.load + self._arriving()
+        wait_s = self._cold_wait_s()
+        if wait_s <= 0.0:
+            return load
+        mean_s = self._mean_time.seconds
+        if mean_s <= 0.0:
+            mean_s = call_queue.INITIAL_SERVICE_S
+        excess = math.ceil(wait_s * self.slots / mean_s)
+        return max(load, self.slots - 1 + min(MAX_COLD_EXCESS, excess))
 
     def is_running(self, request_id: bytes) -> bool:
         """Return True if a request with this id runs at the backend server."""
@@ -163,6 +186,9 @@
             self._reset(server)
         if self._notice.is_leaving and not server.is_leaving:
             self._server = dataclasses.replace(server, is_leaving=True)
+        self._cold.note_heartbeat(
+            server.process, server.sequence, self._cold_s(server), self._now()
+        )
         self._is_leaving = self._server.is_leaving
         self._queue.set_slots(server.slots)
         if self._is_leaving:
@@ -220,7 +246,7 @@
         Args:
             call: The call, with the first part of its body.
         """
-        refusal = self._check_server(call)
+        refusal = self._check_server(call) or self._cold_refusal()
         if refusal is None:
             return None
         outcome = calls.Outcome(refusal, occupied=self.load)
@@ -238,6 +264,7 @@
         refusal = self._check_admission(call)
         if refusal is None and self._now() >= call.deadline:
             refusal = self._refusal(errors.Reason.DEADLINE_EXCEEDED)
+        refusal = refusal or self._cold_refusal()
         if refusal is not None:
             return calls.Outcome(refusal, occupied=self.load)
         ticket = call_queue.Ticket(
@@ -307,6 +334,27 @@
             return self._refusal(errors.Reason.BACKEND_UNREACHABLE)
         return None
 
+    def _cold_wait_s(self) -> float:
+        """Return the seconds for which a cold server delays a new call."""
+        server = self._server
+        if server is None:
+            return 0.0
+        ahead = self._queue.occupied - self._queue.running
+        return self._cold.wait_s(self._limit_cold(server), ahead, self._now())
+
+    def _cold_refusal(self) -> errors.CallError | None:
+        wait_s = self._cold_wait_s()
+        if wait_s <= 0.0:
+            return None
+        return errors.CallError(
+            errors.Reason.RATE_LIMITED,
+            _STEP,
+            self._node_id,
+            "cold",
+            not_run=True,
+            retry_s=min(call_queue.MAX_RETRY_S, wait_s),
+        )
+
     async def _wait_for_slot(self, ticket: call_queue.Ticket) -> bool:
         """Wait for a slot; return False if the queued call is refused."""
         waiter = self._loop.create_future()
@@ -358,6 +406,10 @@
         remaining_s = call.deadline - self._now()
         if remaining_s < MIN_REMAINING_S:
             return self._refusal(errors.Reason.DEADLINE_EXCEEDED)
+        if not self._cold.take(self._limit_cold(server), self._now()):
+            return self._cold_refusal() or self._refusal(
+                errors.Reason.RATE_LIMITED
+            )
         head = _head(
             call, self._headers.target_headers(server.instance_id, remaining_s)
         )
