Keep the positions of weighted routes over changes of the configuration

Cause: each new version of the configuration started all routes at a random position, so that shares drifted in a storm of changes.

Change: only routes that the new configuration lacks lose their position.

--- a/tests/test_routing/test_routing_weighted_choice.py
+++ b/tests/test_routing/test_routing_weighted_choice.py
@@ -80,3 +80,15 @@
         choice.choose(_route(10.0, 90.0), 2) for _ in range(100)
     )
     assert 86 <= after["s1"] <= 94
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_shares_drift_while_the_configuration_changes_with_each_call(seed):
+    rng = random.Random(seed)
+    nodes = [weighted_choice.WeightedChoice(rng.random) for _ in range(13)]
+    route = _route(75.0, 25.0)
+    chosen = collections.Counter(
+        rng.choice(nodes).choose(route, version, lambda: {route.name})
+        for version in range(300)
+    )
+    assert abs(chosen["s1"] / 300 - 0.25) < 0.05
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -193,7 +193,9 @@
         if remaining_s is None:
             remaining_s = DEFAULT_DEADLINE_S
         limit_s = min(remaining_s, route.timeout_s)
-        service = self._weighted_choice.choose(route, version)
+        service = self._weighted_choice.choose(
+            route, version, lambda: self._board.routes.value.names
+        )
         return calls.Call(
             method=request.method.decode("latin-1"),
             target=request.target.decode("latin-1"),
--- a/trefoilwind/routing/host_routes.py
+++ b/trefoilwind/routing/host_routes.py
@@ -15,6 +15,15 @@
         default_factory=dict
     )
 
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of all routes."""
+        return frozenset(
+            route.name
+            for routes in self.by_host.values()
+            for route in routes.values()
+        )
+
     def match(self, host: str, path: str) -> mesh.HostRoute | None:
         """Return the route with the longest prefix of a path, or None.
 
--- a/trefoilwind/routing/weighted_choice.py
+++ b/trefoilwind/routing/weighted_choice.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 
 from trefoilwind.model import mesh
 from trefoilwind.routing import host_routes
@@ -31,20 +32,31 @@
         self._fractions: dict[str, float] = {}
         self._version = 0
 
-    def choose(self, route: mesh.HostRoute, version: int) -> str:
+    def choose(
+        self,
+        route: mesh.HostRoute,
+        version: int,
+        names: Callable[[], Collection[str]] = tuple,
+    ) -> str:
         """Return the service for the next call on a route.
 
         Args:
             route: The route.
-            version: Version of the configuration; another one than before
-                starts the routes anew, so that no position of a dropped route
-                is kept.
+            version: Version of the configuration.
+            names: Returns the names of its routes. With another version than
+                before, the others start anew; so no position of a dropped
+                route is kept.
         """
         if len(route.destinations) == 1:
             return route.destinations[0].service
         if version != self._version:
             self._version = version
-            self._fractions.clear()
+            kept = names()
+            self._fractions = {
+                name: fraction
+                for name, fraction in self._fractions.items()
+                if name in kept
+            }
         last = self._fractions.get(route.name)
         fraction = self._draw() if last is None else (last + _STEP) % 1.0
         self._fractions[route.name] = fraction
