--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -198,7 +198,9 @@
         if remaining_s is None:
             remaining_s = DEFAULT_DEADLINE_S
         limit_s = min(remaining_s, route.timeout_s)
-        service = self._weighted_choice.choose(route, version)
+        service = self._weighted_choice.choose(
+            route, version, lambda: self._board.routes.value.names
+        )
         allowed = regions.allowed_regions(
             route, None, self._regions_of_running(metadata.parent_id)
         )
