Check customers' keys at the entry node

Cause: a key was passed to the backend server with every request, and requests with unknown and withdrawn keys ran.

Change: where the configuration has customers, the entry node takes the key from the request, names the customer to the backend server instead, and answers 401 to a missing, malformed or unknown key, before the body is read. A customer's rank goes before its route's. Nested calls need no key.

--- a/tests/test_gateway/fakes.py
+++ b/tests/test_gateway/fakes.py
@@ -26,6 +26,7 @@
             http_types.find_header(headers, b"host").decode(),
             float(wait) if wait else None,
             http_types.end_to_end(headers),
+            http_types.find_header(headers, b"key"),
         )
 
     def refusal(answer: http_types.HttpAnswer) -> errors.Reason | None:
@@ -44,6 +45,11 @@
             float(limit) if limit else math.inf, bool(answer.header(b"leaving"))
         )
 
+    def customer_headers(forwarded, customer):
+        kept = (pair for pair in forwarded if pair[0].lower() != b"key")
+        named = ((b"Customer", customer.encode()),) if customer else ()
+        return (*kept, *named)
+
     return calls.HeaderPort(
         read=read,
         request_id=lambda headers: http_types.find_header(headers, b"id"),
@@ -55,6 +61,7 @@
         match_answer=match_answer,
         notice=notice,
         retry_headers=lambda retry_s: ((b"Retry-After", b"%.3f" % retry_s),),
+        customer_headers=customer_headers,
     )
 
 
--- a/tests/test_gateway/test_gateway_entry.py
+++ b/tests/test_gateway/test_gateway_entry.py
@@ -8,6 +8,7 @@
 
 from tests.test_gateway import fakes
 from trefoilwind import errors
+from trefoilwind.customers import access as access_lib
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import entry as entry_lib
@@ -59,6 +60,7 @@
         self._script = list(script)
         self.sent: list[calls.Call] = []
         self.counts = counts_lib.MeshCounts()
+        self.access = access_lib.Access()
         terms = shared_budget.BudgetTerms(0.2, 10.0, extra)
         picker = picker_lib.Picker(
             nodes[0], self.board, lambda node: True, lambda: 0, random.random
@@ -74,6 +76,7 @@
             lambda request_id: request_id == b"running",
             self.counts,
             random.Random(1),
+            access=self.access,
         )
 
     async def _run(self, node_id: str, call: calls.Call) -> calls.Outcome:
@@ -297,3 +300,61 @@
     assert answer == _OK
     assert entry.sent[0].deadline > entry.stop_deadline
     assert entry.sent[1].deadline == entry.stop_deadline
+
+
+def _serve_customer(
+    is_confirmed: bool = True, **headers: str
+) -> tuple[http_types.HttpAnswer, list[calls.Call]]:
+    async def run():
+        entry = _Entry([_OK])
+        entry.access._is_confirmed = lambda: is_confirmed
+        entry.access.update(
+            mesh.MeshConfiguration(
+                1,
+                customers=(
+                    mesh.Customer("ana", ("k",), rank=0),
+                    mesh.Customer("bo", ("l",)),
+                ),
+                has_customers=True,
+            )
+        )
+        return await entry.serve(**headers), entry.sent
+
+    return uvloop.run(run())
+
+
+def test_key_is_not_passed_on_and_the_customer_is_named():
+    answer, sent = _serve_customer(key="k")
+    assert answer == _OK
+    names = dict(sent[0].headers)
+    assert b"key" not in names
+    assert names[b"Customer"] == b"ana"
+    assert (sent[0].customer, sent[0].rank) == ("ana", 0)
+    _, sent = _serve_customer(key="l")
+    assert (sent[0].customer, sent[0].rank) == ("bo", 1)
+
+
+@pytest.mark.parametrize("headers", [{}, {"key": "withdrawn"}])
+def test_request_without_a_valid_key_does_not_run(headers: dict[str, str]):
+    answer, sent = _serve_customer(**headers)
+    assert answer.status == 401
+    assert not sent
+
+
+def test_keyed_request_is_told_to_retry_while_keys_may_be_outdated():
+    answer, sent = _serve_customer(is_confirmed=False, key="k")
+    assert answer.status == 503
+    assert answer.header(b"retry-after")
+    assert not sent
+
+
+def test_nested_call_without_a_key_runs_without_a_customer():
+    answer, sent = _serve_customer(parent="running")
+    assert answer == _OK
+    assert sent[0].customer == ""
+    assert b"Customer" not in dict(sent[0].headers)
+
+
+def test_without_customers_a_key_is_forwarded():
+    _, sent = _serve([_OK], key="k")
+    assert (b"key", b"k") in sent[0].headers
--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -559,3 +559,33 @@
             return await reader.read()
 
     assert uvloop.run(run()).startswith(b"HTTP/1.1 408")
+
+
+def test_request_refused_by_its_head_is_answered_before_its_body():
+    """Guards against reading a body of which the answer is known."""
+    refused = http_types.HttpAnswer(401, (), b"", is_last=True)
+
+    async def run():
+        server = _Server()
+        server.server = http_server.HttpServer(
+            server._handle,
+            lambda: server.limits,
+            lambda head: refused if head.target == b"/no" else None,
+        )
+        reader, writer = await server.connect()
+        writer.write(_HEAD_OF_BODY % b"/yes" + b"12345")
+        assert b" 200 " in await fakes.read_head(reader)
+        await reader.readexactly(5)
+        writer.write(_HEAD_OF_BODY % b"/no" + b"1")
+        answer = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        server.server.stop_listening()
+        return answer, len(server.requests)
+
+    answer, handled = uvloop.run(run())
+    assert answer.startswith(b"HTTP/1.1 401 ")
+    assert b"100 Continue" not in answer
+    assert handled == 1
+
+
+_HEAD_OF_BODY = b"POST %b HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n"
--- a/tests/test_platform/test_platform_headers.py
+++ b/tests/test_platform/test_platform_headers.py
@@ -111,3 +111,35 @@
 ):
     notice = _PORT.notice(http_types.HttpAnswer(200, sent))
     assert notice == mesh.ServerNotice(limit_per_s, is_leaving)
+
+
+@pytest.mark.parametrize(
+    ("values", "key"),
+    [
+        ([], b""),
+        ([b"Bearer k-1"], b"k-1"),
+        ([b"bEARER   k-1 "], b"k-1"),
+        ([b""], None),
+        ([b"Bearer"], None),
+        ([b"Bearer a b"], None),
+        ([b"Basic k-1"], None),
+        ([b"Bearer k-1", b"Bearer k-2"], None),
+    ],
+)
+def test_ambiguous_or_malformed_key_is_not_taken(values, key):
+    metadata = _PORT.read(tuple((b"AUTHORIZATION", v) for v in values))
+    assert metadata.key == key
+    assert "k-1" not in repr(metadata).replace(repr(metadata.forwarded), "")
+
+
+def test_customer_named_by_a_caller_is_removed():
+    sent = (
+        (b"X-TENANT", b"forged"),
+        (b"authorization", b"Bearer k"),
+        (b"Accept", b"*/*"),
+    )
+    assert _PORT.customer_headers(sent, "") == ((b"Accept", b"*/*"),)
+    assert _PORT.customer_headers(sent, "ana") == (
+        (b"Accept", b"*/*"),
+        (b"X-Tenant", b"ana"),
+    )
--- /dev/null
+++ b/trefoilwind/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Customers of the mesh: keys and access."""
--- a/trefoilwind/errors.py
+++ b/trefoilwind/errors.py
@@ -56,6 +56,11 @@
     KEEPER_UNAVAILABLE = "keeper-unavailable"
     POISON_REQUEST = "poison-request"
     BODY_TOO_LARGE = "body-too-large"
+    # Customers.
+    KEY_MISSING = "key-missing"
+    KEY_MALFORMED = "key-malformed"
+    KEY_UNKNOWN = "key-unknown"
+    KEYS_UNCONFIRMED = "keys-unconfirmed"
     # Administration.
     UNAUTHORIZED = "unauthorized"
     FORBIDDEN = "forbidden"
--- a/trefoilwind/gateway/calls.py
+++ b/trefoilwind/gateway/calls.py
@@ -21,8 +21,8 @@
         host: Value of the Host header.
         remaining_s: Seconds for which the caller waits; None if not given.
         forwarded: Headers that are forwarded to the backend server.
-        key: Key that the caller sent; empty if none. Never logged or passed
-            on.
+        key: Key that the caller sent; empty if none, None if malformed. Never
+            logged or passed on.
     """
 
     request_id: bytes
@@ -30,7 +30,7 @@
     host: str
     remaining_s: float | None
     forwarded: tuple[http_types.Header, ...]
-    key: bytes = dataclasses.field(default=b"", repr=False)
+    key: bytes | None = dataclasses.field(default=b"", repr=False)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,6 +51,9 @@
         notice: Returns what a backend server says about itself in an answer.
         retry_headers: Returns the headers that give the caller the time in
             seconds until its next attempt.
+        customer_headers: Returns the forwarded headers of a request without
+            its key, and with the name of its customer unless that is empty;
+            used only where the configuration has customers.
     """
 
     read: Callable[[tuple[http_types.Header, ...]], RequestMetadata]
@@ -63,6 +66,9 @@
     ]
     notice: Callable[[http_types.HttpAnswer], mesh.ServerNotice]
     retry_headers: Callable[[float], tuple[http_types.Header, ...]]
+    customer_headers: Callable[
+        [tuple[http_types.Header, ...], str], tuple[http_types.Header, ...]
+    ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -9,6 +9,7 @@
 import random
 
 from trefoilwind import errors
+from trefoilwind.customers import access as access_lib
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import http_types
@@ -39,6 +40,9 @@
 RETRY_JITTER = 0.5
 # Routes whose longest times are kept; the operator names them.
 MAX_ROUTES_MEASURED = 1000
+# Retry time given to callers while the keys in force may be outdated.
+KEYS_UNCONFIRMED_RETRY_S = 0.5
+_STATUS_UNAUTHORIZED = 401
 _STATUS_NOT_FOUND = 404
 _STATUS_BAD_GATEWAY = 502
 _STATUS_UNAVAILABLE = 503
@@ -86,6 +90,7 @@
         counts: counts_lib.MeshCounts,
         rng: random.Random,
         configuration_age_s: Callable[[], float] = lambda: 0.0,
+        access: access_lib.Access | None = None,
     ):
         self._board = board
         self._headers = headers
@@ -98,6 +103,7 @@
         self._counts = counts
         self._random = rng
         self._configuration_age_s = configuration_age_s
+        self._access = access or access_lib.Access()
         self._weighted_choice = weighted_choice.WeightedChoice(rng.random)
         self._loop = asyncio.get_running_loop()
         # Event loop times of a stop: after which no request is accepted, and
@@ -151,7 +157,12 @@
         route = table.match(metadata.host, path)
         if route is None:
             return http_types.HttpAnswer(_STATUS_NOT_FOUND, ())
+        customer = self._check_access(metadata, route)
+        if isinstance(customer, access_lib.Refusal):
+            return self._access_refused(customer, metadata, route)
         call = self._call(request, metadata, route, table.version)
+        call = self._with_customer(call, customer)
+        # Here the customer of the call is known; it has not been sent yet.
         if self._is_refused(call):
             return http_types.HttpAnswer(_STATUS_BAD_GATEWAY, ())
         self._budget.record_first_attempt(call.service, self._loop.time())
@@ -168,6 +179,73 @@
         self._log_result(metadata, call, progress, result, answer.status)
         return answer
 
+    def check_head(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpAnswer | None:
+        """Return the answer to a request that is refused before its body.
+
+        Args:
+            request: The request, without its body.
+
+        Returns:
+            A refusal, or None if the body is to be read.
+        """
+        if not self._access.is_required:
+            return None
+        metadata = self._headers.read(request.headers)
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        route = self._board.routes.value.match(metadata.host, path)
+        if route is None:
+            return None
+        customer = self._check_access(metadata, route)
+        if isinstance(customer, access_lib.Refusal):
+            return self._access_refused(customer, metadata, route)
+        return None
+
+    def _check_access(
+        self, metadata: calls.RequestMetadata, route: mesh.HostRoute
+    ) -> mesh.Customer | access_lib.Refusal | None:
+        is_nested = self._is_running(metadata.parent_id)
+        return self._access.check(metadata.key, route, is_nested)
+
+    def _with_customer(
+        self, call: calls.Call, customer: mesh.Customer | None
+    ) -> calls.Call:
+        """Return a call that names its customer and holds no key."""
+        if not self._access.is_required:
+            return call
+        name = customer.name if customer is not None else ""
+        has_rank = customer is not None and customer.rank is not None
+        return dataclasses.replace(
+            call,
+            headers=self._headers.customer_headers(call.headers, name),
+            customer=name,
+            rank=customer.rank if has_rank else call.rank,
+        )
+
+    def _access_refused(
+        self,
+        refusal: access_lib.Refusal,
+        metadata: calls.RequestMetadata,
+        route: mesh.HostRoute,
+    ) -> http_types.HttpAnswer:
+        self._counts.access_refused(refusal.reason.value)
+        if refusal.is_temporary:
+            answer = self._unavailable(KEYS_UNCONFIRMED_RETRY_S)
+        else:
+            answer = http_types.HttpAnswer(_STATUS_UNAUTHORIZED, ())
+        decisions.failure(
+            logger,
+            "access_refused",
+            "entry: access refused",
+            id=metadata.request_id,
+            route=route.name,
+            configuration=self._board.configuration.value.version,
+            reason=refusal.reason.value,
+            status=answer.status,
+        )
+        return answer
+
     @property
     def _timeout_at(self) -> float | None:
         """Event loop time in seconds at which a stop ends the calls."""
@@ -352,6 +430,7 @@
         fields = {
             "id": metadata.request_id,
             "route": call.route_name,
+            **({"customer": call.customer} if call.customer else {}),
             "configuration": self._board.configuration.value.version,
             "configuration_age_ms": round(self._configuration_age_s() * 1000),
             "service": call.service,
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -17,6 +17,8 @@
 logger = logging.getLogger(__name__)
 
 Handler = Callable[[http_types.HttpRequest], Awaitable[http_types.HttpAnswer]]
+# Returns the answer to a request without its body, or None to read the body.
+HeadCheck = Callable[[http_types.HttpRequest], http_types.HttpAnswer | None]
 
 # Pipelined requests of one connection from which on reading is paused.
 _MAX_PIPELINED = 16
@@ -46,9 +48,13 @@
     """Listens on an address and tracks its connections."""
 
     def __init__(
-        self, handler: Handler, limits: Callable[[], mesh.CallerLimits]
+        self,
+        handler: Handler,
+        limits: Callable[[], mesh.CallerLimits],
+        check_head: HeadCheck = lambda request: None,
     ):
         self._handler = handler
+        self._check_head = check_head
         self._limits = limits
         self._connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
@@ -62,6 +68,11 @@
         """Coroutine function that answers the requests."""
         return self._handler
 
+    @property
+    def check_head(self) -> HeadCheck:
+        """Function that may refuse a request before its body is read."""
+        return self._check_head
+
     @property
     def limits(self) -> mesh.CallerLimits:
         """Limits on the size and timing of requests."""
@@ -379,10 +390,34 @@
         if length and int(length) > self._server.limits.max_body_bytes:
             self._reject(_BODY_TOO_LARGE)
             return
+        refusal = self._refusal_of_head(length)
+        if refusal is not None:
+            self._reject(refusal)
+            return
         expected = http_types.find_header(tuple(self._headers), b"expect")
         if expected.lower() == b"100-continue" and self._task is None:
             self._transport.write(_CONTINUE)
 
+    def _refusal_of_head(self, length: bytes) -> http_types.HttpAnswer | None:
+        """Return the refusal of a request whose body need not be read.
+
+        Without a body, or behind earlier requests, it is refused in its turn,
+        which keeps the connection open.
+        """
+        headers = tuple(self._headers)
+        is_chunked = http_types.find_header(headers, b"transfer-encoding")
+        has_body = is_chunked or (length and int(length))
+        if not has_body or not self._is_idle:
+            return None
+        request = http_types.HttpRequest(
+            self._parser.get_method(),
+            self._target,
+            headers,
+            b"",
+            self._received,
+        )
+        return self._server.check_head(request)
+
     def on_body(self, chunk: bytes) -> None:
         """Buffer bytes of the body."""
         self._paced.count_item()
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -11,6 +11,7 @@
 
 from trefoilwind import codec
 from trefoilwind import errors
+from trefoilwind.customers import access as access_lib
 from trefoilwind.distribution import frames
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import calls
@@ -188,6 +189,7 @@
             self._random.random,
         )
         self._budget = shared_budget.SharedBudget(settings.budget)
+        self._access = access_lib.Access()
         self._entry = entry_lib.Entry(
             self._board,
             headers,
@@ -200,8 +202,11 @@
             self._counts,
             self._random,
             lambda: self._operator_records.age_s,
+            self._access,
+        )
+        self._callers = http_server.HttpServer(
+            self._serve, self._limits, self._entry.check_head
         )
-        self._callers = http_server.HttpServer(self._serve, self._limits)
         self._publisher = publisher_lib.Publisher(
             store, node_settings.MESH_TOPIC, self._random
         )
@@ -740,6 +745,7 @@
         if configuration.version <= current.version:
             return
         routes = host_routes.build(configuration)
+        self._access.update(configuration)
         self._publish_configuration(configuration)
         self._publish_routes(routes)
         logger.info(
--- a/trefoilwind/platform/headers.py
+++ b/trefoilwind/platform/headers.py
@@ -31,6 +31,12 @@
 _IS_LEAVING = b"1"
 # Set only by nodes; the values that a caller sends are not forwarded.
 _NODE_HEADERS = frozenset({_DEADLINE, _EXPECTED_INSTANCE, _CALLER_SERVICE})
+# Key of a customer's caller, and name of the customer for the backend server.
+_AUTHORIZATION = b"authorization"
+_KEY_SCHEME = b"bearer"
+_CUSTOMER = b"x-tenant"
+_CUSTOMER_NAME = b"X-Tenant"
+_CUSTOMER_HEADERS = frozenset({_AUTHORIZATION, _CUSTOMER})
 _MS_PER_S = 1000
 
 
@@ -45,6 +51,7 @@
         match_answer=_match_answer,
         notice=_notice,
         retry_headers=_retry_headers,
+        customer_headers=_customer_headers,
     )
 
 
@@ -66,9 +73,35 @@
             for pair in http_types.end_to_end(headers)
             if pair[0].lower() not in _NODE_HEADERS
         ),
+        key=_key(headers),
     )
 
 
+def _key(headers: tuple[http_types.Header, ...]) -> bytes | None:
+    """Return the key of a request; empty if it has none, None if malformed.
+
+    Of several headers it would be unclear which one names the caller.
+    """
+    values = [v for name, v in headers if name.lower() == _AUTHORIZATION]
+    if not values:
+        return b""
+    scheme, _, key = values[0].strip().partition(b" ")
+    key = key.strip()
+    is_valid = scheme.lower() == _KEY_SCHEME and len(key.split()) == 1
+    return key if is_valid and len(values) == 1 else None
+
+
+def _customer_headers(
+    forwarded: tuple[http_types.Header, ...], customer: str
+) -> tuple[http_types.Header, ...]:
+    kept = tuple(
+        pair for pair in forwarded if pair[0].lower() not in _CUSTOMER_HEADERS
+    )
+    if not customer:
+        return kept
+    return (*kept, (_CUSTOMER_NAME, customer.encode()))
+
+
 def _request_id(headers: tuple[http_types.Header, ...]) -> bytes:
     return http_types.find_header(headers, REQUEST_ID)
 
--- a/trefoilwind/telemetry/counts.py
+++ b/trefoilwind/telemetry/counts.py
@@ -34,6 +34,9 @@
             collections.Counter()
         )
         self._rejected: collections.Counter[tuple[str]] = collections.Counter()
+        self._access_refused: collections.Counter[tuple[str]] = (
+            collections.Counter()
+        )
 
     def request_ended(
         self, service: str, result: str, attempts: int, seconds: float
@@ -91,6 +94,14 @@
         """
         self._rejected[(reason,)] += 1
 
+    def access_refused(self, reason: str) -> None:
+        """Count a request that was refused for its key.
+
+        Args:
+            reason: Public name of the reason.
+        """
+        self._access_refused[(reason,)] += 1
+
     def families(self) -> tuple[prometheus.Family, ...]:
         """Return the metric families of all counters."""
         counter = prometheus.Kind.COUNTER
@@ -131,6 +142,13 @@
                 ("service",),
                 _all_latencies(self._wait_times),
             ),
+            prometheus.Family(
+                counter,
+                "access_refused_total",
+                "Requests of callers refused for their key, by reason.",
+                ("reason",),
+                self._access_refused,
+            ),
             *self._store_families(),
         )
 
