Refuse keyed requests without a fresh proof of the keys

Cause: the age of a configuration counted from the receipt of a message, so a node that was frozen or cut off, or that started with outdated records of a peer, would run requests with withdrawn keys for any time.

Change: with strict revocation each node holds a proof: the start of a complete read of the store, or of a question to a peer less the age of its proof, on CLOCK_BOOTTIME. Each read of a reader makes the nodes of its data centre ask it; if it is silent they ask any peer, then the store. Keyed requests get 503 once the proof is older than the bound less 0.3 s.

--- a/tests/test_gateway/data_centre.py
+++ b/tests/test_gateway/data_centre.py
@@ -22,6 +22,7 @@
 from trefoilwind.membership import directory
 from trefoilwind.model import addresses
 from trefoilwind.model import members
+from trefoilwind.model import mesh
 from trefoilwind.routing import shared_budget
 from trefoilwind.telemetry import counts as counts_lib
 
@@ -63,6 +64,7 @@
         store: The store as this node sees it.
         peers: Streams to the other nodes.
         publish_members: Publishes the members on the node's blackboard.
+        publish_configuration: Publishes the configuration there.
         version: Newest version in force; 0 for none.
         calm_since: Time since which the node has not been disturbed.
         lost_at: Time at which the process ended; None while it runs.
@@ -73,6 +75,7 @@
     store: thin_links.ThinStore
     peers: "_Peers"
     publish_members: Callable[[directory.Snapshot], None]
+    publish_configuration: Callable[[mesh.MeshConfiguration], None]
     version: int = 0
     calm_since: float = 0.0
     lost_at: float | None = None
@@ -98,8 +101,11 @@
 class DataCentre:
     """Nodes whose store is in another region."""
 
-    def __init__(self, names: Sequence[str] = NODES) -> None:
+    def __init__(
+        self, names: Sequence[str] = NODES, is_strict: bool = False
+    ) -> None:
         self._names = tuple(names)
+        self._is_strict = is_strict
         self.log = thin_links.Log()
         self.region = thin_links.Link(_REGION_RATE)
         # Versions that were late, by node.
@@ -208,6 +214,7 @@
         board = board_lib.MeshBoard()
         publish_members = board.members.claim("test")
         publish_members(self._snapshot())
+        publish_configuration = board.configuration.claim("test")
         peers = _Peers(
             {
                 other: thin_links.Stream(
@@ -219,7 +226,7 @@
         )
         process = _Process(
             operator_records.OperatorRecords(
-                _settings(name),
+                _settings(name, self._is_strict),
                 store,
                 lambda record: self._apply(process, record),
                 board,
@@ -228,10 +235,12 @@
                 lambda: True,
                 random.Random(name),
                 counts_lib.MeshCounts(),
+                self._loop.time,
             ),
             store,
             peers,
             publish_members,
+            publish_configuration,
             calm_since=self._loop.time(),
         )
         process.tasks = [
@@ -269,6 +278,9 @@
         version = int(text)
         assert version > process.version, "an older version came back"
         process.version = version
+        process.publish_configuration(
+            mesh.MeshConfiguration(version, has_customers=self._is_strict)
+        )
 
     def _deliverer(self, sender: str, receiver: str) -> Callable[[Any], None]:
         def deliver(message: Any) -> None:
@@ -299,7 +311,7 @@
         records.tick()
 
 
-def _settings(name: str) -> node_settings.MeshSettings:
+def _settings(name: str, is_strict: bool) -> node_settings.MeshSettings:
     return node_settings.MeshSettings(
         name,
         "d",
@@ -314,22 +326,25 @@
         shared_budget.BudgetTerms(0.2, 10.0, 100.0),
         6.0,
         15.0,
+        node_settings.CustomerTerms(is_strict),
     )
 
 
 def run(
     scenario: Callable[[DataCentre], Coroutine[Any, Any, None]],
     names: Sequence[str] = NODES,
+    is_strict: bool = False,
 ) -> DataCentre:
     """Run a scenario in a new data centre and return it.
 
     Args:
         scenario: Disturbs the nodes and publishes versions.
         names: Ids of the nodes.
+        is_strict: True if the nodes need proofs that their records are new.
     """
 
     async def run_scenario() -> DataCentre:
-        data_centre = DataCentre(names)
+        data_centre = DataCentre(names, is_strict)
         await scenario(data_centre)
         data_centre.stop()
         return data_centre
--- a/trefoilwind/gateway/control_messages.py
+++ b/trefoilwind/gateway/control_messages.py
@@ -214,6 +214,36 @@
     """Announcement that the sender's reads of the operator's topic fail."""
 
 
+@codec.message("mesh.proof_wanted")
+@dataclasses.dataclass(frozen=True)
+class ProofRequest:
+    """Question as of when the receiver's operator records are the newest.
+
+    Attributes:
+        token: Number that the answer repeats.
+    """
+
+    token: int
+
+
+@codec.message("mesh.proof")
+@dataclasses.dataclass(frozen=True)
+class ProofAnswer:
+    """Answer to a question for a proof.
+
+    Attributes:
+        token: Number of the question.
+        age_s: Age of the sender's proof in seconds when it answered.
+        next_offset: Position up to which the sender has all records.
+        version: Version of the sender's configuration in force.
+    """
+
+    token: int
+    age_s: float
+    next_offset: int
+    version: int
+
+
 @codec.message("mesh.records_wanted")
 @dataclasses.dataclass(frozen=True)
 class RecordsRequest:
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -8,6 +8,7 @@
 import random
 
 from trefoilwind import errors
+from trefoilwind.customers import freshness_proof
 from trefoilwind.distribution import backoff
 from trefoilwind.gateway import interruption
 from trefoilwind.log import keyed
@@ -25,6 +26,9 @@
 # Longest delay in seconds until the newest records are read after an offset has
 # expired; random, as it expires at all nodes together.
 READ_AGAIN_S = 0.2
+# Seconds from a read that may have ended before the end of the topic until the
+# next one, where the end is needed.
+END_READ_S = 0.1
 # Seconds within which a wait returns a record that is known to be stored.
 RECORD_DELAY_S = 0.5
 # Seconds between checks of whether this node must read again, while another
@@ -45,11 +49,14 @@
             records that are written in quick succession.
         wait_s: Seconds for which the read waits for a record.
         is_due: False while another node reads for this one.
+        needs_end: True if the end of the topic must be found soon; a read by
+            offset that returns records may have ended before it.
     """
 
     interval_s: float
     wait_s: float = READ_WAIT_S
     is_due: bool = True
+    needs_end: bool = False
 
 
 class Follower:
@@ -69,6 +76,8 @@
         on_read_again: Callable[
             [tuple[keyed.KeyedRecord, ...]], None
         ] = lambda records: None,
+        on_complete: Callable[[float], None] = lambda started: None,
+        boot_time: Callable[[], float] = freshness_proof.boot_time,
     ):
         """Initialize the follower of a topic.
 
@@ -86,6 +95,10 @@
                 while records are written faster than they are read.
             on_read_again: Called with the newest records of all keys after
                 these had to be read again, as the offset had expired.
+            on_complete: Called after a read that has found the end of the
+                topic, and before `on_read`, with the time in seconds by
+                `boot_time` at which the read was started.
+            boot_time: Clock that counts the suspension of the machine.
         """
         self._store = store
         self._topic = topic
@@ -97,10 +110,14 @@
         self._on_failure = on_failure
         self._skips_superseded = skips_superseded
         self._on_read_again = on_read_again
+        self._on_complete = on_complete
+        self._boot_time = boot_time
         self._has_expired = False
         self._has_backlog = False
         # True if the last read found new records.
         self._was_written = False
+        # True if the last read has found the end of the topic.
+        self._is_at_end = False
         # Time at which the records up to the offset were the newest ones.
         self._current_at = -float("inf")
         self._read_soon_requested = asyncio.Event()
@@ -192,13 +209,19 @@
                 await asyncio.sleep(READ_AGAIN_S * self._random.random())
                 continue
             if problem is None:
-                await self._wait_interval(plan.interval_s)
+                await self._wait_interval(
+                    END_READ_S if self._seeks_end(plan) else plan.interval_s
+                )
                 continue
             delay_s = backoff.full_jitter_s(
                 self._failures, RETRY_BASE_S, RETRY_CAP_S, self._random
             )
             await asyncio.sleep(delay_s)
 
+    def _seeks_end(self, plan: ReadPlan) -> bool:
+        """Return True if the end of the topic is needed and was not found."""
+        return plan.needs_end and not self._is_at_end
+
     async def _wait_interval(self, interval_s: float) -> None:
         try:
             async with asyncio.timeout(interval_s):
@@ -212,11 +235,15 @@
         offset = self._offset
         started = asyncio.get_running_loop().time()
         self._reading_since = started
+        boot_started = self._boot_time()
+        reads_newest = offset is None or self._reads_newest(plan, started)
         try:
-            if offset is None or self._reads_newest(plan, started):
+            if reads_newest:
                 page = await self._store.newest(self._topic)
             else:
-                page = await self._read_next(offset, plan.wait_s)
+                # A wait could end with another record instead of the end.
+                wait_s = 0.0 if self._seeks_end(plan) else plan.wait_s
+                page = await self._read_next(offset, wait_s)
         finally:
             self._reading_since = None
         elapsed_s = asyncio.get_running_loop().time() - started
@@ -232,6 +259,11 @@
         self._has_backlog = written > 1 or (written > 0 and self._was_written)
         self._was_written = written > 0
         self._advance(page.next_offset)
+        # A read by offset ends at a limit of bytes, so only an empty one tells
+        # where the topic ends.
+        self._is_at_end = reads_newest or page.next_offset == offset
+        if self._is_at_end:
+            self._on_complete(boot_started)
         self._on_read(self._offset)
         if self._has_expired:
             self._has_expired = False
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -189,7 +189,9 @@
             self._random.random,
         )
         self._budget = shared_budget.SharedBudget(settings.budget)
-        self._access = access_lib.Access()
+        self._access = access_lib.Access(
+            lambda: self._operator_records.is_confirmed
+        )
         self._entry = entry_lib.Entry(
             self._board,
             headers,
--- a/trefoilwind/gateway/operator_records.py
+++ b/trefoilwind/gateway/operator_records.py
@@ -4,15 +4,19 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import dataclasses
 import logging
 import random
 
+from trefoilwind import errors
+from trefoilwind.customers import freshness_proof
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import control_messages
 from trefoilwind.gateway import follower as follower_lib
 from trefoilwind.gateway import freshness as freshness_lib
 from trefoilwind.gateway import node_settings
 from trefoilwind.gateway import peers as peers_lib
+from trefoilwind.gateway import proof_exchange
 from trefoilwind.gateway import reader_selection
 from trefoilwind.gateway import record_offers
 from trefoilwind.gateway import record_sharing
@@ -26,6 +30,11 @@
 # Seconds between two reads of the operator's topic: a third of the time within
 # which a configuration must be in force.
 READ_INTERVAL_S = 0.8
+# Seconds for which a read waits for a record while other nodes need its start
+# as a proof, which is as much older when the read ends.
+PROOF_WAIT_S = 0.2
+# Seconds after which a read in flight is no longer relied upon for a proof.
+HUNG_READ_S = 1.5
 # Share of the requests for overdue records that go to the node that offered
 # them; the others spread the load.
 OFFERING_PEER_SHARE = 0.5
@@ -38,6 +47,8 @@
     | control_messages.RecordsHeld
     | control_messages.RecordsUnreadable
     | control_messages.SharedRecords
+    | control_messages.ProofRequest
+    | control_messages.ProofAnswer
 )
 
 
@@ -55,6 +66,7 @@
         has_discovered: Callable[[], bool],
         rng: random.Random,
         counts: counts_lib.MeshCounts,
+        boot_time: Callable[[], float] = freshness_proof.boot_time,
     ):
         """Initialize the reception of operator records.
 
@@ -69,6 +81,7 @@
             has_discovered: Returns True once the members have been read.
             rng: Source of random numbers.
             counts: Counters of the node.
+            boot_time: Clock that counts the suspension of the machine.
         """
         self._node_id = settings.node_id
         self._data_centre = settings.data_centre
@@ -90,6 +103,24 @@
             self._announce_read,
             self._announce_failure,
             skips_superseded=True,
+            on_complete=self._note_complete_read,
+            boot_time=boot_time,
+        )
+        self._topic = settings.operator_topic
+        self._store = store
+        self._boot_time = boot_time
+        self._is_strict = settings.customers.is_revocation_strict
+        # True if this node's own reads keep its proof fresh.
+        self._reads_often = False
+        self._proof = freshness_proof.FreshnessProof()
+        self._exchange = proof_exchange.ProofExchange(
+            self._proof,
+            self._held,
+            lambda node, message: self._send_to((node,), message),
+            self._read_for_proof,
+            settings.customers.revocation_s,
+            boot_time,
+            rng,
         )
         self._selection = reader_selection.ReaderSelection(
             settings.node_id,
@@ -117,9 +148,22 @@
         """Seconds since the start of the read in flight; 0 for none."""
         return self._follower.read_s
 
+    @property
+    def proof_age_s(self) -> float:
+        """Age of the proof that the records are the newest, in seconds."""
+        return self._exchange.age_s
+
+    @property
+    def is_confirmed(self) -> bool:
+        """True if no key in force was withdrawn longer ago than is allowed."""
+        return not self._is_strict or self._exchange.is_confirmed
+
     async def run(self) -> None:
         """Read until cancelled."""
-        await self._follower.run()
+        try:
+            await self._follower.run()
+        finally:
+            self._exchange.close()
 
     def tick(self) -> None:
         """Request records from any peer if no other way has worked."""
@@ -129,6 +173,11 @@
         if is_stale:
             self._follower.abandon_wait(freshness_lib.CONFIRMATION_TIMEOUT_S)
         local_peers = self._local_peers()
+        if self._needs_proof:
+            self._exchange.tick(
+                local_peers,
+                tuple(stream.peer for stream in self._peers.connected),
+            )
         is_group = bool(self._selection.parent(local_peers))
         needs_peer = (
             self.is_unavailable
@@ -200,9 +249,46 @@
             self._request_missing(stream, message.next_offset)
         elif isinstance(message, control_messages.RecordsUnreadable):
             self._selection.handle_failure(stream.peer)
+        elif isinstance(message, control_messages.ProofRequest):
+            proof = self._exchange.answer(message)
+            if proof is not None:
+                stream.send(peers_lib.control_frame(proof))
+        elif isinstance(message, control_messages.ProofAnswer):
+            self._exchange.handle_answer(message)
         else:
             self._handle_records(stream, message)
 
+    @property
+    def _needs_proof(self) -> bool:
+        return self._is_strict and self._board.configuration.value.has_customers
+
+    def _held(self) -> freshness_proof.Held:
+        return freshness_proof.Held(
+            self._follower.offset, self._board.configuration.value.version
+        )
+
+    def _note_complete_read(self, started: float) -> None:
+        self._proof.note_read(started)
+        self._proof.note_records(self._held())
+
+    async def _read_for_proof(self) -> None:
+        """Read the end of the topic beside the follower, whose read may hang.
+
+        An error is left to the follower to report.
+        """
+        offset = self._follower.offset
+        is_reading = 0.0 < self._follower.read_s < HUNG_READ_S
+        if offset is None or (self._reads_often and is_reading):
+            return
+        started = self._boot_time()
+        page = await self._store.read(self._topic, offset, 0.0)
+        if isinstance(page, errors.LogError):
+            return
+        if page.next_offset == offset:
+            self._note_complete_read(started)
+        else:
+            self._follower.read_soon()
+
     def _add_records(self, records: Iterable[keyed.KeyedRecord]) -> None:
         for record in records:
             self._sharing.add(record)
@@ -218,6 +304,12 @@
                 known_peers, self._has_discovered(), now
             )
         self._report_role(self._selection.reader(local_peers), plan.is_due)
+        is_short = plan.wait_s <= reader_selection.READ_WAIT_S
+        self._reads_often = plan.is_due and is_short
+        if self._needs_proof and is_short:
+            plan = dataclasses.replace(
+                plan, wait_s=PROOF_WAIT_S, needs_end=True
+            )
         return plan
 
     def _report_role(self, reader: str, reads: bool) -> None:
@@ -275,6 +367,8 @@
     ) -> None:
         self._selection.handle_announcement(stream.peer, self._loop.time())
         self._note_read(message.next_offset)
+        if self._needs_proof:
+            self._exchange.handle_announcement(stream.peer)
         parent = self._selection.parent(self._local_peers())
         if parent in ("", stream.peer):
             self._request_missing(stream, message.next_offset)
@@ -330,6 +424,7 @@
         else:
             self._follower.skip_to(message.next_offset)
         self._freshness.note_offset(self._follower.offset)
+        self._proof.note_records(self._held())
         if self._sharing.last_offset > last_offset:
             self._pass_on()
 
