Decode only the changed routes of a configuration

Cause: a change of one customer among 84, in a document of 800 routes and 80 kB, took 12.2 ms of processor time to decode at each node, 10 times as long as to parse it.

Change: routes whose rows have the text of the last configuration are reused.

--- a/tests/test_platform/test_platform_documents.py
+++ b/tests/test_platform/test_platform_documents.py
@@ -162,3 +162,28 @@
     assert not isinstance(
         documents.decode_operator_record(record), mesh.MeshConfiguration
     )
+
+
+def _rows(count: int, priority: object) -> bytes:
+    """Return a configuration whose last route has the given priority."""
+    first = _CONFIGURATION["routes"]["rows"][1]
+    rows = [[f"r-{n}", "f.e", f"/{n}/", *first[3:]] for n in range(count)]
+    rows[-1][6] = priority
+    table = _CONFIGURATION["routes"] | {"rows": rows}
+    return json.dumps(_CONFIGURATION | {"routes": table}).encode()
+
+
+def test_change_does_not_decode_all_routes_again():
+    cache = documents.RouteCache()
+
+    def decode(value: bytes) -> object:
+        record = keyed.KeyedRecord("config", value, 12)
+        return documents.decode_operator_record(record, cache)
+
+    first = decode(_rows(9, 1)).routes
+    second = decode(_rows(9, 2)).routes
+    assert all(a is b for a, b in zip(first[:-1], second[:-1], strict=True))
+    assert second[-1].rank == 2
+    # Equal to 1 for Python, but malformed.
+    assert isinstance(decode(_rows(9, True)), errors.RecordError)
+    assert decode(_rows(9, 1)).routes == first
--- a/trefoilwind/platform/documents.py
+++ b/trefoilwind/platform/documents.py
@@ -39,8 +39,43 @@
 )
 
 
+class RouteCache:
+    """Routes of the last configuration, by the text of their rows.
+
+    A change of one customer leaves hundreds of rows as they are, and decoding
+    them takes ten times as long as parsing the document.
+    """
+
+    def __init__(self) -> None:
+        self._columns = ""
+        self._known: dict[str, mesh.HostRoute] = {}
+
+    def decode(self, table: Any) -> tuple[mesh.HostRoute, ...]:
+        """Return the routes of a table.
+
+        Raises:
+            ValueError: A row is malformed, or another of `_MALFORMED_ERRORS`.
+        """
+        # Unlike equality, the text tells 1, 1.0 and true apart.
+        columns = repr(table["columns"])
+        known = self._known if columns == self._columns else {}
+        decoded: dict[str, mesh.HostRoute] = {}
+        routes = []
+        for row in table["rows"]:
+            text = repr(row)
+            route = known.get(text)
+            if route is None:
+                one_row = {"columns": table["columns"], "rows": [row]}
+                route = _decode_route(_table_rows(one_row)[0])
+            decoded[text] = route
+            routes.append(route)
+        self._columns = columns
+        self._known = decoded
+        return tuple(routes)
+
+
 def decode_operator_record(
-    record: keyed.KeyedRecord,
+    record: keyed.KeyedRecord, routes: RouteCache | None = None
 ) -> (
     mesh.MeshConfiguration
     | mesh.RolloutOrder
@@ -50,6 +85,11 @@
 ):
     """Decode a record of the operator; never raises.
 
+    Args:
+        record: The record.
+        routes: Routes of the last configuration, which are not decoded again;
+            None to decode all.
+
     Returns:
         The configuration, rollout order or evacuation, an error if the record
         is malformed, or None if it has another key or, other than an
@@ -61,7 +101,9 @@
         if not record.value:
             return None
         if record.key == CONFIGURATION_KEY:
-            return _decode_configuration(json.loads(record.value))
+            return _decode_configuration(
+                json.loads(record.value), routes or RouteCache()
+            )
         if record.key.startswith(ROLLOUT_KEY):
             return _decode_rollout_order(
                 json.loads(record.value), record.offset
@@ -97,15 +139,15 @@
     ]
 
 
-def _decode_configuration(document: Any) -> mesh.MeshConfiguration:
+def _decode_configuration(
+    document: Any, routes: RouteCache
+) -> mesh.MeshConfiguration:
     version = _require_integer(document["version"])
     limits = document.get("limits") or {}
     default = mesh.CallerLimits()
     return mesh.MeshConfiguration(
         version=version,
-        routes=tuple(
-            _decode_route(row) for row in _table_rows(document["routes"])
-        ),
+        routes=routes.decode(document["routes"]),
         services=tuple(
             mesh.ServicePolicy(
                 _require_text(row["name"]),
--- a/trefoilwind/platform/program.py
+++ b/trefoilwind/platform/program.py
@@ -1,6 +1,7 @@
 """Program that runs a node with the platform's settings."""
 
 import asyncio
+import functools
 import logging
 import signal
 
@@ -100,7 +101,11 @@
         store_lib.PlatformStore(address),
         headers.port(),
         node_lib.OperatorPort(
-            documents.decode_operator_record, documents.encode_rollout_status
+            functools.partial(
+                documents.decode_operator_record,
+                routes=documents.RouteCache(),
+            ),
+            documents.encode_rollout_status,
         ),
     )
     problem = await node.start() or await _serve_platform(node, settings)
