--- a/tests/test_cmd/test_cmd_check.py
+++ b/tests/test_cmd/test_cmd_check.py
@@ -123,3 +123,48 @@
     code, text = _run(path, monkeypatch, capsys)
     assert code == 2
     assert "routes[1].name: duplicate" in text
+
+
+def test_example_with_customers_is_correct(monkeypatch, capsys):
+    path = _EXAMPLE.with_name("customers.jsonc")
+    assert _run(path, monkeypatch, capsys)[0] == 0
+
+
+@pytest.mark.parametrize(
+    ("customers", "expected"),
+    [
+        ([{"name": "a"}, {"name": "a"}], "customers[1].name: duplicate"),
+        (
+            [{"name": "a", "keys": ["kk"]}, {"name": "b", "keys": ["kk"]}],
+            "customers[1].keys: duplicate",
+        ),
+        (
+            [{"name": "a", "keys": ["kk kk"]}],
+            "customers[0].keys: out-of-range",
+        ),
+        (
+            [{"name": "a", "rate_per_s": -1.0}],
+            "customers[0].rate_per_s: out-of-range",
+        ),
+    ],
+)
+def test_wrong_customer_is_named_without_its_key(
+    tmp_path, monkeypatch, capsys, customers, expected
+):
+    document = _example() | {"customers": customers, "has_customers": True}
+    path = tmp_path / "routes.jsonc"
+    path.write_text(json.dumps(document))
+    code, text = _run(path, monkeypatch, capsys)
+    assert code == 2
+    assert expected in text
+    assert "kk" not in text
+
+
+def test_customers_that_would_not_be_checked_are_reported(
+    tmp_path, monkeypatch, capsys
+):
+    path = tmp_path / "routes.jsonc"
+    path.write_text(json.dumps(_example() | {"customers": [{"name": "a"}]}))
+    code, text = _run(path, monkeypatch, capsys)
+    assert code == 2
+    assert "has_customers: out-of-range" in text
--- a/trefoilwind/customers/keys.py
+++ b/trefoilwind/customers/keys.py
@@ -14,6 +14,12 @@
 _DIGEST_BYTES = 16
 
 
+def is_key(text: str) -> bool:
+    """Return True if a request can carry a text as its key."""
+    is_short = 0 < len(text.encode()) <= MAX_KEY_BYTES
+    return is_short and text.isprintable() and " " not in text
+
+
 class KeyTable:
     """Customers by the digests of their keys, built once per configuration.
 
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -25,6 +25,7 @@
 logger = logging.getLogger(__name__)
 
 _STEP = "entry.call"
+_ACCESS_STEP = "entry.access"
 # Seconds until the deadline of a request that gives none.
 DEFAULT_DEADLINE_S = 10.0
 # Nodes to which one call is sent at most before it is refused.
@@ -242,6 +243,7 @@
             route=route.name,
             configuration=self._board.configuration.value.version,
             reason=refusal.reason.value,
+            step=_ACCESS_STEP,
             status=answer.status,
         )
         return answer
--- a/trefoilwind/gateway/metrics_page.py
+++ b/trefoilwind/gateway/metrics_page.py
@@ -34,6 +34,8 @@
         limit_per_s: Calls per second that the backend server accepts; infinity
             if it names no limit.
         is_store_unavailable: True while reads of the store fail.
+        proof_age_s: Seconds since the time as of which the operator's records
+            are proven to be the newest; infinity for none.
     """
 
     is_ready: bool
@@ -49,6 +51,7 @@
     occupied: int
     limit_per_s: float
     is_store_unavailable: bool
+    proof_age_s: float
 
 
 class MetricsPage:
@@ -136,3 +139,9 @@
         "0 while reads of the store fail, else 1.",
         int(not gauges.is_store_unavailable),
     )
+    yield prometheus.gauge(
+        "operator_records_proof_age_seconds",
+        "Age of the proof that the operator's records are the newest ones;"
+        " +Inf for none.",
+        gauges.proof_age_s,
+    )
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -295,6 +295,7 @@
                 self._operator_records.is_unavailable
                 or self._mesh_follower.is_unavailable
             ),
+            proof_age_s=self._operator_records.proof_age_s,
         )
 
     @property
--- a/trefoilwind/gateway/proof_exchange.py
+++ b/trefoilwind/gateway/proof_exchange.py
@@ -11,12 +11,17 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+import logging
+import math
 import random
 
 from trefoilwind.customers import freshness_proof
 from trefoilwind.gateway import control_messages
+from trefoilwind.logs import decisions
 from trefoilwind.model import positions
 
+logger = logging.getLogger(__name__)
+
 Message = control_messages.ProofRequest | control_messages.ProofAnswer
 
 # Seconds between the withdrawal bound and the largest age of a proof: for
@@ -42,6 +47,7 @@
 RESTORED_HOLD_S = 3.0
 # Questions whose answers are awaited.
 _MAX_OPEN = 16
+_MS_PER_S = 1000
 
 
 class ProofExchange:
@@ -83,6 +89,7 @@
         self._token = 0
         self._next_read_at = self._started_at
         self._reading: asyncio.Task | None = None
+        self._was_confirmed = False
 
     @property
     def age_s(self) -> float:
@@ -140,6 +147,7 @@
             local_peers: Connected nodes of the data centre.
             peers: Connected nodes of all data centres.
         """
+        self._report_change()
         age_s = self.age_s
         is_held_back = self._is_held_back(self._held())
         if (age_s > ASK_AGE_S or is_held_back) and local_peers:
@@ -153,6 +161,25 @@
                 self._clock() + READ_SPREAD_S * self._random.random()
             )
 
+    def _report_change(self) -> None:
+        is_confirmed = self.is_confirmed
+        if is_confirmed == self._was_confirmed:
+            return
+        self._was_confirmed = is_confirmed
+        held = self._held()
+        has_proof = self._proof.proven_at > -math.inf
+        decisions.failure(
+            logger,
+            "keys_confirmed" if is_confirmed else "keys_unconfirmed",
+            "customers: keys known to be in force"
+            if is_confirmed
+            else "customers: keys may be withdrawn; keyed requests refused",
+            age_ms=round(self.age_s * _MS_PER_S) if has_proof else None,
+            offset=held.offset,
+            configuration=held.version,
+            is_lost=self._proof.lacks_version(held),
+        )
+
     def close(self) -> None:
         """End the read in flight."""
         if self._reading is not None:
--- a/trefoilwind/logs/explain.py
+++ b/trefoilwind/logs/explain.py
@@ -14,8 +14,10 @@
     "target_run": 0,
     "call": 1,
     "call_failed": 1,
+    "access_refused": 1,
 }
-_END_KINDS = frozenset({"call", "call_failed"})
+_FAILURE_KINDS = frozenset({"call_failed", "access_refused"})
+_END_KINDS = _FAILURE_KINDS | {"call"}
 _SUPPRESSED_KIND = "left_out"
 _FIRST_FIELDS = ("status", "reason", "step", "peer")
 _HIDDEN_FIELDS = frozenset(
@@ -49,7 +51,7 @@
     @property
     def is_failed(self) -> bool:
         """True if the request failed."""
-        return self.end is not None and self.end.kind == "call_failed"
+        return self.end is not None and self.end.kind in _FAILURE_KINDS
 
     @property
     def elapsed_ms(self) -> float:
--- a/trefoilwind/routing/route_validation.py
+++ b/trefoilwind/routing/route_validation.py
@@ -4,6 +4,7 @@
 import math
 
 from trefoilwind import errors
+from trefoilwind.customers import keys as key_table
 from trefoilwind.model import mesh
 
 _STEP = "routes.validate"
@@ -42,6 +43,9 @@
 def _problems_of_customers(
     configuration: mesh.MeshConfiguration,
 ) -> Iterator[errors.SettingsError]:
+    if configuration.customers and not configuration.has_customers:
+        detail = "true, as there are customers"
+        yield _error(errors.Reason.OUT_OF_RANGE, "has_customers", detail)
     names: set[str] = set()
     owners: dict[str, int] = {}
     for index, customer in enumerate(configuration.customers):
@@ -59,6 +63,16 @@
             # The key itself is a secret.
             detail = "key of another customer"
             yield _error(errors.Reason.DUPLICATE, f"{path}.keys", detail)
+        if not all(key_table.is_key(key) for key in customer.keys):
+            detail = f"1 to {key_table.MAX_KEY_BYTES} bytes without spaces"
+            yield _error(errors.Reason.OUT_OF_RANGE, f"{path}.keys", detail)
+        if customer.rank is not None and customer.rank < 0:
+            yield _error(
+                errors.Reason.OUT_OF_RANGE, f"{path}.rank", "at least 0"
+            )
+    if len(owners) > key_table.MAX_KEYS:
+        detail = f"at most {key_table.MAX_KEYS} keys"
+        yield _error(errors.Reason.OUT_OF_RANGE, "customers", detail)
 
 
 def _problems_of_route(
