--- a/trefoilwind/errors.py
+++ b/trefoilwind/errors.py
@@ -59,6 +59,11 @@
     REGION_NOT_ALLOWED = "region-not-allowed"
     RECORDS_UNKNOWN = "records-unknown"
     BODY_TOO_LARGE = "body-too-large"
+    # Customers.
+    KEY_MISSING = "key-missing"
+    KEY_MALFORMED = "key-malformed"
+    KEY_UNKNOWN = "key-unknown"
+    KEYS_UNCONFIRMED = "keys-unconfirmed"
     # Administration.
     UNAUTHORIZED = "unauthorized"
     FORBIDDEN = "forbidden"
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -9,6 +9,7 @@
 import random
 
 from trefoilwind import errors
+from trefoilwind.customers import access as access_lib
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import http_types
@@ -25,6 +26,7 @@
 logger = logging.getLogger(__name__)
 
 _STEP = "entry.call"
+_ACCESS_STEP = "entry.access"
 # Seconds until the deadline of a request that gives none.
 DEFAULT_DEADLINE_S = 10.0
 # Nodes to which one call is sent at most before it is refused.
@@ -40,6 +42,9 @@
 RETRY_JITTER = 0.5
 # Routes whose longest times are kept; the operator names them.
 MAX_ROUTES_MEASURED = 1000
+# Retry time given to callers while the keys in force may be outdated.
+KEYS_UNCONFIRMED_RETRY_S = 0.5
+_STATUS_UNAUTHORIZED = 401
 _STATUS_NOT_FOUND = 404
 _STATUS_BAD_GATEWAY = 502
 _STATUS_UNAVAILABLE = 503
@@ -90,6 +95,7 @@
         regions_of_running: Callable[
             [bytes], frozenset[str] | None
         ] = lambda request_id: None,
+        access: access_lib.Access | None = None,
     ):
         self._board = board
         self._headers = headers
@@ -103,6 +109,7 @@
         self._random = rng
         self._configuration_age_s = configuration_age_s
         self._regions_of_running = regions_of_running
+        self._access = access or access_lib.Access()
         self._weighted_choice = weighted_choice.WeightedChoice(rng.random)
         self._loop = asyncio.get_running_loop()
         # Event loop times of a stop: after which no request is accepted, and
@@ -156,7 +163,10 @@
         route = table.match(metadata.host, path)
         if route is None:
             return http_types.HttpAnswer(_STATUS_NOT_FOUND, ())
-        call = self._call(request, metadata, route, table.version)
+        customer = self._check_access(metadata, route)
+        if isinstance(customer, access_lib.Refusal):
+            return self._access_refused(customer, metadata, route)
+        call = self._call(request, metadata, route, table.version, customer)
         if self._is_refused(call):
             return http_types.HttpAnswer(_STATUS_BAD_GATEWAY, ())
         self._budget.record_first_attempt(call.service, self._loop.time())
@@ -173,6 +183,59 @@
         self._log_result(metadata, call, progress, result, answer.status)
         return answer
 
+    def check_head(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpAnswer | None:
+        """Return the answer to a request that is refused before its body.
+
+        Args:
+            request: The request, without its body.
+
+        Returns:
+            A refusal, or None if the body is to be read.
+        """
+        if not self._access.is_required:
+            return None
+        metadata = self._headers.read(request.headers)
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        route = self._board.routes.value.match(metadata.host, path)
+        if route is None:
+            return None
+        customer = self._check_access(metadata, route)
+        if isinstance(customer, access_lib.Refusal):
+            return self._access_refused(customer, metadata, route)
+        return None
+
+    def _check_access(
+        self, metadata: calls.RequestMetadata, route: mesh.HostRoute
+    ) -> mesh.Customer | access_lib.Refusal | None:
+        is_nested = self._is_running(metadata.parent_id)
+        return self._access.check(metadata.key, route, is_nested)
+
+    def _access_refused(
+        self,
+        refusal: access_lib.Refusal,
+        metadata: calls.RequestMetadata,
+        route: mesh.HostRoute,
+    ) -> http_types.HttpAnswer:
+        self._counts.access_refused(refusal.reason.value)
+        if refusal.is_temporary:
+            answer = self._unavailable(KEYS_UNCONFIRMED_RETRY_S)
+        else:
+            answer = http_types.HttpAnswer(_STATUS_UNAUTHORIZED, ())
+        decisions.failure(
+            logger,
+            "access_refused",
+            "entry: access refused",
+            id=metadata.request_id,
+            route=route.name,
+            configuration=self._board.configuration.value.version,
+            reason=refusal.reason.value,
+            step=_ACCESS_STEP,
+            status=answer.status,
+        )
+        return answer
+
     @property
     def _timeout_at(self) -> float | None:
         """Event loop time in seconds at which a stop ends the calls."""
@@ -193,6 +256,7 @@
         metadata: calls.RequestMetadata,
         route: mesh.HostRoute,
         version: int,
+        customer: mesh.Customer | None,
     ) -> calls.Call:
         remaining_s = metadata.remaining_s
         if remaining_s is None:
@@ -202,27 +266,39 @@
             route, version, lambda: self._board.routes.value.names
         )
         allowed = regions.allowed_regions(
-            route, None, self._regions_of_running(metadata.parent_id)
+            route, customer, self._regions_of_running(metadata.parent_id)
         )
         return calls.Call(
             method=request.method.decode("latin-1"),
             target=request.target.decode("latin-1"),
             headers=(
-                *metadata.forwarded,
+                *self._forwarded(metadata, customer),
                 *self._headers.entry_headers(self._own_service()),
             ),
             body=request.body,
             service=service,
             version=self._picker.choose_version(service, allowed),
             route_name=route.name,
-            rank=route.rank,
+            rank=route.rank
+            if customer is None or customer.rank is None
+            else customer.rank,
             is_nested=self._is_running(metadata.parent_id),
             target_deadline=request.received + route.target_s,
             deadline=request.received + limit_s,
             received=request.received,
+            customer=customer.name if customer is not None else "",
             allowed_regions=allowed,
         )
 
+    def _forwarded(
+        self, metadata: calls.RequestMetadata, customer: mesh.Customer | None
+    ) -> tuple[http_types.Header, ...]:
+        """Return the caller's headers, with its customer instead of its key."""
+        if not self._access.is_required:
+            return metadata.forwarded
+        name = customer.name if customer is not None else ""
+        return self._headers.customer_headers(metadata.forwarded, name)
+
     async def _run_until_stop(
         self, call: calls.Call, route: mesh.HostRoute, progress: _Progress
     ) -> calls.Result:
@@ -363,6 +439,7 @@
         fields = {
             "id": metadata.request_id,
             "route": call.route_name,
+            **({"customer": call.customer} if call.customer else {}),
             "configuration": self._board.configuration.value.version,
             "configuration_age_ms": round(self._configuration_age_s() * 1000),
             "service": call.service,
--- a/trefoilwind/gateway/metrics_page.py
+++ b/trefoilwind/gateway/metrics_page.py
@@ -34,6 +34,8 @@
         limit_per_s: Calls per second that the backend server accepts; infinity
             if it names no limit.
         is_store_unavailable: True while reads of the store fail.
+        proof_age_s: Seconds since the time as of which the operator's records
+            are proven to be the newest; infinity for none.
         evacuated: Evacuated data centres, sorted.
     """
 
@@ -50,6 +52,7 @@
     occupied: int
     limit_per_s: float
     is_store_unavailable: bool
+    proof_age_s: float
     evacuated: tuple[str, ...] = ()
 
 
@@ -138,6 +141,12 @@
         "0 while reads of the store fail, else 1.",
         int(not gauges.is_store_unavailable),
     )
+    yield prometheus.gauge(
+        "operator_records_proof_age_seconds",
+        "Age of the proof that the operator's records are the newest ones;"
+        " +Inf for none.",
+        gauges.proof_age_s,
+    )
     # Without evacuations the page is the same as before there were any.
     if gauges.evacuated:
         yield prometheus.Family(
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -11,6 +11,7 @@
 
 from trefoilwind import codec
 from trefoilwind import errors
+from trefoilwind.customers import access as access_lib
 from trefoilwind.distribution import frames
 from trefoilwind.gateway import board as board_lib
 from trefoilwind.gateway import calls
@@ -209,6 +210,9 @@
             self._cold.share,
         )
         self._budget = shared_budget.SharedBudget(settings.budget)
+        self._access = access_lib.Access(
+            lambda: self._operator_records.is_confirmed
+        )
         self._entry = entry_lib.Entry(
             self._board,
             headers,
@@ -222,8 +226,11 @@
             self._random,
             lambda: self._operator_records.age_s,
             self._target.regions_of,
+            self._access,
+        )
+        self._callers = http_server.HttpServer(
+            self._serve, self._limits, self._entry.check_head
         )
-        self._callers = http_server.HttpServer(self._serve, self._limits)
         self._publisher = publisher_lib.Publisher(
             store, node_settings.MESH_TOPIC, self._random
         )
@@ -312,6 +319,7 @@
                 self._operator_records.is_unavailable
                 or self._mesh_follower.is_unavailable
             ),
+            proof_age_s=self._operator_records.proof_age_s,
         )
 
     @property
@@ -799,6 +807,7 @@
         if configuration.version <= current.version:
             return
         routes = host_routes.build(configuration)
+        self._access.update(configuration)
         self._publish_configuration(configuration)
         self._publish_routes(routes)
         logger.info(
