Keep the bounds of keys with the other bounds; name the scheme in a 401

Cause: documents and route validation imported the key table for a number, and a 401 lacked the header that HTTP asks for.

Change: MAX_KEYS, MAX_KEY_BYTES and is_key are in model/bounds.py; the port has the headers of a 401. A test asks nodes of other data centres and the store.

--- a/tests/test_customers/test_customers_keys.py
+++ b/tests/test_customers/test_customers_keys.py
@@ -3,6 +3,7 @@
 import pytest
 
 from trefoilwind.customers import keys
+from trefoilwind.model import bounds
 from trefoilwind.model import mesh
 
 _TABLE = keys.KeyTable(
@@ -16,14 +17,14 @@
 
 
 @pytest.mark.parametrize(
-    "key", [b"", b"k-", b"K-1", b"k-1 ", b"k-1" * keys.MAX_KEY_BYTES]
+    "key", [b"", b"k-", b"K-1", b"k-1 ", b"k-1" * bounds.MAX_KEY_BYTES]
 )
 def test_similar_key_is_unknown(key: bytes):
     assert _TABLE.find(key) is None
 
 
 def test_keys_beyond_the_limit_are_rejected():
-    many = tuple(str(number) for number in range(keys.MAX_KEYS + 1))
+    many = tuple(str(number) for number in range(bounds.MAX_KEYS + 1))
     with pytest.raises(ValueError):
         keys.KeyTable((mesh.Customer("ana", many),))
     assert (
--- a/tests/test_gateway/test_gateway_proof_exchange.py
+++ b/tests/test_gateway/test_gateway_proof_exchange.py
@@ -112,6 +112,7 @@
     def __init__(self, offset: int = 5, version: int = 1):
         self.now = 100.0
         self.held = freshness_proof.Held(offset, version)
+        self.reads = 0
         self.proof = freshness_proof.FreshnessProof()
         self.sent: list[control_messages.ProofRequest] = []
         self.exchange = proof_exchange.ProofExchange(
@@ -125,7 +126,7 @@
         )
 
     async def _read(self) -> None:
-        return None
+        self.reads += 1
 
     def answer(
         self, age_s: float, next_offset: int = 5, version: int = 1
@@ -214,3 +215,25 @@
     assert node.exchange.answer(request).age_s == 1.0
     node.now += 5.0
     assert node.exchange.answer(request) is None
+
+
+def test_node_without_local_peers_asks_others_and_then_the_store():
+    """Guards against refusals in a data centre whose other nodes are lost."""
+
+    async def run() -> tuple[_Node, float]:
+        node = _Node()
+        node.proof.note_read(node.now)
+        first_read_s = math.inf
+        for _ in range(40):
+            node.now += 0.25
+            node.exchange.tick((), ("remote",))
+            await asyncio.sleep(0)
+            if node.reads:
+                first_read_s = min(first_read_s, node.exchange.age_s)
+        return node, first_read_s
+
+    node, first_read_s = asyncio.run(run())
+    assert len(node.sent) >= 30
+    assert first_read_s < 4.0
+    # At most one a second.
+    assert 3 <= node.reads <= 8
--- a/trefoilwind/customers/access.py
+++ b/trefoilwind/customers/access.py
@@ -2,14 +2,11 @@
 
 from collections.abc import Callable
 import dataclasses
-import logging
 
 from trefoilwind import errors
 from trefoilwind.customers import keys as keys_lib
 from trefoilwind.model import mesh
 
-logger = logging.getLogger(__name__)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
--- a/trefoilwind/customers/keys.py
+++ b/trefoilwind/customers/keys.py
@@ -5,21 +5,12 @@
 import hmac
 import secrets
 
+from trefoilwind.model import bounds
 from trefoilwind.model import mesh
 
-# Largest number of keys of a configuration; they take about 25 MB.
-MAX_KEYS = 100_000
-# Longest key in bytes; a longer one is no key of any customer.
-MAX_KEY_BYTES = 512
 _DIGEST_BYTES = 16
 
 
-def is_key(text: str) -> bool:
-    """Return True if a request can carry a text as its key."""
-    is_short = 0 < len(text.encode()) <= MAX_KEY_BYTES
-    return is_short and text.isprintable() and " " not in text
-
-
 class KeyTable:
     """Customers by the digests of their keys, built once per configuration.
 
@@ -34,7 +25,7 @@
             customers: All customers; each key belongs to one of them.
 
         Raises:
-            ValueError: There are more than `MAX_KEYS` keys.
+            ValueError: There are more than `bounds.MAX_KEYS` keys.
         """
         self._secret = secrets.token_bytes(_DIGEST_BYTES)
         self._by_digest: dict[bytes, tuple[bytes, mesh.Customer]] = {}
@@ -42,7 +33,7 @@
             for key in customer.keys:
                 digest = self._digest(key.encode())
                 self._by_digest[digest] = (digest, customer)
-            if len(self._by_digest) > MAX_KEYS:
+            if len(self._by_digest) > bounds.MAX_KEYS:
                 raise ValueError("too many keys")
 
     def __len__(self) -> int:
@@ -51,7 +42,7 @@
 
     def find(self, key: bytes) -> mesh.Customer | None:
         """Return the customer of a key, or None if it is no valid key."""
-        if not 0 < len(key) <= MAX_KEY_BYTES:
+        if not 0 < len(key) <= bounds.MAX_KEY_BYTES:
             return None
         digest = self._digest(key)
         found = self._by_digest.get(digest)
--- a/trefoilwind/gateway/calls.py
+++ b/trefoilwind/gateway/calls.py
@@ -54,6 +54,7 @@
         customer_headers: Returns the forwarded headers of a request without
             its key, and with the name of its customer unless that is empty;
             used only where the configuration has customers.
+        challenge: Headers of an answer to a request without a valid key.
     """
 
     read: Callable[[tuple[http_types.Header, ...]], RequestMetadata]
@@ -69,6 +70,7 @@
     customer_headers: Callable[
         [tuple[http_types.Header, ...], str], tuple[http_types.Header, ...]
     ]
+    challenge: tuple[http_types.Header, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -234,7 +234,9 @@
         if refusal.is_temporary:
             answer = self._unavailable(KEYS_UNCONFIRMED_RETRY_S)
         else:
-            answer = http_types.HttpAnswer(_STATUS_UNAUTHORIZED, ())
+            answer = http_types.HttpAnswer(
+                _STATUS_UNAUTHORIZED, self._headers.challenge
+            )
         decisions.failure(
             logger,
             "access_refused",
--- a/trefoilwind/model/bounds.py
+++ b/trefoilwind/model/bounds.py
@@ -16,6 +16,10 @@
 # Largest name in bytes; with its prefix it fits into a key of the store, whose
 # length is one byte.
 MAX_NAME_BYTES = 200
+# Largest number of customers' keys in a configuration.
+MAX_KEYS = 100_000
+# Longest key of a customer in bytes.
+MAX_KEY_BYTES = 512
 
 
 def is_name(text: str) -> bool:
@@ -31,3 +35,9 @@
 def is_time_ms(value: int) -> bool:
     """Return True if an integer can be a wall clock in milliseconds."""
     return 0 <= value <= MAX_TIME_MS
+
+
+def is_key(text: str) -> bool:
+    """Return True if a request can carry a text as its key."""
+    is_short = 0 < len(text.encode()) <= MAX_KEY_BYTES
+    return is_short and text.isprintable() and " " not in text
--- a/trefoilwind/platform/documents.py
+++ b/trefoilwind/platform/documents.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from trefoilwind import errors
-from trefoilwind.customers import keys as key_table
 from trefoilwind.log import keyed
 from trefoilwind.model import addresses
 from trefoilwind.model import bounds
@@ -203,7 +202,7 @@
     keys = [key for customer in customers for key in set(customer.keys)]
     if len(set(keys)) < len(keys):
         raise ValueError("a key has two customers")
-    if len(keys) > key_table.MAX_KEYS:
+    if len(keys) > bounds.MAX_KEYS:
         raise ValueError("too many keys")
     return tuple(sorted(customers, key=lambda customer: customer.name))
 
--- a/trefoilwind/platform/headers.py
+++ b/trefoilwind/platform/headers.py
@@ -34,6 +34,7 @@
 # Key of a customer's caller, and name of the customer for the backend server.
 _AUTHORIZATION = b"authorization"
 _KEY_SCHEME = b"bearer"
+_CHALLENGE = ((b"WWW-Authenticate", b"Bearer"),)
 _CUSTOMER = b"x-tenant"
 _CUSTOMER_NAME = b"X-Tenant"
 _CUSTOMER_HEADERS = frozenset({_AUTHORIZATION, _CUSTOMER})
@@ -52,6 +53,7 @@
         notice=_notice,
         retry_headers=_retry_headers,
         customer_headers=_customer_headers,
+        challenge=_CHALLENGE,
     )
 
 
--- a/trefoilwind/routing/route_validation.py
+++ b/trefoilwind/routing/route_validation.py
@@ -4,7 +4,7 @@
 import math
 
 from trefoilwind import errors
-from trefoilwind.customers import keys as key_table
+from trefoilwind.model import bounds
 from trefoilwind.model import mesh
 
 _STEP = "routes.validate"
@@ -63,15 +63,15 @@
             # The key itself is a secret.
             detail = "key of another customer"
             yield _error(errors.Reason.DUPLICATE, f"{path}.keys", detail)
-        if not all(key_table.is_key(key) for key in customer.keys):
-            detail = f"1 to {key_table.MAX_KEY_BYTES} bytes without spaces"
+        if not all(bounds.is_key(key) for key in customer.keys):
+            detail = f"1 to {bounds.MAX_KEY_BYTES} bytes without spaces"
             yield _error(errors.Reason.OUT_OF_RANGE, f"{path}.keys", detail)
         if customer.rank is not None and customer.rank < 0:
             yield _error(
                 errors.Reason.OUT_OF_RANGE, f"{path}.rank", "at least 0"
             )
-    if len(owners) > key_table.MAX_KEYS:
-        detail = f"at most {key_table.MAX_KEYS} keys"
+    if len(owners) > bounds.MAX_KEYS:
+        detail = f"at most {bounds.MAX_KEYS} keys"
         yield _error(errors.Reason.OUT_OF_RANGE, "customers", detail)
 
 
