--- a/tests/test_cmd/test_cmd_check.py
+++ b/tests/test_cmd/test_cmd_check.py
@@ -123,3 +123,27 @@
     code, text = _run(path, monkeypatch, capsys)
     assert code == 2
     assert "routes[1].name: duplicate" in text
+
+
+@pytest.mark.parametrize(
+    ("evacuated", "code", "text"),
+    [
+        (["d"], 0, "correct"),
+        (["x"], 2, "evacuated: undefined-reference"),
+        (["d", "e"], 2, "no data centre is left"),
+    ],
+)
+def test_evacuation_of_an_unknown_or_the_last_data_centre_is_a_problem(
+    evacuated, code, text, monkeypatch, capsys, tmp_path
+):
+    data_centres = [{"name": name, "region": "eu"} for name in "de"]
+    plan = {"data_centres": data_centres, "evacuated": evacuated}
+    file = tmp_path / "plan.json"
+    file.write_text(json.dumps(plan))
+    arguments = ["trefoilwind-test", "evacuations", str(file), str(_EXAMPLE)]
+    monkeypatch.setattr(sys, "argv", arguments)
+    with pytest.raises(SystemExit) as ended:
+        check.main()
+    captured = capsys.readouterr()
+    assert ended.value.code == code
+    assert text in captured.out + captured.err
--- a/tests/test_routing/test_routing_regions.py
+++ b/tests/test_routing/test_routing_regions.py
@@ -84,3 +84,13 @@
     named = ("route r: no", "customer c: na")
     assert regions.unknown_regions(configuration, ["eu"]) == named
     assert regions.unknown_regions(configuration, []) == ()
+
+
+def test_evacuation_that_leaves_no_region_to_a_customer_is_found():
+    route = dataclasses.replace(_ROUTE, allowed_regions=("eu", "us"))
+    customer = mesh.Customer("c", allowed_regions=("us", "ap"))
+    configuration = mesh.MeshConfiguration(1, (route,), customers=(customer,))
+    assert regions.without_region(configuration, ["us"]) == ()
+    pair = ("route r, customer c",)
+    assert regions.without_region(configuration, ["eu", "ap"]) == pair
+    assert regions.without_region(configuration, ["ap"]) == ("route r",)
--- a/trefoilwind/routing/regions.py
+++ b/trefoilwind/routing/regions.py
@@ -159,3 +159,37 @@
         for region in row.allowed_regions
         if region not in known
     )
+
+
+def without_region(
+    configuration: mesh.MeshConfiguration, remaining: Iterable[str]
+) -> tuple[str, ...]:
+    """Return the routes and customers that no remaining region may serve.
+
+    Args:
+        configuration: The configuration.
+        remaining: Regions with a data centre that is not evacuated.
+
+    Returns:
+        One text for each route and customer, and for each pair that excludes
+        each other, such as "route a, customer b".
+    """
+    remaining = frozenset(remaining)
+    found = []
+    for route in configuration.routes:
+        allowed = allowed_regions(route, None)
+        if not _leaves_any(allowed, remaining):
+            found.append(f"route {route.name}")
+            continue
+        found += [
+            f"route {route.name}, customer {customer.name}"
+            for customer in configuration.customers
+            if not route.is_public
+            and customer.allowed_regions
+            and not _leaves_any(allowed_regions(route, customer), remaining)
+        ]
+    return tuple(found)
+
+
+def _leaves_any(allowed: Regions | None, remaining: Regions) -> bool:
+    return bool(remaining if allowed is None else allowed & remaining)
