Test evacuations in a data centre with one reader

Cause: in a data centre of eight nodes or more, nodes learn of a deletion from a reader that may never have read the deleted record.

Change: the fakes of a data centre follow evacuations, and their store may keep no history; two tests for evacuations and their removal past the loss of the reader; the new names seen outside the process.

--- a/tests/test_gateway/data_centre.py
+++ b/tests/test_gateway/data_centre.py
@@ -64,6 +64,7 @@
         peers: Streams to the other nodes.
         publish_members: Publishes the members on the node's blackboard.
         version: Newest version in force; 0 for none.
+        evacuated: Keys of the evacuations in force.
         calm_since: Time since which the node has not been disturbed.
         lost_at: Time at which the process ended; None while it runs.
         tasks: Tasks of the running process.
@@ -74,6 +75,7 @@
     peers: "_Peers"
     publish_members: Callable[[directory.Snapshot], None]
     version: int = 0
+    evacuated: set[str] = dataclasses.field(default_factory=set)
     calm_since: float = 0.0
     lost_at: float | None = None
     tasks: list[asyncio.Task] = dataclasses.field(default_factory=list)
@@ -228,6 +230,7 @@
                 lambda: True,
                 random.Random(name),
                 counts_lib.MeshCounts(),
+                _is_evacuation,
             ),
             store,
             peers,
@@ -263,6 +266,9 @@
         return lost_at is None or self._loop.time() - lost_at < _DETECTION_S
 
     def _apply(self, process: _Process, record: keyed.KeyedRecord) -> None:
+        if _is_evacuation(record.key):
+            change = set.add if record.value else set.discard
+            change(process.evacuated, record.key)
         if record.key != "config":
             return
         text = record.value.partition(b":")[2].partition(b",")[0]
@@ -293,6 +299,10 @@
                 self.late.setdefault(name, []).append(version)
 
 
+def _is_evacuation(key: str) -> bool:
+    return key.startswith("evacuate/")
+
+
 async def _tick(records: operator_records.OperatorRecords) -> None:
     while True:
         await asyncio.sleep(_TICK_S)
--- a/tests/test_gateway/test_gateway_operator_records.py
+++ b/tests/test_gateway/test_gateway_operator_records.py
@@ -60,6 +60,35 @@
     data_centre.run(scenario)
 
 
+@pytest.mark.parametrize("has_no_history", [False, True])
+def test_evacuations_and_their_removal_reach_nodes_that_do_not_read(
+    has_no_history,
+):
+    async def settle(nodes: data_centre.DataCentre, *keys: str) -> None:
+        await asyncio.sleep(data_centre.APPLY_LIMIT_S)
+        for process in nodes.processes.values():
+            process.store.has_no_history = has_no_history
+            assert process.lost_at or process.evacuated == set(keys)
+
+    async def scenario(nodes: data_centre.DataCentre) -> None:
+        await nodes.publish(3.0, [_ROUTES])
+        for name in "de":
+            nodes.log.append(f"evacuate/{name}", b"{}")
+        await settle(nodes, "evacuate/d", "evacuate/e")
+        nodes.log.append("evacuate/d", b"")
+        # The reader's successor has never read the evacuations itself.
+        nodes.kill(_ORDER[0])
+        await asyncio.sleep(data_centre.APPLY_LIMIT_S)
+        await settle(nodes, "evacuate/e")
+        nodes.restart(_ORDER[0])
+        nodes.log.append("evacuate/e", b"")
+        await settle(nodes)
+        nodes.log.append("evacuate/d", b"{}")
+        await settle(nodes, "evacuate/d")
+
+    data_centre.run(scenario)
+
+
 @pytest.mark.parametrize("lost", [1, 2, 6])
 def test_configuration_is_in_force_in_time_beside_the_loss_of_readers(lost):
     async def scenario(nodes: data_centre.DataCentre) -> None:
--- a/tests/test_gateway/thin_links.py
+++ b/tests/test_gateway/thin_links.py
@@ -54,6 +54,8 @@
         self.is_refusing = False
         # True while requests are lost and their connections stay open.
         self.is_silent = False
+        # True if only the newest record of each key is kept.
+        self.has_no_history = False
         # Reads that were not refused.
         self.reads = 0
 
@@ -62,7 +64,8 @@
         if self.is_silent:
             return await self._lose(0.0)
         newest = {record.key: record for record in self._log.records}
-        page = keyed.KeyedPage(tuple(newest.values()), len(self._log.records))
+        kept = tuple(record for record in newest.values() if record.value)
+        page = keyed.KeyedPage(kept, len(self._log.records))
         return await self._transmit(page, _BASE64_RATIO, 0.0)
 
     async def read(
@@ -76,6 +79,8 @@
         end = started + (0.0 if self.is_refusing else wait_s)
         while len(self._log.records) <= offset and loop.time() < end:
             await asyncio.sleep(0.01)
+        if self.has_no_history and len(self._log.records) > offset:
+            return _error(errors.Reason.OFFSET_EXPIRED)
         found: list[keyed.KeyedRecord] = []
         size = 0
         for record in self._log.records[offset:]:
