Weigh measured paths and the bytes of answers in the placement

Cause: the latencies of another data centre and region and the cost of bytes were constants of another deployment; answers did not count.

Change: a round trip that is longer than the constants allow for adds its difference; the mean size of a route's answers counts like the body.

--- a/tests/test_gateway/test_gateway_picker.py
+++ b/tests/test_gateway/test_gateway_picker.py
@@ -102,3 +102,14 @@
         _attempt(picker, "n2", shed, later)
         _attempt(picker, "n3", calls.Outcome(_OK, 0.09, 0), later)
     assert picker.pick(_CALL, (), later + 0.1) == "n3"
+
+
+def test_large_answers_of_a_route_cross_regions():
+    picker = _picker(far=(3,))
+    large = http_types.HttpAnswer(200, (), bytes(100_000))
+    for _ in range(3):
+        picker.started("n2")
+        picker.ended("n2", calls.Outcome(large, 0.1, 8, 0.0, 0.1), 1.0, "r")
+    assert picker.pick(_CALL, ("n1",), 1.1) == "n2"
+    other = dataclasses.replace(_CALL, route_name="other")
+    assert picker.pick(other, ("n1",), 1.1) == "n3"
--- a/tests/test_gateway/test_gateway_streams.py
+++ b/tests/test_gateway/test_gateway_streams.py
@@ -388,3 +388,22 @@
         return outcome.result
 
     assert uvloop.run(run()).body == b"done"
+
+
+def test_round_trip_of_a_distant_peer_is_not_measured():
+    async def answer_late(reader, writer) -> None:
+        await asyncio.sleep(0.02)
+        writer.write(_PEER_HELLO)
+        while await reader.read(4096):
+            await asyncio.sleep(0.02)
+            writer.write(frames.encode(frames.Pong()))
+
+    async def scenario(stream: streams.Stream, events: _Events) -> None:
+        await _until(lambda: events.opened)
+        assert stream.round_trip_s < 0
+        stream.begin_call()
+        await _until(lambda: stream.round_trip_s > 0)
+        # The event loop's clock counts milliseconds.
+        assert stream.round_trip_s >= 0.018
+
+    _run(answer_late, scenario)
--- a/trefoilwind/emulator/world.py
+++ b/trefoilwind/emulator/world.py
@@ -193,6 +193,9 @@
                 lambda node_id: True,
                 lambda queue=server.queue: queue.occupied,
                 self._random.random,
+                round_trip_s=lambda name, server=server: (
+                    2 * self._latency_s(server, self._servers[name])
+                ),
             )
 
     # Callers.
@@ -318,7 +321,9 @@
             self._events.call_later(latency_s, lambda: receive_answer(answer))
 
         def receive_answer(answer: _Answer) -> None:
-            node.picker.ended(name, _outcome(answer), self._events.now)
+            node.picker.ended(
+                name, _outcome(answer), self._events.now, call.route_name
+            )
             if answer.status is not results_lib.Status.REFUSED:
                 on_answer(answer)
                 return
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -270,7 +270,7 @@
             outcome = await self._run(node_id, call)
         finally:
             now = self._loop.time()
-            self._picker.ended(node_id, outcome, now)
+            self._picker.ended(node_id, outcome, now, call.route_name)
             is_refused = outcome is not None and _is_refusal(outcome.result)
             if not is_refused:
                 self._note_time(call.route_name, now - started, now)
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -193,6 +193,7 @@
             lambda: self._target.load,
             self._random.random,
             self._cold.share,
+            self._round_trip_s,
         )
         self._budget = shared_budget.SharedBudget(settings.budget)
         self._entry = entry_lib.Entry(
@@ -327,6 +328,11 @@
         has_left = member is not None and self._notices.has_left(member)
         return not has_left and self.is_connected(node_id)
 
+    def _round_trip_s(self, node_id: str) -> float:
+        """Return the round trip to a node in seconds; negative if unknown."""
+        stream = self._peers.dialed(node_id)
+        return -1.0 if stream is None else stream.round_trip_s
+
     async def start(self) -> errors.Error | None:
         """Open the listening sockets and start all tasks."""
         settings = self._settings
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -13,8 +13,10 @@
 from trefoilwind.gateway import peer_selection
 from trefoilwind.membership import directory
 from trefoilwind.model import members as members_lib
+from trefoilwind.routing import answer_sizes
 from trefoilwind.routing import cold_start
 from trefoilwind.routing import failures
+from trefoilwind.routing import path_latency
 from trefoilwind.routing import placement
 from trefoilwind.routing import service_time
 
@@ -95,6 +97,7 @@
         cold_share: Callable[
             [members_lib.Member, float, float], float
         ] = lambda member, service_s, now: 1.0,
+        round_trip_s: Callable[[str], float] = lambda node_id: -1.0,
     ):
         """Initialize without knowledge of any backend server.
 
@@ -106,6 +109,8 @@
             draw: Returns a random number from 0 to 1.
             cold_share: Returns the share of its usual calls that a member is
                 considered for, given the service time and the time.
+            round_trip_s: Returns the round trip to a node in seconds; negative
+                if unknown.
         """
         self._own = own
         self._board = board
@@ -113,6 +118,8 @@
         self._own_occupied = own_occupied
         self._draw = draw
         self._cold_share = cold_share
+        self._round_trip_s = round_trip_s
+        self._answer_sizes = answer_sizes.AnswerSizes()
         self._states: dict[str, _BackendState] = {}
         self._typical_s = INITIAL_SERVICE_S
         # Backend servers of the members, by node id, and the snapshot from
@@ -177,7 +184,8 @@
         choose = placement.choose
         if was_refused:
             choose = placement.choose_after_refusal
-        chosen = choose(candidates, len(call.body))
+        answer_bytes = self._answer_sizes.expected_bytes(call.route_name)
+        chosen = choose(candidates, len(call.body) + answer_bytes)
         return chosen.node_id if chosen else ""
 
     def _sampled(
@@ -214,7 +222,11 @@
         self._state(node_id).in_flight += 1
 
     def ended(
-        self, node_id: str, outcome: calls.Outcome | None, now: float
+        self,
+        node_id: str,
+        outcome: calls.Outcome | None,
+        now: float,
+        route_name: str = "",
     ) -> None:
         """Record the end of an attempt.
 
@@ -222,6 +234,7 @@
             node_id: Node to which the call was sent.
             outcome: Outcome of the attempt; None if it was cancelled.
             now: Event loop time in seconds.
+            route_name: Name of the call's route; empty if unknown.
         """
         state = self._state(node_id)
         state.in_flight -= 1
@@ -239,6 +252,8 @@
             self._typical_s += SAMPLE_WEIGHT * difference
         result = outcome.result
         has_failed = calls.was_shed(result) or calls.has_failed(result)
+        if has_failed is False and route_name:
+            self._answer_sizes.record(route_name, len(result.body))
         if has_failed is not None:
             state.own_failures = state.own_failures.with_result(has_failed, now)
         if isinstance(result, errors.CallError) and (
@@ -318,4 +333,5 @@
                 now,
             ),
             state.failure_share(now),
+            path_latency.excess_s(distance, self._round_trip_s(member.node_id)),
         )
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -11,6 +11,7 @@
 from trefoilwind.distribution import frames
 from trefoilwind.gateway import unread
 from trefoilwind.logs import decisions
+from trefoilwind.routing import path_latency
 
 logger = logging.getLogger(__name__)
 
@@ -113,6 +114,10 @@
         # Bytes sent since the last byte was received.
         self._sent_since_received = 0
         self._min_latency_s = float("inf")
+        # Time at which a frame was sent whose answer gives a round trip; 0 if
+        # none is awaited.
+        self._round_trip_since = 0.0
+        self._round_trips = path_latency.RoundTrips()
         # Calls sent to the peer that have no answer yet.
         self._pending_answers = 0
         # Calls of the peer that arrive or run here; end of the last one.
@@ -166,6 +171,11 @@
         """Seconds since the last byte of the peer was received."""
         return self._loop.time() - self._last_received
 
+    @property
+    def round_trip_s(self) -> float:
+        """Round trip in seconds without delays; negative if unknown."""
+        return self._round_trips.seconds
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that wait to be sent, without those in the kernel."""
@@ -307,6 +317,9 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.send(self._hello)
         self._last_received = self._loop.time()
+        if self.is_dialed:
+            # The peer says hello when it learns of the connection.
+            self._round_trip_since = self._last_received
         self._schedule()
 
     def pause_writing(self) -> None:
@@ -355,7 +368,7 @@
         if isinstance(frame, frames.Ping):
             self.send(_PONG)
         elif isinstance(frame, frames.Pong):
-            return
+            self._end_round_trip()
         elif isinstance(frame, frames.Hello):
             self._handle_hello(frame)
         elif self._peer:
@@ -386,8 +399,15 @@
             return
         self._peer = hello.node_id
         self._peer_data_centre = hello.data_centre
+        self._end_round_trip()
         self._events.opened(self)
 
+    def _end_round_trip(self) -> None:
+        if self._round_trip_since:
+            elapsed_s = self._loop.time() - self._round_trip_since
+            self._round_trips = self._round_trips.with_sample(elapsed_s)
+            self._round_trip_since = 0.0
+
     def _flush(self) -> None:
         """Write all frames except bodies, then bodies while they are taken."""
         if self._is_closed or self._transport.is_closing():
@@ -456,6 +476,7 @@
             return
         if self._needs_probe(now):
             self._probed_at = now
+            self._round_trip_since = now
             self.send(_PING)
         self._schedule()
 
--- a/trefoilwind/routing/placement.py
+++ b/trefoilwind/routing/placement.py
@@ -73,6 +73,8 @@
         occupied: Estimated number of calls that it runs or queues.
         service_s: Estimated service time of a call in seconds.
         failure_share: Share of its recent calls that failed.
+        extra_path_s: Seconds by which its path is longer than its distance
+            tells.
     """
 
     node_id: str
@@ -81,6 +83,7 @@
     occupied: float
     service_s: float
     failure_share: float = 0.0
+    extra_path_s: float = 0.0
 
 
 def sample(
@@ -111,12 +114,12 @@
             yield member
 
 
-def cost_s(candidate: Candidate, body_bytes: int) -> float:
+def cost_s(candidate: Candidate, transfer_bytes: int) -> float:
     """Return the cost in seconds: expected time to the answer, path, failures.
 
     Args:
         candidate: Backend server to rate.
-        body_bytes: Size of the call's body in bytes.
+        transfer_bytes: Size of the call's body and expected answer in bytes.
     """
     slots = max(1, candidate.slots)
     excess = max(0.0, candidate.occupied + 1 - slots)
@@ -124,8 +127,9 @@
         1.0, candidate.occupied / slots
     )
     queueing_factor = excess / slots
-    megabytes = body_bytes / _BYTES_PER_MB
+    megabytes = transfer_bytes / _BYTES_PER_MB
     fixed_cost_s = PATH_LATENCY_S[candidate.distance]
+    fixed_cost_s += candidate.extra_path_s
     fixed_cost_s += TRANSFER_COST_S_PER_MB[candidate.distance] * megabytes
     fixed_cost_s += FAILURE_COST_S * max(
         0.0, candidate.failure_share - TOLERATED_FAILURE_SHARE
@@ -136,16 +140,16 @@
 
 
 def choose(
-    candidates: Sequence[Candidate], body_bytes: int = 0
+    candidates: Sequence[Candidate], transfer_bytes: int = 0
 ) -> Candidate | None:
     """Return the candidate with the lowest cost, or None."""
     return min(
-        candidates, key=lambda each: cost_s(each, body_bytes), default=None
+        candidates, key=lambda each: cost_s(each, transfer_bytes), default=None
     )
 
 
 def choose_after_refusal(
-    candidates: Sequence[Candidate], body_bytes: int = 0
+    candidates: Sequence[Candidate], transfer_bytes: int = 0
 ) -> Candidate | None:
     """Return the candidate for a call that an overloaded one refused, or None.
 
@@ -153,14 +157,14 @@
 
     Args:
         candidates: Backend servers that were not tried yet.
-        body_bytes: Size of the call's body in bytes.
+        transfer_bytes: Size of the call's body and expected answer in bytes.
     """
     worth_trying = [
         each
         for each in candidates
         if each.distance is not Distance.OTHER_REGION or has_free_slot(each)
     ]
-    return choose(worth_trying, body_bytes)
+    return choose(worth_trying, transfer_bytes)
 
 
 def has_free_slot(candidate: Candidate) -> bool:
