--- a/tests/test_gateway/test_gateway_picker.py
+++ b/tests/test_gateway/test_gateway_picker.py
@@ -132,3 +132,14 @@
     picker._board.evacuations.claim("test")(evacuations)
     assert picker.pick(_CALL, (), 1.1) == "n1"
     assert picker.pick(_CALL, ("n1",), 1.1) in ("n2", "n3")
+
+
+def test_large_answers_of_a_route_cross_regions():
+    picker = _picker(far=(3,))
+    large = http_types.HttpAnswer(200, (), bytes(100_000))
+    for _ in range(3):
+        picker.started("n2")
+        picker.ended("n2", calls.Outcome(large, 0.1, 8, 0.0, 0.1), 1.0, "r")
+    assert picker.pick(_CALL, ("n1",), 1.1) == "n2"
+    other = dataclasses.replace(_CALL, route_name="other")
+    assert picker.pick(other, ("n1",), 1.1) == "n3"
