--- a/tests/test_gateway/test_gateway_evacuations.py
+++ b/tests/test_gateway/test_gateway_evacuations.py
@@ -154,7 +154,7 @@
                 section = self.nodes[name].board.evacuations
                 await _until(lambda s=section: s.value.evacuated == names)
 
-    async def call(self, name: str = "d") -> bytes:
+    async def call(self, name: str = "d", headers: bytes = b"") -> bytes:
         """Return the answer of a node to a request with a body."""
         address = self.nodes[name].settings.caller_address
         reader, writer = await asyncio.open_connection(
@@ -162,7 +162,7 @@
         )
         writer.write(
             b"POST /a/1 HTTP/1.1\r\nHost: a.example\r\nId: 1\r\nWait: 4\r\n"
-            b"Content-Length: 04\r\nConnection: close\r\n\r\nbody"
+            b"%bContent-Length: 04\r\nConnection: close\r\n\r\nbody" % headers
         )
         answer = await reader.read()
         writer.close()
@@ -262,6 +262,32 @@
     _run(scenario)
 
 
+def test_nested_call_does_not_leave_the_regions_of_its_parent():
+    async def scenario(world: _Mesh) -> None:
+        await world.start("us")
+        world.release.clear()
+        parent = asyncio.create_task(world.call("d"))
+        await _until(lambda: bool(world.bodies["f"]))
+        await world.write("config", b" ")
+        section = world.nodes["f"].board.configuration
+        await _until(lambda: not section.value.routes[0].allowed_regions)
+        nested = asyncio.create_task(world.call("f", b"Parent: 1\r\n"))
+        await asyncio.sleep(0.2)
+        world.release.set()
+        assert (await parent).endswith(b"f")
+        await nested
+        assert not world.bodies["d"]
+        assert not world.bodies["e"]
+        # Another request is free to go anywhere.
+        world.release.clear()
+        others = [asyncio.create_task(world.call("f")) for _ in range(3)]
+        await _until(lambda: bool(world.bodies["d"] or world.bodies["e"]))
+        world.release.set()
+        await asyncio.gather(*others)
+
+    _run(scenario)
+
+
 def test_allowed_region_without_a_free_slot_refuses_with_a_time_to_retry():
     async def scenario(world: _Mesh) -> None:
         await world.start("us")
--- a/tests/test_gateway/test_gateway_picker.py
+++ b/tests/test_gateway/test_gateway_picker.py
@@ -132,3 +132,16 @@
     picker._board.evacuations.claim("test")(evacuations)
     assert picker.pick(_CALL, (), 1.1) == "n1"
     assert picker.pick(_CALL, ("n1",), 1.1) in ("n2", "n3")
+
+
+def test_entry_node_does_not_choose_what_the_target_node_would_refuse():
+    picker = _picker(far=(2, 3))
+    publish = picker._board.evacuations.claim("test")
+    near = dataclasses.replace(_CALL, allowed_regions=frozenset({"r"}))
+    far = dataclasses.replace(_CALL, allowed_regions=frozenset({"q"}))
+    assert picker.pick(near, (), 1.0) == "n1"
+    assert picker.pick(near, ("n1",), 1.0) == ""
+    assert picker.pick(far, (), 1.0) in ("n2", "n3")
+    publish(regions.Evacuations(frozenset({"e"})))
+    assert picker.pick(far, (), 1.0) == ""
+    assert picker.pick(_CALL, ("n1",), 1.0) == ""
