Test rollouts beside an evacuation

Cause: the count of the servers of a new version leaves out evacuated ones, and no test held that.

Change: a rollout with two of four and with none of four servers left.

--- a/tests/test_gateway/test_gateway_rollouts.py
+++ b/tests/test_gateway/test_gateway_rollouts.py
@@ -19,6 +19,7 @@
 from trefoilwind.model import positions
 from trefoilwind.rollout import evidence
 from trefoilwind.rollout import messages
+from trefoilwind.routing import regions
 
 _DURATION_S = 15.0
 _STEP_S = 0.25
@@ -232,6 +233,27 @@
     assert simulation.now - started < _DURATION_S
 
 
+@pytest.mark.parametrize("remaining", [0, 2])
+def test_rollout_is_judged_on_the_servers_outside_an_evacuation(remaining: int):
+    simulation = _SimulatedMesh(1)
+    servers = [_server(n, "v1") for n in range(4)]
+    servers += [
+        dataclasses.replace(
+            _server(n + 4, "v2"), data_centre="d0" if n < remaining else "d1"
+        )
+        for n in range(4)
+    ]
+    for board in simulation.boards:
+        board.members._publish(directory.snapshot(servers))
+        publish = board.evacuations.claim("test")
+        publish(regions.Evacuations(frozenset({"d1"})))
+    for control in simulation.controls:
+        control.tick()
+    simulation.run(_answers(simulation.random))
+    assert simulation.is_done is bool(remaining)
+    assert bool(simulation.new_calls) is bool(remaining)
+
+
 @pytest.mark.parametrize("entry", ["n0@1", "n2@1"])
 def test_rollouts_are_evaluated_after_evidence_with_a_number_too_large(
     entry: str,
