Describe customers and hasty callers in scenarios of the emulator

The deployments of docs/design/customers-and-scarce-capacity.md have customers, parallel nested calls, route timeouts and callers that retry at once; a scenario could not describe them.

--- a/trefoilwind/emulator/report.py
+++ b/trefoilwind/emulator/report.py
@@ -42,8 +42,10 @@
     """Return the comparison as a Markdown table, one row per run."""
     rows = [
         "| policy | seed | credit | of bound | served | worst windows | late"
-        " | refused | refusals p90 ms | attempts per request |",
-        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+        " | refused | refusals p90 ms | attempts per request"
+        " | least class | least customer |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+        " --- |",
     ]
     for run in runs:
         found = run.results
@@ -58,7 +60,9 @@
             f" | {worst_windows_credit_share(found):.3f}"
             f" | {late_share:.3f} | {refused_share:.3f}"
             f" | {1000 * found.refusal_quantile_s(0.9):.0f}"
-            f" | {found.attempts / total:.2f} |"
+            f" | {found.attempts / total:.2f}"
+            f" | {found.least_served_class():.2f}"
+            f" | {found.least_served_customer():.2f} |"
         )
     return "\n".join(rows)
 
--- a/trefoilwind/emulator/results.py
+++ b/trefoilwind/emulator/results.py
@@ -33,6 +33,7 @@
         credit: Credit that it earned.
         refusal_s: Seconds from its last attempt to the refusal; negative if
             that attempt was not refused.
+        customer: Name of its customer; empty for none.
     """
 
     class_name: str
@@ -41,6 +42,7 @@
     worth: float
     credit: float
     refusal_s: float = -1.0
+    customer: str = ""
 
 
 class Results:
@@ -51,6 +53,8 @@
         self._request_counts: collections.Counter[tuple[str, Status]] = (
             collections.Counter()
         )
+        # Ended and served requests by customer.
+        self._customer_counts: dict[str, list[int]] = {}
         self._worth_by_window: collections.Counter[int] = collections.Counter()
         self._credit_by_window: collections.Counter[int] = collections.Counter()
         self._arrivals: collections.Counter[tuple[int, str]] = (
@@ -77,6 +81,10 @@
         self._worth_by_window[window] += request.worth
         self._credit_by_window[window] += request.credit
         self._arrivals[window, request.class_name] += 1
+        if request.customer:
+            counts = self._customer_counts.setdefault(request.customer, [0, 0])
+            counts[0] += 1
+            counts[1] += request.status in _SERVED_STATUSES
         if request.refusal_s >= 0:
             self._refusals.add(request.refusal_s)
 
@@ -111,6 +119,29 @@
         )
         return served / max(1, self.total(class_name))
 
+    def least_served_customer(self, min_requests: int = 20) -> float:
+        """Return the least served share of a customer, relative to that of all.
+
+        Args:
+            min_requests: Customers with fewer requests are ignored.
+        """
+        shares = [
+            served / ended
+            for ended, served in self._customer_counts.values()
+            if ended >= min_requests
+        ]
+        return min(shares, default=1.0) / max(1e-9, self.served_share())
+
+    def customer_served_share(self, name: str) -> float:
+        """Return the share of a customer's requests that were answered."""
+        ended, served = self._customer_counts.get(name, (0, 0))
+        return served / max(1, ended)
+
+    def least_served_class(self) -> float:
+        """Return the least served share of a class, relative to that of all."""
+        shares = [self.served_share(name) for name in self.class_names]
+        return min(shares, default=1.0) / max(1e-9, self.served_share())
+
     def credit_share(self) -> float:
         """Return the credit earned as a share of the worth of all requests."""
         return self._credit_by_window.total() / max(
--- a/trefoilwind/emulator/scenario.py
+++ b/trefoilwind/emulator/scenario.py
@@ -93,6 +93,28 @@
         default=0.0,
         limits=_SHARE,
     )
+    call_count: int = settings.setting(
+        "Number of nested calls that such a run makes in parallel.",
+        default=1,
+        limits=_COUNT,
+    )
+    timeout_s: float = settings.setting(
+        "Longest time of one attempt of a node; 0 for the caller's deadline.",
+        "s",
+        default=0.0,
+        limits=_NOT_NEGATIVE,
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class CustomerGroup:
+    """Customers with the same usual share of the requests."""
+
+    name: str = settings.setting("Prefix of their names.", limits=settings.NAME)
+    count: int = settings.setting("Number of customers.", limits=_COUNT)
+    weight: float = settings.setting(
+        "Relative frequency of the requests of each.", limits=_NOT_NEGATIVE
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,6 +129,7 @@
     data_centre: str = settings.setting(
         "Data centre; empty for all.", default=""
     )
+    customer: str = settings.setting("Customer; empty for all.", default="")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -142,6 +165,15 @@
     classes: tuple[CallClass, ...] = settings.setting("Classes.")
     bursts: tuple[Burst, ...] = settings.setting("Bursts.", default=())
     troubles: tuple[Trouble, ...] = settings.setting("Troubles.", default=())
+    customers: tuple[CustomerGroup, ...] = settings.setting(
+        "Customers; if empty, requests have none.", default=()
+    )
+    hasty_share: float = settings.setting(
+        "Share of the callers that retry at once.", default=0.0, limits=_SHARE
+    )
+    hasty_returns: int = settings.setting(
+        "Number of times that those retry.", default=3, limits=_COUNT
+    )
     zone_way_s: float = settings.setting(
         "One-way latency between data centres of a region.", "s", 0.0005
     )
@@ -172,11 +204,33 @@
     )
     for burst in scenario.bursts:
         is_affected = burst.data_centre in ("", centre.name)
-        if is_affected and burst.at_s <= now < burst.at_s + burst.for_s:
+        is_active = burst.at_s <= now < burst.at_s + burst.for_s
+        if is_affected and is_active and not burst.customer:
             rate_per_s *= burst.factor
+    if scenario.customers:
+        usual = sum(g.weight * g.count for g in scenario.customers)
+        weights = customer_weights(scenario, centre, now)
+        rate_per_s *= sum(weights.values()) / usual
     return rate_per_s
 
 
+def customer_weights(
+    scenario: Scenario, centre: DataCentre, now: float
+) -> dict[str, float]:
+    """Return the relative request rates of the customers by name."""
+    weights = {
+        f"{group.name}-{index}": group.weight
+        for group in scenario.customers
+        for index in range(group.count)
+    }
+    for burst in scenario.bursts:
+        is_affected = burst.data_centre in ("", centre.name)
+        is_active = burst.at_s <= now < burst.at_s + burst.for_s
+        if is_affected and is_active and burst.customer:
+            weights[burst.customer] *= burst.factor
+    return weights
+
+
 def draw_work_s(call_class: CallClass, rng: random.Random) -> float:
     """Draw the work of one run in seconds from a log-normal distribution."""
     if call_class.work_spread == 0:
@@ -199,6 +253,14 @@
             yield "classes", f"no class {each.calls}"
     if not any(each.weight for each in scenario.classes):
         yield "classes", "no class with a weight"
+    customers = {
+        f"{group.name}-{index}"
+        for group in scenario.customers
+        for index in range(group.count)
+    }
+    for burst in scenario.bursts:
+        if burst.customer and burst.customer not in customers:
+            yield "bursts", f"no customer {burst.customer}"
     for trouble in scenario.troubles:
         if not any(_affects(trouble, group) for group in scenario.servers):
             yield "troubles", f"no such backend server in {trouble.data_centre}"
