Order, refuse and displace waiting calls by projected ends

The queue now projects starts from the running calls and the mean and deviation by kind, keeps a slot for shorter and more important work, refuses what no longer fits at once, displaces calls behind a new one and charges customers above their share a longer wait. The emulator compares the disciplines as policies.

--- a/trefoilwind/emulator/policies.py
+++ b/trefoilwind/emulator/policies.py
@@ -9,6 +9,7 @@
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import picker as picker_lib
 from trefoilwind.routing import call_queue
+from trefoilwind.routing import queue_order
 
 # Largest number of queued calls per slot in the FIFO policy.
 FIFO_QUEUED_PER_SLOT = 1.0
@@ -33,6 +34,9 @@
     ) -> call_queue.QueueChange:
         """Release the slot of a call that ended."""
 
+    def advance(self, now: float) -> call_queue.QueueChange:
+        """Start waiting calls that may start by now."""
+
     def refuse_overdue(self, now: float) -> call_queue.QueueChange:
         """Remove and refuse the calls that can no longer end in time."""
 
@@ -84,6 +88,11 @@
             refused.append(oldest)
         return call_queue.QueueChange((), tuple(refused))
 
+    def advance(self, now: float) -> call_queue.QueueChange:
+        """Change nothing: calls start when a slot is released."""
+        del now
+        return call_queue.QueueChange()
+
     def refuse_overdue(self, now: float) -> call_queue.QueueChange:
         """Remove and refuse the calls whose deadline has passed."""
         overdue = tuple(t for t in self._waiting if now >= t.deadline)
@@ -124,6 +133,15 @@
     return Policy("product", call_queue.CallQueue, picker_lib.Picker.pick)
 
 
+def with_rules(name: str, rules: queue_order.Rules) -> Policy:
+    """Return the node's policy with another discipline of the queue."""
+    return Policy(
+        name,
+        lambda slots: call_queue.CallQueue(slots, rules),
+        picker_lib.Picker.pick,
+    )
+
+
 def any_region() -> Policy:
     """Return the node's policy, but without the rule for refused calls.
 
@@ -166,7 +184,14 @@
     return Policy("fifo", FifoQueue, pick)
 
 
-NAMES = ("product", "asks-on", "fifo")
+_RULES = {
+    "rank": queue_order.RANK,
+    "latest-start": queue_order.LATEST_START,
+    "value": queue_order.VALUE,
+    "weighted-slack": queue_order.WEIGHTED_SLACK,
+    "rank-and-fit": queue_order.RANK_AND_FIT,
+}
+NAMES = ("product", "asks-on", "fifo", *_RULES)
 
 
 def by_name(
@@ -175,4 +200,6 @@
     """Return a policy by its name, one of `NAMES`."""
     if name == "fifo":
         return fifo(nodes_by_service, seed)
+    if name in _RULES:
+        return with_rules(name, _RULES[name])
     return {"product": product, "asks-on": any_region}[name]()
--- a/trefoilwind/emulator/world.py
+++ b/trefoilwind/emulator/world.py
@@ -67,12 +67,16 @@
         deadline: Virtual time in seconds after which the caller no longer
             waits.
         retries_left: Number of times that the caller may still retry.
+        customer: Name of the customer; empty for none.
+        is_hasty: True if the caller retries at once.
     """
 
     call_class: scenario_lib.CallClass
     first_attempt_at: float
     deadline: float
     retries_left: int
+    customer: str = ""
+    is_hasty: bool = False
 
 
 class _Server:
@@ -206,14 +210,22 @@
         self._events.call_later(delay_s, lambda: self._handle_arrival(centre))
 
     def _handle_arrival(self, centre: scenario_lib.DataCentre) -> None:
-        weights = [call_class.weight for call_class in self._scenario.classes]
-        call_class = self._requests_rng.choices(
-            self._scenario.classes, weights
-        )[0]
+        scenario = self._scenario
+        rng = self._requests_rng
+        weights = [call_class.weight for call_class in scenario.classes]
+        call_class = rng.choices(scenario.classes, weights)[0]
         now = self._events.now
         request = _Request(
             call_class, now, now + call_class.deadline_s, call_class.returns
         )
+        if scenario.customers:
+            shares = scenario_lib.customer_weights(scenario, centre, now)
+            request.customer = rng.choices(
+                tuple(shares), tuple(shares.values())
+            )[0]
+        if scenario.hasty_share and rng.random() < scenario.hasty_share:
+            request.is_hasty = True
+            request.retries_left = scenario.hasty_returns
         self._send_request(request, centre.name)
         self._schedule_arrival(centre)
 
@@ -227,6 +239,7 @@
             lambda answer: self._handle_answer(
                 request, centre, started, answer
             ),
+            request.customer,
         )
 
     def _entry_node(self, centre: str) -> _Server:
@@ -250,9 +263,8 @@
             and request.retries_left > 0
         ):
             request.retries_left -= 1
-            wait_s = answer.retry_s * (
-                1 + entry.RETRY_JITTER * self._random.random()
-            )
+            wait_s = 0.0 if request.is_hasty else answer.retry_s
+            wait_s *= 1 + entry.RETRY_JITTER * self._random.random()
             wait_s = min(
                 wait_s, MAX_RETRY_WAIT_SHARE * (request.deadline - now)
             )
@@ -271,8 +283,11 @@
         is_nested: bool,
         deadline: float,
         on_answer: AnswerCallback,
+        customer: str = "",
     ) -> None:
         now = self._events.now
+        if call_class.timeout_s:
+            deadline = min(deadline, now + call_class.timeout_s)
         call = calls.Call(
             "GET",
             "/",
@@ -286,6 +301,7 @@
             now + call_class.target_s,
             deadline,
             now,
+            customer=customer,
         )
         self._try_next_node(
             node, call_class, call, (), False, _Answer(_REFUSED), on_answer
@@ -366,26 +382,31 @@
             call.is_nested,
             call.target_deadline,
             call.deadline,
+            call.customer,
         )
 
         def start() -> None:
             self._results.record_wait(call_class.name, self._events.now - now)
             self._start_call(server, call_class, call, ticket, on_answer)
 
-        def refuse() -> None:
-            queue = server.queue
+        def refuse(retry_s: float) -> None:
             status = results_lib.Status.REFUSED
-            on_answer(_Answer(status, queue.retry_s(), queue.occupied))
+            on_answer(_Answer(status, retry_s, server.queue.occupied))
 
         verdict = server.queue.submit(ticket, now)
         if isinstance(verdict, call_queue.Started):
             start()
         elif isinstance(verdict, call_queue.Refused):
-            refuse()
+            refuse(verdict.retry_s)
         else:
             server.start_callbacks[ticket.number] = start
-            server.refusal_callbacks[ticket.number] = refuse
+            server.refusal_callbacks[ticket.number] = lambda: refuse(
+                server.queue.retry_s()
+            )
             self._schedule_overdue_check(server)
+            self._apply_change(
+                server, call_queue.QueueChange(refused=verdict.displaced)
+            )
 
     def _start_call(
         self,
@@ -399,7 +420,14 @@
         started = self._events.now
         work_s = scenario_lib.draw_work_s(call_class, self._random)
 
+        unanswered = call_class.call_count
+        is_finished = False
+
         def finish(status: results_lib.Status) -> None:
+            nonlocal is_finished
+            if is_finished:
+                return
+            is_finished = True
             now = self._events.now
             is_failure = status is not results_lib.Status.IN_TIME
             held_s = now - started
@@ -429,15 +457,20 @@
                 deadline = min(
                     call.deadline, self._events.now + nested.deadline_s
                 )
-                self._handle_call(
-                    server, nested, True, deadline, handle_nested_answer
-                )
+                for _ in range(call_class.call_count):
+                    self._handle_call(
+                        server, nested, True, deadline, handle_nested_answer
+                    )
             else:
                 finish(results_lib.Status.IN_TIME)
 
         def handle_nested_answer(answer: _Answer) -> None:
-            is_served = answer.status is results_lib.Status.IN_TIME
-            finish(answer.status if is_served else results_lib.Status.FAILED)
+            nonlocal unanswered
+            unanswered -= 1
+            if answer.status is not results_lib.Status.IN_TIME:
+                finish(results_lib.Status.FAILED)
+            elif not unanswered:
+                finish(results_lib.Status.IN_TIME)
 
         remaining_s = call.deadline - started
         run_s = server.run_time_s(work_s, started)
@@ -474,6 +507,7 @@
 
     def _refuse_overdue(self, server: _Server) -> None:
         server.is_check_scheduled = False
+        self._apply_change(server, server.queue.advance(self._events.now))
         self._apply_change(
             server, server.queue.refuse_overdue(self._events.now)
         )
@@ -528,4 +562,5 @@
         call_class.worth,
         credit,
         refusal_s,
+        request.customer,
     )
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -247,12 +247,15 @@
             call.is_nested,
             call.target_deadline,
             call.deadline,
+            call.customer,
         )
         arrived = self._now()
         verdict = self._queue.submit(ticket, arrived)
         if isinstance(verdict, call_queue.Refused):
             return self._overloaded(verdict.retry_s)
         if isinstance(verdict, call_queue.Queued):
+            for displaced in verdict.displaced:
+                self._resolve(displaced, False)
             is_started = await self._wait_for_slot(ticket)
             if not is_started:
                 return self._overloaded(self._queue.retry_s())
--- a/trefoilwind/routing/call_queue.py
+++ b/trefoilwind/routing/call_queue.py
@@ -15,6 +15,8 @@
 import math
 import operator
 
+from trefoilwind.routing import fair_share
+from trefoilwind.routing import queue_order
 from trefoilwind.routing import rate_limit
 
 # Weight of a new sample in the average service time.
@@ -29,6 +31,15 @@
 MAX_WAIT_FACTOR = 8.0
 _WAIT_FACTOR_GROWTH = 1.1
 _WAIT_FACTOR_DECAY = 0.995
+# Share of the time for which a call has run that it is expected to need at
+# least until its end. A server that has just become slow shows it so before its
+# mean service times do.
+_MIN_REMAINING_SHARE = 0.25
+# Work is long if it takes this many times as long as the shorter work for which
+# the last slot is kept.
+_LONG_WORK_RATIO = 2.5
+# Seconds after the last arrival of shorter work in which a slot is kept.
+_KEEP_SLOT_S = 1.0
 # Bounds in seconds of the retry delay that is sent with a refusal.
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 1.0
@@ -47,6 +58,7 @@
         target_deadline: Monotonic time in seconds after which it is late.
         deadline: Monotonic time in seconds after which the caller no longer
             waits.
+        customer: Name of the customer; empty for none.
     """
 
     number: int
@@ -55,6 +67,7 @@
     is_nested: bool
     target_deadline: float
     deadline: float
+    customer: str = ""
 
     @property
     def order(self) -> tuple[bool, int, int]:
@@ -69,7 +82,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queued:
-    """Verdict that the call was queued."""
+    """Verdict that the call was queued.
+
+    Attributes:
+        displaced: Waiting calls that are refused in its favour.
+    """
+
+    displaced: tuple[Ticket, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,9 +121,27 @@
 class CallQueue:
     """Slots of one backend server and the calls that wait for one."""
 
-    def __init__(self, slots: int):
+    def __init__(
+        self,
+        slots: int,
+        rules: queue_order.Rules = queue_order.RANK_AND_FIT,
+    ):
+        """Initialize an idle queue.
+
+        Args:
+            slots: Number of calls that may run concurrently.
+            rules: Discipline of the queue.
+        """
+        self._rules = rules
         self._slots = max(1, slots)
         self._running = 0
+        # Start and expected service time in seconds of each running call.
+        self._runs: dict[int, tuple[float, float]] = {}
+        self._deviation_s_by_kind: dict[str, float] = {}
+        # Time in seconds of the last arrival of each kind, and its rank.
+        self._arrivals: dict[str, tuple[float, int]] = {}
+        self._customers = fair_share.FairShare()
+        self._kinds = fair_share.FairShare()
         self._waiting: list[Ticket] = []
         self._mean_s_by_kind: dict[str, float] = {}
         self._wait_factors: dict[str, float] = {}
@@ -173,14 +210,46 @@
     def submit(self, ticket: Ticket, now: float) -> Verdict:
         """Start, queue or refuse a new call."""
         self._refill(now)
-        if self._may_start() and not self._waiting:
-            self._start()
+        self._record_arrival(ticket, now)
+        if self._may_start(ticket, now) and not any(
+            self._may_start(other, now) for other in self._waiting
+        ):
+            self._start(ticket, now)
             return Started()
+        if not self._rules.is_projected:
+            return self._submit_by_mean(ticket, now)
+        self._waiting.append(ticket)
+        self._sort(now)
+        starts = self._projected_starts(now)
+        index = self._waiting.index(ticket)
+        wait_factor = self._wait_factors.get(ticket.kind, MIN_WAIT_FACTOR)
+        wait_s = (starts[index] - now) * wait_factor
+        if self._rules.is_fair and ticket.customer:
+            wait_s /= self._customers.share_factor(ticket.customer, now)
+        end = now + wait_s + self._admitted_service_s(ticket.kind)
+        if end > queue_order.useful_until(ticket, now):
+            del self._waiting[index]
+            return Refused(_bounded_retry_s(starts[index] - now))
+        if not self._rules.sheds:
+            return Queued()
+        behind = zip(
+            self._waiting[index + 1 :], starts[index + 1 :], strict=True
+        )
+        displaced = tuple(
+            other
+            for other, start in behind
+            if start + self._expected_service_s(other.kind) > other.deadline
+        )
+        for other in displaced:
+            self._waiting.remove(other)
+        return Queued(displaced)
+
+    def _submit_by_mean(self, ticket: Ticket, now: float) -> Verdict:
         ahead = self._index(ticket)
         wait_factor = self._wait_factors.get(ticket.kind, MIN_WAIT_FACTOR)
         wait_s = self.expected_wait_s(ahead) * wait_factor
         expected_end = now + wait_s + self._expected_service_s(ticket.kind)
-        if expected_end > _useful_until(ticket, now):
+        if expected_end > queue_order.useful_until(ticket, now):
             return Refused(self.retry_s())
         self._waiting.insert(ahead, ticket)
         return Queued()
@@ -193,7 +262,7 @@
     def retry_s(self) -> float:
         """Return the retry delay in seconds: the bounded expected wait."""
         wait_s = self.expected_wait_s(len(self._waiting))
-        return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+        return _bounded_retry_s(wait_s)
 
     def release(self, ticket: Ticket, held_s: float, now: float) -> QueueChange:
         """Release the slot of a call that ended.
@@ -205,6 +274,7 @@
             now: Monotonic time in seconds.
         """
         self._running -= 1
+        self._runs.pop(ticket.number, None)
         if held_s >= 0:
             self._record_sample(ticket, held_s, now)
         return self.advance(now)
@@ -214,12 +284,17 @@
         self._refill(now)
         started = []
         refused = []
-        while self._waiting and self._may_start():
-            ticket = self._waiting.pop(0)
-            if now + self._expected_service_s(ticket.kind) > ticket.deadline:
+        self._sort(now)
+        for ticket in tuple(self._waiting):
+            if not self._may_start(ticket, now):
+                if self._has_free_slot():
+                    continue
+                break
+            self._waiting.remove(ticket)
+            if now + self._longest_service_s(ticket.kind) > ticket.deadline:
                 refused.append(ticket)
                 continue
-            self._start()
+            self._start(ticket, now)
             started.append(ticket)
         return QueueChange(tuple(started), tuple(refused))
 
@@ -228,19 +303,22 @@
         self._refill(now)
         kept: list[Ticket] = []
         refused = []
-        for ticket in self._waiting:
-            start = now + self._rate_wait_s(len(kept))
-            end = start + self._expected_service_s(ticket.kind)
+        starts = [now] * len(self._waiting)
+        if self._rules.refuses_early:
+            self._sort(now)
+            starts = self._projected_starts(now)
+        for ticket, expected in zip(self._waiting, starts, strict=True):
+            start = max(expected, now + self._rate_wait_s(len(kept)))
+            end = start + self._longest_service_s(ticket.kind)
             (refused if end > ticket.deadline else kept).append(ticket)
         self._waiting = kept
         return QueueChange(refused=tuple(refused))
 
     def remove(self, ticket: Ticket) -> bool:
         """Remove a waiting call; return False if it is not queued."""
-        index = self._index(ticket)
-        is_found = index < len(self._waiting) and self._waiting[index] == ticket
+        is_found = ticket in self._waiting
         if is_found:
-            del self._waiting[index]
+            self._waiting.remove(ticket)
         return is_found
 
     def clear(self) -> tuple[Ticket, ...]:
@@ -253,14 +331,84 @@
         if self._bucket is not None:
             self._bucket = self._bucket.refilled(now)
 
-    def _may_start(self) -> bool:
+    def _has_free_slot(self) -> bool:
         has_token = self._bucket is None or self._bucket.may_start
         return has_token and self._running < self._slots
 
-    def _start(self) -> None:
+    def _may_start(self, ticket: Ticket, now: float) -> bool:
+        if not self._has_free_slot():
+            return False
+        if not self._rules.limits_long_work or ticket.is_nested:
+            return True
+        if self._running < self._slots - 1 or self._slots == 1:
+            return True
+        return not self._is_long(ticket, now)
+
+    def _is_long(self, ticket: Ticket, now: float) -> bool:
+        """Return True if shorter work arrives that matters as much or more."""
+        service_s = self._mean_s_by_kind.get(ticket.kind, 0.0)
+        for kind, (arrived, rank) in self._arrivals.items():
+            if arrived < now - _KEEP_SLOT_S or rank >= ticket.rank:
+                continue
+            shorter_s = self._mean_s_by_kind.get(kind, math.inf)
+            if service_s >= _LONG_WORK_RATIO * shorter_s:
+                return True
+        return False
+
+    def _start(self, ticket: Ticket, now: float) -> None:
         self._running += 1
+        service_s = self._expected_service_s(ticket.kind)
+        self._runs[ticket.number] = (now, service_s)
         if self._bucket is not None:
             self._bucket = self._bucket.taken()
+        if self._rules.is_fair:
+            self._kinds.record_started(ticket.kind, service_s, now)
+            if ticket.customer:
+                self._customers.record_started(ticket.customer, service_s, now)
+
+    def _record_arrival(self, ticket: Ticket, now: float) -> None:
+        rank = -1 if ticket.is_nested else ticket.rank
+        self._arrivals[ticket.kind] = (now, rank)
+        if self._rules.is_fair:
+            self._kinds.record_asked(ticket.kind, now)
+            if ticket.customer:
+                self._customers.record_asked(ticket.customer, now)
+
+    def _sort(self, now: float) -> None:
+        if not self._rules.is_projected or len(self._waiting) < 2:
+            return
+        self._waiting.sort(
+            key=lambda each: self._rules.order(each, self._work(each, now), now)
+        )
+
+    def _work(self, ticket: Ticket, now: float) -> queue_order.Work:
+        fairness = 1.0
+        if self._rules.is_fair:
+            fairness = self._kinds.floor_factor(ticket.kind, now)
+            if ticket.customer:
+                fairness *= self._customers.floor_factor(ticket.customer, now)
+        service_s = self._expected_service_s(ticket.kind)
+        return queue_order.Work(service_s, self._mean_s, fairness)
+
+    def _projected_starts(self, now: float) -> list[float]:
+        """Return the expected start in seconds of each waiting call."""
+        ends = sorted(
+            max(
+                started + service_s,
+                now + _MIN_REMAINING_SHARE * (now - started),
+            )
+            for started, service_s in self._runs.values()
+        )
+        ends = ends[: self._slots]
+        free = [now] * (self._slots - len(ends))
+        service_s = [self._expected_service_s(t.kind) for t in self._waiting]
+        starts = queue_order.projected_starts(ends + free, service_s, now)
+        if self._bucket is None:
+            return starts
+        return [
+            max(start, now + self._rate_wait_s(ahead))
+            for ahead, start in enumerate(starts)
+        ]
 
     def _rate_wait_s(self, ahead: int) -> float:
         return 0.0 if self._bucket is None else self._bucket.wait_s(ahead)
@@ -273,9 +421,24 @@
     def _expected_service_s(self, kind: str) -> float:
         return self._mean_s_by_kind.get(kind, self._mean_s)
 
+    def _admitted_service_s(self, kind: str) -> float:
+        deviation_s = self._deviation_s_by_kind.get(kind, 0.0)
+        margin_s = self._rules.admission_margin * deviation_s
+        return self._expected_service_s(kind) + margin_s
+
+    def _longest_service_s(self, kind: str) -> float:
+        """Return a service time in seconds that few calls of a kind exceed."""
+        deviation_s = self._deviation_s_by_kind.get(kind, 0.0)
+        margin_s = self._rules.margin * deviation_s
+        return self._expected_service_s(kind) + margin_s
+
     def _record_sample(self, ticket: Ticket, held_s: float, now: float) -> None:
         kind = ticket.kind
         mean_s = self._mean_s_by_kind.get(kind, held_s)
+        deviation_s = self._deviation_s_by_kind.get(kind, 0.0)
+        self._deviation_s_by_kind[kind] = deviation_s + _SAMPLE_WEIGHT * (
+            abs(held_s - mean_s) - deviation_s
+        )
         self._mean_s_by_kind[kind] = mean_s + _SAMPLE_WEIGHT * (held_s - mean_s)
         self._mean_s += _SAMPLE_WEIGHT * (held_s - self._mean_s)
         wait_factor = self._wait_factors.get(kind, MIN_WAIT_FACTOR)
@@ -288,8 +451,5 @@
         self._wait_factors[kind] = wait_factor
 
 
-def _useful_until(ticket: Ticket, now: float) -> float:
-    """Return the monotonic time until which an answer is still useful."""
-    if ticket.target_deadline > now:
-        return min(ticket.target_deadline, ticket.deadline)
-    return ticket.deadline
+def _bounded_retry_s(wait_s: float) -> float:
+    return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
