--- a/tests/test_gateway/test_gateway_target.py
+++ b/tests/test_gateway/test_gateway_target.py
@@ -361,3 +361,32 @@
         return (await target.run(fakes.call())).occupied
 
     assert uvloop.run(scenario()) == 3
+
+
+def test_displaced_call_is_answered_as_not_run_and_never_sent():
+    async def scenario(fixture: _TargetFixture) -> None:
+        fixture.announce(slots=1)
+        loop = asyncio.get_running_loop()
+        late = loop.time() + 100.0
+
+        def run(rank: int, until: float) -> asyncio.Task:
+            call = fakes.call(rank=rank, deadline=until, target_deadline=until)
+            return asyncio.create_task(fixture.target.run(call))
+
+        tasks = [run(0, late)]
+        await fixture.started.wait()
+        # 50 ms are assumed for each call, so the less important one fits
+        # behind 40 others, but not behind 80.
+        tasks += [run(0, late) for _ in range(40)]
+        displaced = run(2, loop.time() + 3.0)
+        await asyncio.sleep(0)
+        tasks += [run(0, late) for _ in range(40)]
+        outcome = await asyncio.wait_for(displaced, 1.0)
+        assert outcome.result.reason is errors.Reason.OVERLOADED
+        assert outcome.result.not_run
+        assert outcome.result.retry_s > 0
+        fixture.release.set()
+        await asyncio.gather(*tasks)
+        assert fixture.target.occupied == 0
+
+    _run(scenario)
--- a/tests/test_routing/test_routing_call_queue.py
+++ b/tests/test_routing/test_routing_call_queue.py
@@ -89,6 +89,76 @@
     assert queue.running == 0
 
 
+def _with_kinds(slots: int, times_s: dict[str, float]) -> call_queue.CallQueue:
+    """Return an idle queue that knows the service times of some kinds."""
+    queue = call_queue.CallQueue(slots)
+    for kind, held_s in times_s.items():
+        for number in range(50):
+            ticket = _ticket(-number, kind=kind, rank=2)
+            queue.submit(ticket, -100.0)
+            queue.release(ticket, held_s, -100.0)
+    return queue
+
+
+def test_wait_behind_long_work_is_not_taken_for_one_behind_short_work():
+    queue = _with_kinds(1, {"long": 0.64, "short": 0.04})
+    queue.submit(_ticket(1, kind="long"), 0.0)
+    nested = _ticket(2, kind="short", is_nested=True, target_deadline=0.229)
+    assert isinstance(queue.submit(nested, 0.0), call_queue.Refused)
+    fitting = _ticket(3, kind="short", is_nested=True, target_deadline=0.729)
+    assert isinstance(queue.submit(fitting, 0.5), call_queue.Queued)
+
+
+def test_call_that_no_longer_fits_is_not_kept_until_its_deadline():
+    queue = _with_kinds(1, {"r": 0.1})
+    queue.submit(_ticket(1), 0.0)
+    low = _ticket(2, rank=2, target_deadline=0.25, deadline=0.25)
+    assert isinstance(queue.submit(low, 0.0), call_queue.Queued)
+    verdict = queue.submit(_ticket(3, rank=0), 0.0)
+    assert verdict == call_queue.Queued((low,))
+    assert queue.occupied == 2
+
+
+def test_long_work_does_not_take_the_last_slot_while_short_work_arrives():
+    queue = _with_kinds(3, {"long": 0.64, "short": 0.16})
+    short = _ticket(1, kind="short", rank=0)
+    queue.submit(short, 0.0)
+    queue.release(short, 0.16, 0.16)
+    verdicts = [
+        queue.submit(_ticket(n, kind="long", rank=2), 0.2) for n in (2, 3, 4)
+    ]
+    assert isinstance(verdicts[1], call_queue.Started)
+    assert isinstance(verdicts[2], call_queue.Queued)
+    verdict = queue.submit(_ticket(5, kind="short", rank=0), 0.3)
+    assert isinstance(verdict, call_queue.Started)
+
+
+def test_slot_kept_for_short_work_does_not_stay_idle():
+    queue = _with_kinds(3, {"long": 0.64, "short": 0.16})
+    queue.submit(_ticket(1, kind="short", rank=0), 0.0)
+    queue.release(_ticket(1, kind="short"), 0.16, 0.16)
+    for number in (2, 3, 4):
+        queue.submit(_ticket(number, kind="long", rank=2), 0.2)
+    assert queue.advance(0.9).started == ()
+    assert len(queue.advance(1.1).started) == 1
+
+
+def test_customer_above_its_share_is_refused_before_others():
+    queue = _with_kinds(1, {"r": 0.1})
+    for number in range(1, 41):
+        customer = "large" if number % 4 else f"small-{number}"
+        ticket = _ticket(number, customer=customer)
+        queue.submit(ticket, 0.0)
+        queue.release(ticket, 0.1, 0.0)
+    queue.submit(_ticket(50), 0.0)
+    queue.submit(_ticket(51), 0.0)
+    aim = {"target_deadline": 0.35}
+    large = queue.submit(_ticket(52, customer="large", **aim), 0.0)
+    small = queue.submit(_ticket(53, customer="small-4", **aim), 0.0)
+    assert isinstance(large, call_queue.Refused)
+    assert isinstance(small, call_queue.Queued)
+
+
 def _replay(rate: float, queue: call_queue.CallQueue, target_s: float) -> float:
     """Return the share of calls answered in time under a load.
 
--- a/trefoilwind/routing/call_queue.py
+++ b/trefoilwind/routing/call_queue.py
@@ -19,8 +19,10 @@
 from trefoilwind.routing import queue_order
 from trefoilwind.routing import rate_limit
 
-# Weight of a new sample in the average service time.
-_SAMPLE_WEIGHT = 0.1
+# Weight of a new sample in the average service time. A server of 3 slots ends
+# about 10 calls a second and becomes slow for some seconds; with 0.1 its mean
+# follows too late.
+_SAMPLE_WEIGHT = 0.2
 # Service time in seconds assumed before any call was measured.
 INITIAL_SERVICE_S = 0.05
 # Bounds of the factor on the expected wait of a kind, its growth per late
@@ -35,8 +37,8 @@
 # least until its end. A server that has just become slow shows it so before its
 # mean service times do.
 _MIN_REMAINING_SHARE = 0.25
-# Work is long if it takes this many times as long as the shorter work for which
-# the last slot is kept.
+# Work is long if it takes this many times as long as shorter work of greater
+# importance. One kind of long work does not take the last slot from that.
 _LONG_WORK_RATIO = 2.5
 # Seconds after the last arrival of shorter work in which a slot is kept.
 _KEEP_SLOT_S = 1.0
@@ -135,8 +137,9 @@
         self._rules = rules
         self._slots = max(1, slots)
         self._running = 0
-        # Start and expected service time in seconds of each running call.
-        self._runs: dict[int, tuple[float, float]] = {}
+        # Start and expected service time in seconds of each running call, and
+        # its kind.
+        self._runs: dict[int, tuple[float, float, str]] = {}
         self._deviation_s_by_kind: dict[str, float] = {}
         # Time in seconds of the last arrival of each kind, and its rank.
         self._arrivals: dict[str, tuple[float, int]] = {}
@@ -305,7 +308,6 @@
         refused = []
         starts = [now] * len(self._waiting)
         if self._rules.refuses_early:
-            self._sort(now)
             starts = self._projected_starts(now)
         for ticket, expected in zip(self._waiting, starts, strict=True):
             start = max(expected, now + self._rate_wait_s(len(kept)))
@@ -340,12 +342,13 @@
             return False
         if not self._rules.limits_long_work or ticket.is_nested:
             return True
-        if self._running < self._slots - 1 or self._slots == 1:
+        same_kind = sum(k == ticket.kind for _, _, k in self._runs.values())
+        if same_kind < max(1, self._slots - 1):
             return True
         return not self._is_long(ticket, now)
 
     def _is_long(self, ticket: Ticket, now: float) -> bool:
-        """Return True if shorter work arrives that matters as much or more."""
+        """Return True if shorter work that matters more arrives."""
         service_s = self._mean_s_by_kind.get(ticket.kind, 0.0)
         for kind, (arrived, rank) in self._arrivals.items():
             if arrived < now - _KEEP_SLOT_S or rank >= ticket.rank:
@@ -358,7 +361,7 @@
     def _start(self, ticket: Ticket, now: float) -> None:
         self._running += 1
         service_s = self._expected_service_s(ticket.kind)
-        self._runs[ticket.number] = (now, service_s)
+        self._runs[ticket.number] = (now, service_s, ticket.kind)
         if self._bucket is not None:
             self._bucket = self._bucket.taken()
         if self._rules.is_fair:
@@ -377,16 +380,24 @@
     def _sort(self, now: float) -> None:
         if not self._rules.is_projected or len(self._waiting) < 2:
             return
-        self._waiting.sort(
-            key=lambda each: self._rules.order(each, self._work(each, now), now)
-        )
-
-    def _work(self, ticket: Ticket, now: float) -> queue_order.Work:
-        fairness = 1.0
+        floors = {}
         if self._rules.is_fair:
-            fairness = self._kinds.floor_factor(ticket.kind, now)
-            if ticket.customer:
-                fairness *= self._customers.floor_factor(ticket.customer, now)
+            kinds = {ticket.kind for ticket in self._waiting}
+            floors = {k: self._kinds.floor_factor(k, now) for k in kinds}
+        keys = {
+            ticket.number: self._rules.order(
+                ticket, self._work(ticket, floors, now), now
+            )
+            for ticket in self._waiting
+        }
+        self._waiting.sort(key=lambda ticket: keys[ticket.number])
+
+    def _work(
+        self, ticket: Ticket, floors: dict[str, float], now: float
+    ) -> queue_order.Work:
+        fairness = floors.get(ticket.kind, 1.0)
+        if self._rules.is_fair and ticket.customer:
+            fairness *= self._customers.floor_factor(ticket.customer, now)
         service_s = self._expected_service_s(ticket.kind)
         return queue_order.Work(service_s, self._mean_s, fairness)
 
@@ -397,7 +408,7 @@
                 started + service_s,
                 now + _MIN_REMAINING_SHARE * (now - started),
             )
-            for started, service_s in self._runs.values()
+            for started, service_s, _ in self._runs.values()
         )
         ends = ends[: self._slots]
         free = [now] * (self._slots - len(ends))
--- a/trefoilwind/routing/queue_order.py
+++ b/trefoilwind/routing/queue_order.py
@@ -1,9 +1,9 @@
 """Order in which waiting calls get a slot, and when they are expected to.
 
 Handles a few slots shared by kinds of calls with very different service times:
-640 ms of work with little worth beside 160 ms of work with much. Compared are
-rank, least latest start and value per slot second; the last two are combined in
-`weighted_slack`. All functions are pure, with the time passed in.
+640 ms of work with little worth beside 160 ms of work with much. The queue uses
+`RANK_AND_FIT`; the other disciplines are kept for comparison in the emulator.
+All functions are pure, with the time passed in.
 """
 
 from collections.abc import Callable
@@ -92,19 +92,12 @@
     return (not call.is_nested, call.rank, call.number)
 
 
-def by_rank_and_start(call: QueuedCall, work: Work, now: float) -> tuple:
-    """Order by nested calls, rank and latest useful start.
+def by_rank_and_floor(call: QueuedCall, work: Work, now: float) -> tuple:
+    """Order by nested calls, rank and arrival.
 
     A kind or customer that is served far less than the others is not put
     behind others for its rank.
     """
-    rank = 0 if work.fairness > 1.0 else call.rank
-    latest_start = useful_until(call, now + work.service_s) - work.service_s
-    return (not call.is_nested, rank, latest_start, call.number)
-
-
-def by_rank_and_floor(call: QueuedCall, work: Work, now: float) -> tuple:
-    """Order by nested calls, rank and arrival, with a floor for each kind."""
     del now
     rank = 0 if work.fairness > 1.0 else call.rank
     return (not call.is_nested, rank, call.number)
@@ -145,11 +138,15 @@
             the service times by kind; else from one mean service time.
         sheds: True if a waiting call that a new one displaces past its
             deadline is refused at once.
-        limits_long_work: True if long work may not take the last slot while
-            shorter work of the same or higher rank arrives.
+        limits_long_work: True if one kind of long work may not take the last
+            slot while shorter work of a higher rank arrives.
         is_fair: True if customers and kinds get shares.
         margin: Mean deviations of the service time that are added to the mean
-            when a call must end before its deadline.
+            when a waiting call must end before its deadline.
+        refuses_early: True if a waiting call is refused as soon as it is not
+            expected to end before its deadline.
+        admission_margin: Mean deviations that are added when a new call must
+            end before its target latency.
     """
 
     order: Order
@@ -162,6 +159,7 @@
     admission_margin: float = 2.0
 
 
+# The discipline of earlier releases.
 RANK = Rules(by_rank, False, False, False, False, 0.0, False, 0.0)
 LATEST_START = Rules(by_latest_start)
 VALUE = Rules(by_value)
