Scale the margin of new calls with the number of slots

With 13 slots the full margin refused calls that would have been in time. It now counts in full up to 3 slots and less above.

--- a/tests/test_emulator/test_emulator_world.py
+++ b/tests/test_emulator/test_emulator_world.py
@@ -229,3 +229,24 @@
     assert "| product | 1 | 1.000 |" in page
     assert "| product | 1 | write |" in page
     assert report.plot(_SCENARIO, (run,)).startswith("<svg ")
+
+
+def test_a_customer_above_its_usual_load_does_not_displace_the_others():
+    customers = (
+        scenario_lib.CustomerGroup("large", 1, 3.0),
+        scenario_lib.CustomerGroup("small", 6, 1.0),
+    )
+    burst = scenario_lib.Burst(1.0, 5.0, 7.5, customer="large-0")
+    scenario = dataclasses.replace(
+        _SCENARIO, customers=customers, bursts=(burst,)
+    )
+    found = _run(scenario)
+    unfair = _run(scenario, "rank")
+    assert found.arrivals() == unfair.arrivals()
+
+    def small_share(results: results_lib.Results) -> float:
+        names = [f"small-{index}" for index in range(6)]
+        return min(results.customer_served_share(name) for name in names)
+
+    assert small_share(found) > small_share(unfair)
+    assert found.least_served_customer() > 0.25
--- a/trefoilwind/routing/call_queue.py
+++ b/trefoilwind/routing/call_queue.py
@@ -37,6 +37,9 @@
 # least until its end. A server that has just become slow shows it so before its
 # mean service times do.
 _MIN_REMAINING_SHARE = 0.25
+# Number of slots up to which the margin of a new call counts in full. With 13
+# slots and the full margin the emulator earned 0.005 less than without.
+_FEW_SLOTS = 3
 # Work is long if it takes this many times as long as shorter work of greater
 # importance. One kind of long work does not take the last slot from that.
 _LONG_WORK_RATIO = 2.5
@@ -433,8 +436,11 @@
         return self._mean_s_by_kind.get(kind, self._mean_s)
 
     def _admitted_service_s(self, kind: str) -> float:
+        """Return the service time in seconds that a new call must allow for."""
         deviation_s = self._deviation_s_by_kind.get(kind, 0.0)
-        margin_s = self._rules.admission_margin * deviation_s
+        # The expected wait is the less certain, the fewer slots there are.
+        scale = min(1.0, _FEW_SLOTS / self._slots)
+        margin_s = scale * self._rules.admission_margin * deviation_s
         return self._expected_service_s(kind) + margin_s
 
     def _longest_service_s(self, kind: str) -> float:
