Give no regions to nested calls of requests without an id

Cause: a request without an id that is restricted to regions would have passed them to every request without a parent.

Change: regions are kept for running requests with an id only.

Result: tests of the target node, evacuations, style and layers passed.

--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -385,7 +385,8 @@
         )
         request_id = self._headers.request_id(call.headers)
         self._running_ids[request_id] += 1
-        if call.allowed_regions is not None:
+        # Requests without an id would give their regions to unrelated ones.
+        if request_id and call.allowed_regions is not None:
             self._running_regions[request_id] = call.allowed_regions
         self._sent += 1
         try:
