--- a/tests/test_root/test_root_layers.py
+++ b/tests/test_root/test_root_layers.py
@@ -12,6 +12,7 @@
     "cmd": 9,
     "platform": 8,
     "gateway": 7,
+    "customers": 5,
     "routing": 5,
     "rollout": 5,
     "telemetry": 4,
--- /dev/null
+++ b/trefoilwind/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Customers: what their callers may do, over all nodes."""
--- a/trefoilwind/errors.py
+++ b/trefoilwind/errors.py
@@ -45,6 +45,7 @@
     NO_BACKEND = "no-backend-server"
     OVERLOADED = "overloaded"
     RATE_LIMITED = "rate-limited"
+    QUOTA_EXCEEDED = "quota-exceeded"
     DEADLINE_EXCEEDED = "deadline-exceeded"
     CANCELLED = "cancelled"
     DRAINING = "draining"
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -13,6 +13,7 @@
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import picker as picker_lib
+from trefoilwind.gateway import quotas as quotas_lib
 from trefoilwind.gateway import unread
 from trefoilwind.logs import decisions
 from trefoilwind.model import mesh
@@ -40,6 +41,7 @@
 # Routes whose longest times are kept; the operator names them.
 MAX_ROUTES_MEASURED = 1000
 _STATUS_NOT_FOUND = 404
+_STATUS_TOO_MANY = 429
 _STATUS_BAD_GATEWAY = 502
 _STATUS_UNAVAILABLE = 503
 _STATUS_TIMEOUT = 504
@@ -86,6 +88,7 @@
         counts: counts_lib.MeshCounts,
         rng: random.Random,
         configuration_age_s: Callable[[], float] = lambda: 0.0,
+        quotas: quotas_lib.Quotas | None = None,
     ):
         self._board = board
         self._headers = headers
@@ -98,6 +101,7 @@
         self._counts = counts
         self._random = rng
         self._configuration_age_s = configuration_age_s
+        self._quotas = quotas
         self._weighted_choice = weighted_choice.WeightedChoice(rng.random)
         self._loop = asyncio.get_running_loop()
         # Event loop times of a stop: after which no request is accepted, and
@@ -154,9 +158,8 @@
         call = self._call(request, metadata, route, table.version)
         if self._is_refused(call):
             return http_types.HttpAnswer(_STATUS_BAD_GATEWAY, ())
-        self._budget.record_first_attempt(call.service, self._loop.time())
         progress = _Progress()
-        result = await self._run_until_stop(call, route, progress)
+        result = await self._run_within_quota(call, route, progress)
         is_answer = isinstance(result, http_types.HttpAnswer)
         answer = result if is_answer else self._failure_answer(result)
         self._counts.request_ended(
@@ -212,6 +215,28 @@
             received=request.received,
         )
 
+    async def _run_within_quota(
+        self, call: calls.Call, route: mesh.HostRoute, progress: _Progress
+    ) -> calls.Result:
+        """Run a call if the quota of its customer allows it."""
+        quotas = self._quotas
+        has_quota = (
+            quotas is not None
+            and not call.is_nested
+            and quotas.is_limited(call.customer)
+        )
+        if has_quota:
+            retry_s = await quotas.take(call.customer, self._loop.time())
+            if retry_s is not None:
+                return self._error(
+                    errors.Reason.QUOTA_EXCEEDED, not_run=True, retry_s=retry_s
+                )
+        self._budget.record_first_attempt(call.service, self._loop.time())
+        result = await self._run_until_stop(call, route, progress)
+        if has_quota and _is_refusal(result):
+            quotas.give_back(call.customer, self._loop.time())
+        return result
+
     async def _run_until_stop(
         self, call: calls.Call, route: mesh.HostRoute, progress: _Progress
     ) -> calls.Result:
@@ -362,6 +387,8 @@
             "elapsed_ms": round((now - call.received) * 1000, 1),
             "left_ms": round((call.deadline - now) * 1000, 1),
         }
+        if call.customer:
+            fields["customer"] = call.customer
         if not math.isinf(self._stop_deadline):
             # Tells a call that the stop has ended from one that its own
             # deadline has.
@@ -392,6 +419,8 @@
     def _failure_answer(self, error: errors.CallError) -> http_types.HttpAnswer:
         if error.reason is errors.Reason.POISON_REQUEST:
             return http_types.HttpAnswer(_STATUS_BAD_GATEWAY, ())
+        if error.reason is errors.Reason.QUOTA_EXCEEDED:
+            return self._refused(_STATUS_TOO_MANY, error.retry_s)
         if error.not_run:
             return self._unavailable(error.retry_s or NO_BACKEND_RETRY_S)
         if error.reason is errors.Reason.DEADLINE_EXCEEDED:
@@ -399,9 +428,12 @@
         return http_types.HttpAnswer(_STATUS_BAD_GATEWAY, ())
 
     def _unavailable(self, retry_s: float) -> http_types.HttpAnswer:
+        return self._refused(_STATUS_UNAVAILABLE, retry_s)
+
+    def _refused(self, status: int, retry_s: float) -> http_types.HttpAnswer:
         jittered_s = retry_s * (1.0 + RETRY_JITTER * self._random.random())
         headers = self._headers.retry_headers(jittered_s)
-        return http_types.HttpAnswer(_STATUS_UNAVAILABLE, headers)
+        return http_types.HttpAnswer(status, headers)
 
     def _error(
         self, reason: errors.Reason, not_run: bool, retry_s: float = 0.0
--- a/trefoilwind/gateway/metrics_page.py
+++ b/trefoilwind/gateway/metrics_page.py
@@ -34,6 +34,8 @@
         limit_per_s: Calls per second that the backend server accepts; infinity
             if it names no limit.
         is_store_unavailable: True while reads of the store fail.
+        quota_customers: Customers with a limit that are at work here.
+        quota_tokens_lent: Tokens that this node has lent as an owner.
     """
 
     is_ready: bool
@@ -49,6 +51,8 @@
     occupied: int
     limit_per_s: float
     is_store_unavailable: bool
+    quota_customers: int = 0
+    quota_tokens_lent: int = 0
 
 
 class MetricsPage:
@@ -136,3 +140,13 @@
         "0 while reads of the store fail, else 1.",
         int(not gauges.is_store_unavailable),
     )
+    yield prometheus.gauge(
+        "quota_customers",
+        "Customers with a limit that are at work at this node.",
+        gauges.quota_customers,
+    )
+    yield prometheus.gauge(
+        "quota_tokens_lent",
+        "Tokens that this node has lent as an owner and that may be held.",
+        gauges.quota_tokens_lent,
+    )
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -27,6 +27,7 @@
 from trefoilwind.gateway import peers as peers_lib
 from trefoilwind.gateway import picker as picker_lib
 from trefoilwind.gateway import publisher as publisher_lib
+from trefoilwind.gateway import quotas as quotas_lib
 from trefoilwind.gateway import rollout_manager
 from trefoilwind.gateway import rollouts as rollouts_lib
 from trefoilwind.gateway import server_notices
@@ -39,6 +40,7 @@
 from trefoilwind.gateway import target as target_lib
 from trefoilwind.log import keyed
 from trefoilwind.logs import decisions
+from trefoilwind.membership import directory
 from trefoilwind.model import members as members_lib
 from trefoilwind.model import mesh
 from trefoilwind.model import positions
@@ -188,6 +190,14 @@
             self._random.random,
         )
         self._budget = shared_budget.SharedBudget(settings.budget)
+        self._quotas = quotas_lib.Quotas(
+            settings,
+            own.incarnation,
+            self._members_if_read,
+            self._peers,
+            self._spreading,
+            self._counts,
+        )
         self._entry = entry_lib.Entry(
             self._board,
             headers,
@@ -200,6 +210,7 @@
             self._counts,
             self._random,
             lambda: self._operator_records.age_s,
+            self._quotas,
         )
         self._callers = http_server.HttpServer(self._serve, self._limits)
         self._publisher = publisher_lib.Publisher(
@@ -288,6 +299,8 @@
                 self._operator_records.is_unavailable
                 or self._mesh_follower.is_unavailable
             ),
+            quota_customers=self._quotas.customers_active,
+            quota_tokens_lent=self._quotas.tokens_lent,
         )
 
     @property
@@ -399,6 +412,7 @@
         """Cancel all tasks and close all connections at once."""
         self._callers.stop_listening()
         self._rollouts.close()
+        self._quotas.close()
         for task in self._tasks:
             task.cancel()
         if self._peer_update is not None:
@@ -565,6 +579,8 @@
             )
         elif isinstance(message, operator_records.RecordMessage):
             self._operator_records.handle_message(stream, message)
+        elif isinstance(message, quotas_lib.MESSAGES):
+            self._quotas.handle_message(stream, message)
 
     def _plan_mesh_read(self) -> follower_lib.ReadPlan:
         """Return the parameters of the next read of the mesh topic.
@@ -628,6 +644,12 @@
             self._update_peers_soon()
         return bool(changed)
 
+    def _members_if_read(self) -> directory.Snapshot:
+        """Return the members; none before the node has read the others."""
+        if not self._members_read.is_set():
+            return directory.Snapshot()
+        return self._board.members.value
+
     def _update_peers_soon(self) -> None:
         """Update the streams once for all changes of this loop iteration."""
         if self._peer_update is None:
@@ -742,6 +764,7 @@
         routes = host_routes.build(configuration)
         self._publish_configuration(configuration)
         self._publish_routes(routes)
+        self._quotas.set_customers(configuration.customers)
         logger.info(
             "configuration: version %d in force, %d routes; was %d",
             configuration.version,
--- a/trefoilwind/telemetry/counts.py
+++ b/trefoilwind/telemetry/counts.py
@@ -9,6 +9,9 @@
 # their number is limited here; the others share one label.
 MAX_SERVICES = 32
 OTHER_SERVICES = "other"
+# Number of customers with a label of their own.
+MAX_CUSTOMERS = 100
+OTHER_CUSTOMERS = "other"
 
 
 class MeshCounts:
@@ -34,6 +37,9 @@
             collections.Counter()
         )
         self._rejected: collections.Counter[tuple[str]] = collections.Counter()
+        self._quota_refusals: collections.Counter[tuple[str]] = (
+            collections.Counter()
+        )
 
     def request_ended(
         self, service: str, result: str, attempts: int, seconds: float
@@ -91,6 +97,14 @@
         """
         self._rejected[(reason,)] += 1
 
+    def quota_refused(self, customer: str) -> None:
+        """Count a call above the limit of its customer."""
+        label = (customer,)
+        is_known = label in self._quota_refusals
+        if not is_known and len(self._quota_refusals) >= MAX_CUSTOMERS:
+            label = (OTHER_CUSTOMERS,)
+        self._quota_refusals[label] += 1
+
     def families(self) -> tuple[prometheus.Family, ...]:
         """Return the metric families of all counters."""
         counter = prometheus.Kind.COUNTER
@@ -131,6 +145,13 @@
                 ("service",),
                 _all_latencies(self._wait_times),
             ),
+            prometheus.Family(
+                counter,
+                "quota_refusals_total",
+                "Requests above the limit of their customer, by customer.",
+                ("customer",),
+                self._quota_refusals,
+            ),
             *self._store_families(),
         )
 
