Test the quota of a call at the entry node and over real streams

Cause: the entry node's part and the messages between real nodes had no test. Change: four tests; a node's quotas are readable.

--- a/tests/test_gateway/test_gateway_entry.py
+++ b/tests/test_gateway/test_gateway_entry.py
@@ -1,6 +1,7 @@
 """Tests of routing and retries at the entry node, with scripted outcomes."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -51,7 +52,12 @@
 class _Entry:
     """An entry node whose attempts have scripted results."""
 
-    def __init__(self, script: list[calls.Result], extra: float = 1000.0):
+    def __init__(
+        self,
+        script: list[calls.Result],
+        extra: float = 1000.0,
+        quotas: "_Quotas | None" = None,
+    ):
         self.board = board_lib.MeshBoard()
         self._publish = self.board.routes.claim("test")
         nodes = [make_member(number) for number in range(1, 6)]
@@ -74,6 +80,7 @@
             lambda request_id: request_id == b"running",
             self.counts,
             random.Random(1),
+            quotas=quotas,
         )
 
     async def _run(self, node_id: str, call: calls.Call) -> calls.Outcome:
@@ -297,3 +304,65 @@
     assert answer == _OK
     assert entry.sent[0].deadline > entry.stop_deadline
     assert entry.sent[1].deadline == entry.stop_deadline
+
+
+class _Quotas:
+    """Quotas in which one customer has some tokens."""
+
+    def __init__(self, tokens: int):
+        self.tokens = tokens
+
+    def is_limited(self, customer: str) -> bool:
+        """Return True for the only customer."""
+        return customer == "c"
+
+    async def take(self, customer: str, now: float) -> float | None:
+        """Take a token or return a retry time."""
+        if not self.tokens:
+            return 0.25
+        self.tokens -= 1
+        return None
+
+    def give_back(self, customer: str, now: float) -> None:
+        """Return a token."""
+        self.tokens += 1
+
+
+def _serve_customer(script: list[calls.Result], quotas: _Quotas, **headers):
+    async def run():
+        entry = _Entry(script, quotas=quotas)
+        make_call = entry.entry._call
+
+        def call(*arguments):
+            return dataclasses.replace(make_call(*arguments), customer="c")
+
+        entry.entry._call = call
+        return await entry.serve(**headers), entry.sent
+
+    return uvloop.run(run())
+
+
+def test_call_above_the_limit_is_sent_or_has_no_retry_time():
+    answer, sent = _serve_customer([], _Quotas(0))
+    assert answer.status == 429
+    assert answer.headers
+    assert not sent
+
+
+@pytest.mark.parametrize(
+    ("result", "tokens"),
+    [(_OK, 1), (_FAILED, 1), (_TIMED_OUT, 1), (_REFUSED, 2)],
+)
+def test_token_of_a_call_that_may_have_run_is_given_back(result, tokens):
+    """Guards against lost tokens of refused calls, too."""
+    quotas = _Quotas(2)
+    _serve_customer([result] * 3, quotas, is_idempotent=False)
+    assert quotas.tokens == tokens
+
+
+def test_retry_at_another_server_takes_a_second_token():
+    quotas = _Quotas(5)
+    answer, sent = _serve_customer([_REFUSED, _SHED, _OK], quotas)
+    assert answer.status == 200
+    assert len(sent) == 3
+    assert quotas.tokens == 4
--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -60,6 +60,9 @@
         return errors.RecordError(errors.Reason.UNDECODABLE, "test")
     if kind == "weights":
         return mesh.MeshConfiguration(int(number), _WEIGHTED_ROUTES)
+    if kind == "customers":
+        customers = (mesh.Customer("c", rate_per_s=float(number), burst=5.0),)
+        return mesh.MeshConfiguration(5, (_ROUTE,), customers=customers)
     if kind == "order":
         return mesh.RolloutOrder(record.offset, "s", "v2", float(number))
     return mesh.MeshConfiguration(int(number), (_ROUTE,))
@@ -948,3 +951,29 @@
         assert abs(len(cluster.backends[0].ran) - counts[0] - 30) <= 2
 
     _run(scenario)
+
+
+def test_customer_gets_no_tokens_over_real_streams():
+    """Guards against messages of quotas that are not handled by a node."""
+
+    async def scenario(cluster: _Cluster) -> None:
+        await cluster.write("config", "customers 20")
+        names = (("n1", "d"), ("n2", "d"), ("n3", "e"))
+        nodes = [await cluster.add(name, data_centre=d) for name, d in names]
+        await _until(lambda: all(_has_members(node, 3) for node in nodes))
+        await _until(lambda: all(node.is_ready for node in nodes))
+        await _until(lambda: all(len(n.peers_connected) == 2 for n in nodes))
+        # More than the base shares of a node pay.
+        for node in nodes:
+            taken = 0
+            while taken < 10:
+                retry_s = await node.quotas.take("c", 0.0)
+                taken += retry_s is None
+                await asyncio.sleep(retry_s or 0.0)
+        lent = [node.gauges.quota_tokens_lent for node in nodes]
+        assert any(lent)
+        assert all(node.gauges.quota_customers == 1 for node in nodes)
+        retries = [await nodes[0].quotas.take("c", 0.0) for _ in range(60)]
+        assert any(retries)
+
+    _run(scenario)
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -274,6 +274,11 @@
         """Settings in effect."""
         return self._settings
 
+    @property
+    def quotas(self) -> quotas_lib.Quotas:
+        """Quotas of customers."""
+        return self._quotas
+
     @property
     def counts(self) -> counts_lib.MeshCounts:
         """Counters since the start of the process."""
