Answer at once where no owner of a quota lends

Cause: calls waited 0.15 s for a token though the relay knew that no owner could be reached; the event loop's time does not count suspension of the machine. Change: the relay or owner answers with the time until tokens are lent; times of quotas are on CLOCK_BOOTTIME; a report of fewer than no tokens counts as none.

--- a/trefoilwind/customers/quota_account.py
+++ b/trefoilwind/customers/quota_account.py
@@ -183,13 +183,13 @@
             loan: The loan.
             now: Time in seconds.
         """
-        if owner != self._owner:
+        if loan.tokens and owner != self._owner:
             # Tokens of another owner end at their deadline; they are dropped
             # now as the numbers of loans differ between owners.
             self._owner, self._held, self._seen = owner, 0, 0
             self._held_deadline = 0.0
             self._reported = self._voided = 0
-        if loan.number > self._seen:
+        if owner == self._owner and loan.number > self._seen:
             self._seen = loan.number
             self._drop_ended(now)
             deadline = sent_s + LOAN_S
--- a/trefoilwind/customers/quota_ballot.py
+++ b/trefoilwind/customers/quota_ballot.py
@@ -61,6 +61,19 @@
     return chosen[0] if chosen else ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tenure:
+    """Times in seconds of the owner of a quota.
+
+    Attributes:
+        since: Time since which no other owner has added tokens.
+        lends_at: Time from which it lends, as no token of another one is left.
+    """
+
+    since: float
+    lends_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Promise:
     """Support of one slot by this voter.
@@ -200,15 +213,15 @@
             if each in supported:
                 by_voter[voter] = (deadline, now - max(0.0, supported[each]))
 
-    def lending_since(self, customer: str, now: float) -> float | None:
-        """Return since when no other owner has added tokens, or None.
+    def tenure(self, customer: str, now: float) -> Tenure | None:
+        """Return when this node may lend tokens of a customer.
 
         Args:
             customer: Name of the customer.
             now: Time in seconds.
 
         Returns:
-            Time in seconds; None if this node may not lend.
+            None if this node is not the owner.
         """
         each = slot(customer, self._voters)
         if not each:
@@ -218,16 +231,11 @@
         if len(free) < majority:
             return None
         since = sorted(free)[majority - 1]
-        wait_s = quota_account.LOAN_S + quota_owner.GRACE_S
-        if now < since + wait_s:
-            return None
         for earlier, ended_at in self._earlier:
-            if self._is_same_owner(customer, each, earlier):
-                continue
-            if now < ended_at + wait_s:
-                return None
-            since = max(since, ended_at)
-        return since
+            if not self._is_same_owner(customer, each, earlier):
+                since = max(since, ended_at)
+        wait_s = quota_account.LOAN_S + quota_owner.GRACE_S
+        return Tenure(since, since + wait_s)
 
     def _is_same_owner(
         self, customer: str, each: str, earlier: tuple[str, ...]
--- a/trefoilwind/customers/quota_exchange.py
+++ b/trefoilwind/customers/quota_exchange.py
@@ -97,8 +97,10 @@
         self._base_calls: dict[str, int] = {}
         self._waiting: dict[str, list[Resolve]] = {}
         self._lenders: dict[str, quota_owner.Lender] = {}
-        # Requests to be sent on, by owner.
-        self._collected: dict[str, list[quota_messages.Request]] = {}
+        # Requests to be sent on, by owner and hops.
+        self._collected: dict[
+            tuple[str, int], list[quota_messages.Request]
+        ] = {}
         self._budget = quota_account.Bucket(REQUEST_BURST, started)
         self._is_ask_planned = False
         self._is_ticking = False
@@ -160,6 +162,10 @@
             self._plan_ask(account, 0, now)
             resolve(retry_s)
             return
+        if not self._relay_of(self._data_centre):
+            account.note_refused()
+            resolve(NO_OWNER_RETRY_S)
+            return
         self._waiting.setdefault(name, []).append(resolve)
         self._ports.call_later(WAIT_S, lambda: self._end_wait(name, resolve))
         self._plan_ask(account, 1, now)
@@ -365,20 +371,21 @@
             by_owner.setdefault(owner, []).append(ask)
         for owner, asks in by_owner.items():
             part = dataclasses.replace(request, asks=tuple(asks))
-            if owner == self._node_id:
-                answer = self._lend(part, now)
-                if answer is not None:
-                    self._send_answers([answer], now)
-            elif owner and self._ports.is_alive(owner):
+            if owner and owner != self._node_id and self._ports.is_alive(owner):
                 if not self._collected:
                     self._ports.call_later(
-                        RELAY_COLLECT_S, lambda: self._send_collected(hops)
+                        RELAY_COLLECT_S, self._send_collected
                     )
-                self._collected.setdefault(owner, []).append(part)
+                self._collected.setdefault((owner, hops), []).append(part)
+                continue
+            # Without an owner that can be reached the answer lends nothing.
+            answer = self._lend(part, now)
+            if answer is not None:
+                self._send_answers([answer], now)
 
-    def _send_collected(self, hops: int) -> None:
+    def _send_collected(self) -> None:
         collected, self._collected = self._collected, {}
-        for owner, requests in collected.items():
+        for (owner, hops), requests in collected.items():
             message = quota_messages.Requests(tuple(requests), hops)
             self._ports.send(owner, message)
 
@@ -431,10 +438,11 @@
     ) -> quota_messages.Answer | None:
         loans = []
         for ask in request.asks:
-            lender = self._lender(ask.customer, now)
+            lender, wait_s = self._lender(ask.customer, now)
             if lender is None:
-                continue
-            loan = lender.lend(request, ask, now)
+                loan = quota_messages.Loan(ask.customer, 0, 0, wait_s)
+            else:
+                loan = lender.lend(request, ask, now)
             if loan is not None:
                 loans.append(loan)
         if not loans:
@@ -447,18 +455,26 @@
             tuple(loans),
         )
 
-    def _lender(self, name: str, now: float) -> quota_owner.Lender | None:
-        """Return the tokens of a customer, or None if they can't be lent."""
-        if name not in self._customers:
-            return None
-        since = self._ballot.lending_since(name, now)
-        if since is None:
-            return None
+    def _lender(
+        self, name: str, now: float
+    ) -> tuple[quota_owner.Lender | None, float]:
+        """Return the tokens of a customer, or None if they can't be lent.
+
+        The second value is the time in seconds until they may be lent.
+        """
+        tenure = self._ballot.tenure(name, now)
+        if tenure is None or name not in self._customers:
+            return None, NO_OWNER_RETRY_S
+        if now < tenure.lends_at:
+            return None, tenure.lends_at - now
         lender = self._lenders.get(name)
         # Another owner may have lent since this node did last.
-        if lender is None or since > lender.used_at:
+        if lender is None or tenure.since > lender.used_at:
             lender = quota_owner.Lender(
-                self._node_id, self._owner_terms(name), now - since, now
+                self._node_id,
+                self._owner_terms(name),
+                now - tenure.since,
+                now,
             )
             self._lenders[name] = lender
-        return lender
+        return lender, 0.0
--- a/trefoilwind/customers/quota_owner.py
+++ b/trefoilwind/customers/quota_owner.py
@@ -151,7 +151,7 @@
         before = borrower.outstanding
         is_first = borrower.sent_s == -math.inf
         borrower.sent_s = request.sent_s
-        borrower.held = ask.held
+        borrower.held = max(0, ask.held)
         if ask.owner == self._node_id:
             borrower.pending = [
                 each for each in borrower.pending if each[0] > ask.seen
--- a/trefoilwind/gateway/quotas.py
+++ b/trefoilwind/gateway/quotas.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import time
 
 from trefoilwind.customers import quota_exchange
 from trefoilwind.customers import quota_limits
@@ -17,6 +18,15 @@
 MESSAGES = quota_messages.MESSAGES
 
 
+def _now() -> float:
+    """Return the time in seconds on a clock that counts suspension.
+
+    The event loop's time stands still while the machine is suspended, and
+    during one iteration: loans and promises would last longer than given.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Quotas:
     """Tokens for the calls of customers that have a limit."""
 
@@ -41,13 +51,13 @@
                 terms.quota_overage, terms.quota_slack, terms.quota_window_s
             ),
             quota_exchange.Ports(
-                self._loop.time,
+                _now,
                 self._loop.call_later,
                 self._send,
                 self._is_alive,
                 members,
             ),
-            self._loop.time(),
+            _now(),
         )
 
     @property
