--- a/tests/test_customers/test_customers_quota_exchange.py
+++ b/tests/test_customers/test_customers_quota_exchange.py
@@ -138,6 +138,30 @@
     assert late <= 0.05 * served
 
 
+def test_voters_disagree_after_they_have_not_heard_of_each_other():
+    """Guards against a minority that keeps to an owner which can't lend.
+
+    Its data centres were refused for good: a tenth of the calls.
+    """
+    customers = [_customer(8.0, f"c{each}") for each in range(20)]
+    made = quota_mesh.Mesh(84, 6, 3)
+    made.start_all(customers)
+    voters = quota_ballot.voters(made.snapshot)
+    for node_id in made.node_ids:
+        made.kill(node_id)
+        # Three voters of six start first, one of which has two votes.
+        begin = 4 if node_id in voters[3:] else 1
+        made.at(begin, lambda node_id=node_id: made.start(node_id))
+    # The others lose the claims of the owners for longer than a promise.
+    pairs = {frozenset((a, b)) for a in voters[:3] for b in voters[3:]}
+    made.at(3, lambda: made.cut_pairs.update(pairs))
+    made.at(6, made.cut_pairs.clear)
+    for customer in customers:
+        made.load(customer.name, 8.0 * _USUAL, 9, 13)
+    made.run(14)
+    assert not any(made.refused.values())
+
+
 def test_lowered_limit_is_exceeded():
     """Guards against tokens that were lent or kept under an earlier limit."""
     made = _started(_customer(100.0))
--- a/trefoilwind/customers/quota_ballot.py
+++ b/trefoilwind/customers/quota_ballot.py
@@ -120,6 +120,8 @@
         # Supports by slot and voter: end, and time since which it is free.
         self._supports: dict[str, dict[str, tuple[float, float]]] = {}
         self._rankings: dict[str, tuple[str, ...]] = {}
+        # Voter that claimed to be the owner of a slot, and when.
+        self._owners: dict[str, tuple[str, float]] = {}
 
     @property
     def is_voter(self) -> bool:
@@ -150,6 +152,9 @@
             for each in voter_ids
         }
         known = set(voter_ids)
+        self._owners = {
+            each: found for each, found in self._owners.items() if each in known
+        }
         self._supports = {
             each: {
                 voter: support
@@ -171,7 +176,7 @@
         promise = self._promises.get(each)
         if promise is not None and now < promise.deadline:
             return promise.owner
-        return self._preferred(each)
+        return self._preferred(each, now)
 
     def claim(self, now: float) -> quota_messages.Claim:
         """Return the claim to send to the other voters."""
@@ -193,6 +198,8 @@
     ) -> quota_messages.Support:
         """Return the slots in which this voter supports a candidate."""
         slots = []
+        owned = self._rankings.keys() & set(claim.owned)
+        self._owners |= dict.fromkeys(owned, (candidate, now))
         if self.is_voter and now >= self._free_since:
             for each in self._voters:
                 promise = self._support_slot(candidate, each, claim, now)
@@ -290,9 +297,7 @@
             promise.free_since = max(now, promise.free_since)
         if not is_current and now < promise.deadline:
             return None
-        # An owner stays one, so that one that returns causes no pause.
-        stays = is_current and each in claim.owned
-        if not stays and self._preferred(each) != candidate:
+        if self._preferred(each, now) != candidate:
             return None
         if not is_current:
             promise.free_since = max(promise.deadline, promise.free_since)
@@ -301,8 +306,17 @@
         promise.deadline = now + SUPPORT_S
         return promise
 
-    def _preferred(self, each: str) -> str:
-        for candidate in self._rankings.get(each, ()):
+    def _preferred(self, each: str, now: float) -> str:
+        """Return the owner to support: the present one, else by rank.
+
+        A voter of higher rank that returns does not replace an owner, and all
+        voters come to support the same one.
+        """
+        owner, seen_at = self._owners.get(each, ("", 0.0))
+        ranking = self._rankings.get(each, ())
+        if owner in ranking and now < seen_at + SUPPORT_S:
+            ranking = (owner, *ranking)
+        for candidate in ranking:
             if candidate == self._node_id or self._is_alive(candidate):
                 return candidate
         return ""
