--- a/tests/test_gateway/test_gateway_entry.py
+++ b/tests/test_gateway/test_gateway_entry.py
@@ -1,6 +1,7 @@
 """Tests of routing and retries at the entry node, with scripted outcomes."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -52,7 +53,12 @@
 class _Entry:
     """An entry node whose attempts have scripted results."""
 
-    def __init__(self, script: list[calls.Result], extra: float = 1000.0):
+    def __init__(
+        self,
+        script: list[calls.Result],
+        extra: float = 1000.0,
+        quotas: "_Quotas | None" = None,
+    ):
         self.board = board_lib.MeshBoard()
         self._publish = self.board.routes.claim("test")
         nodes = [make_member(number) for number in range(1, 6)]
@@ -77,6 +83,7 @@
             self.counts,
             random.Random(1),
             access=self.access,
+            quotas=quotas,
         )
 
     async def _run(self, node_id: str, call: calls.Call) -> calls.Outcome:
@@ -358,3 +365,65 @@
 def test_without_customers_a_key_is_forwarded():
     _, sent = _serve([_OK], key="k")
     assert (b"key", b"k") in sent[0].headers
+
+
+class _Quotas:
+    """Quotas in which one customer has some tokens."""
+
+    def __init__(self, tokens: int):
+        self.tokens = tokens
+
+    def is_limited(self, customer: str) -> bool:
+        """Return True for the only customer."""
+        return customer == "c"
+
+    async def take(self, customer: str, now: float) -> float | None:
+        """Take a token or return a retry time."""
+        if not self.tokens:
+            return 0.25
+        self.tokens -= 1
+        return None
+
+    def give_back(self, customer: str, now: float) -> None:
+        """Return a token."""
+        self.tokens += 1
+
+
+def _serve_within_quota(script: list[calls.Result], quotas: _Quotas, **headers):
+    async def run():
+        entry = _Entry(script, quotas=quotas)
+        make_call = entry.entry._call
+
+        def call(*arguments):
+            return dataclasses.replace(make_call(*arguments), customer="c")
+
+        entry.entry._call = call
+        return await entry.serve(**headers), entry.sent
+
+    return uvloop.run(run())
+
+
+def test_call_above_the_limit_is_sent_or_has_no_retry_time():
+    answer, sent = _serve_within_quota([], _Quotas(0))
+    assert answer.status == 429
+    assert answer.headers
+    assert not sent
+
+
+@pytest.mark.parametrize(
+    ("result", "tokens"),
+    [(_OK, 1), (_FAILED, 1), (_TIMED_OUT, 1), (_REFUSED, 2)],
+)
+def test_token_of_a_call_that_may_have_run_is_given_back(result, tokens):
+    """Guards against lost tokens of refused calls, too."""
+    quotas = _Quotas(2)
+    _serve_within_quota([result] * 3, quotas, is_idempotent=False)
+    assert quotas.tokens == tokens
+
+
+def test_retry_at_another_server_takes_a_second_token():
+    quotas = _Quotas(5)
+    answer, sent = _serve_within_quota([_REFUSED, _SHED, _OK], quotas)
+    assert answer.status == 200
+    assert len(sent) == 3
+    assert quotas.tokens == 4
--- a/trefoilwind/customers/__init__.py
+++ b/trefoilwind/customers/__init__.py
@@ -1,1 +1,1 @@
-"""Customers of the mesh: keys and access."""
+"""Customers of the mesh: keys, access and quotas."""
--- a/trefoilwind/gateway/metrics_page.py
+++ b/trefoilwind/gateway/metrics_page.py
@@ -37,6 +37,8 @@
         proof_age_s: Seconds since the time as of which the operator's records
             are proven to be the newest; infinity for none.
         evacuated: Evacuated data centres, sorted.
+        quota_customers: Customers with a limit that are at work here.
+        quota_tokens_lent: Tokens that this node has lent as an owner.
     """
 
     is_ready: bool
@@ -54,6 +56,8 @@
     is_store_unavailable: bool
     proof_age_s: float
     evacuated: tuple[str, ...] = ()
+    quota_customers: int = 0
+    quota_tokens_lent: int = 0
 
 
 class MetricsPage:
@@ -156,3 +160,13 @@
             ("data_centre",),
             {(name,): 1 for name in gauges.evacuated},
         )
+    yield prometheus.gauge(
+        "quota_customers",
+        "Customers with a limit that are at work at this node.",
+        gauges.quota_customers,
+    )
+    yield prometheus.gauge(
+        "quota_tokens_lent",
+        "Tokens that this node has lent as an owner and that may be held.",
+        gauges.quota_tokens_lent,
+    )
