Bound the bytes that a process buffers by one account

Cause: each body was bounded, their sum was not. 24 callers with bodies of 8 MB took 216 to 236 MB where 128 MB are allowed, and idle connections took all descriptors. Reading pauses while a request waits for room; 503 after 2 s, 408 for one without progress, and small requests have a reserve. Idle connections are closed first when there are too many. A body is no longer copied behind its head or encoded before it is sent on a stream.

--- a/trefoilwind/gateway/http_client.py
+++ b/trefoilwind/gateway/http_client.py
@@ -34,6 +34,8 @@
 # Seconds beyond its deadline after which an answer that still arrives is given
 # up, however many bytes arrive.
 MAX_PROGRESS_S = 30.0
+# Largest body that is copied behind its head, to be sent at once.
+MAX_JOINED_BYTES = 64 * 1024
 # Answers to other requests that may precede an answer.
 MAX_DISCARDED_ANSWERS = 16
 # Idle time after which a connection is not reused, if the server announces
@@ -314,7 +316,11 @@
         self._match_answer = match_answer
         self._requests += 1
         self._reset_answer()
-        self._transport.write(head + body if body else head)
+        if len(body) > MAX_JOINED_BYTES:
+            self._transport.write(head)
+            self._transport.write(body)
+        else:
+            self._transport.write(head + body)
         self._timer = self._loop.call_at(deadline, self._time_out)
         try:
             return await self._waiter
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from trefoilwind.gateway import buffer_account
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import paced_parsing
 from trefoilwind.gateway import unread
@@ -26,6 +27,12 @@
 # chunks, their extensions and trailers; and more per byte of the body.
 MAX_OVERHEAD_BYTES = 64 * 1024
 MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Memory of the objects of a header, beside its bytes.
+HEADER_OBJECT_BYTES = 150
+# Seconds between two checks of the account of buffered bytes.
+ACCOUNT_CHECK_S = 0.25
+# Retry time given to a request that found no room for its body.
+_NO_ROOM_RETRY_S = b"1"
 # Seconds from the end of the last answer within which the caller has to close
 # its connection.
 LINGER_S = 1.0
@@ -39,6 +46,16 @@
 _HEAD_TOO_LARGE = http_types.HttpAnswer(431, (), b"", is_last=True)
 _BODY_TOO_LARGE = http_types.HttpAnswer(413, (), b"", is_last=True)
 _TIMED_OUT = http_types.HttpAnswer(408, (), b"", is_last=True)
+_NO_ROOM = http_types.HttpAnswer(
+    503, ((b"Retry-After", _NO_ROOM_RETRY_S),), b"", is_last=True
+)
+_REFUSALS = {
+    buffer_account.Verdict.NO_ROOM: _NO_ROOM,
+    buffer_account.Verdict.TOO_SLOW: _TIMED_OUT,
+}
+# Limits of a process whose settings name none.
+_DEFAULT_MEMORY_BYTES = 300_000_000
+_DEFAULT_DESCRIPTORS = 4100
 _INTERNAL = http_types.HttpAnswer(500, (), b"", is_last=True)
 
 
@@ -46,10 +63,26 @@
     """Listens on an address and tracks its connections."""
 
     def __init__(
-        self, handler: Handler, limits: Callable[[], mesh.CallerLimits]
+        self,
+        handler: Handler,
+        limits: Callable[[], mesh.CallerLimits],
+        account: buffer_account.BufferAccount | None = None,
     ):
+        """Initialize without an address.
+
+        Args:
+            handler: Coroutine function that answers the requests.
+            limits: Returns the limits on the requests.
+            account: Account of buffered bytes, which also bounds the
+                connections; None for one of the default process.
+        """
         self._handler = handler
         self._limits = limits
+        self._account = account or buffer_account.BufferAccount(
+            buffer_account.terms(_DEFAULT_MEMORY_BYTES, _DEFAULT_DESCRIPTORS)
+        )
+        self._check_timer: asyncio.TimerHandle | None = None
+        self._connections_refused = 0
         self._connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
         self._is_closing = False
@@ -94,6 +127,16 @@
         """
         return sum(connection.is_ended for connection in self._connections)
 
+    @property
+    def account(self) -> buffer_account.BufferAccount:
+        """Account of the bytes that connections buffer."""
+        return self._account
+
+    @property
+    def connections_refused(self) -> int:
+        """Number of connections closed as there were too many."""
+        return self._connections_refused
+
     @property
     def connections_accepted(self) -> int:
         """Number of connections accepted so far."""
@@ -203,7 +246,44 @@
     def add(self, connection: "_Connection") -> None:
         """Register a new connection."""
         self._connections_accepted += 1
+        most = self._account.account_terms.max_connections
+        if len(self._connections) >= most:
+            self._make_room(connection)
         self._connections.add(connection)
+        if self._check_timer is None:
+            self._schedule_check()
+
+    def _make_room(self, connection: "_Connection") -> None:
+        """Close the connection that has been idle for longest, or a new one.
+
+        Args:
+            connection: The new connection.
+        """
+        idle = [each for each in self._connections if each.is_idle]
+        victim = min(idle, key=lambda each: each.idle_since, default=connection)
+        self._connections_refused += 1
+        decisions.failure(
+            logger,
+            "connection_refused",
+            "callers: too many connections; one is closed",
+            open=len(self._connections),
+            was_idle=victim is not connection,
+        )
+        self.remove(victim)
+        victim.abort()
+
+    def _schedule_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._check_timer = loop.call_later(ACCOUNT_CHECK_S, self._check)
+
+    def _check(self) -> None:
+        self._check_timer = None
+        now = asyncio.get_running_loop().time()
+        for connection in self._connections:
+            connection.note_unsent(now)
+        self._account.check(now)
+        if self._connections:
+            self._schedule_check()
 
     def remove(self, connection: "_Connection") -> None:
         """Remove a closed connection."""
@@ -220,7 +300,15 @@
         self._parser = httptools.HttpRequestParser(self)
         self._paced = paced_parsing.PacedParser(server.rate, self._parse)
         self._task: asyncio.Task | None = None
-        self._pipelined: list[tuple[http_types.HttpRequest, bool]] = []
+        self._pipelined: list[
+            tuple[http_types.HttpRequest, bool, buffer_account.Share]
+        ] = []
+        self._share = buffer_account.Share(self._settle)
+        self._unsent_share = buffer_account.Share(
+            self._settle_unsent, is_answer=True
+        )
+        self._is_write_paused = False
+        self._is_waiting_for_room = False
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
         self._is_in_head = False
@@ -255,6 +343,11 @@
         is_closing = self._is_ended or self._transport.is_closing()
         return self._is_idle and not is_closing
 
+    @property
+    def idle_since(self) -> float:
+        """Event loop time in seconds since which it is idle."""
+        return self._idle_since
+
     @property
     def fileno(self) -> int:
         """File descriptor of the socket."""
@@ -284,10 +377,23 @@
         self._server.remove(self)
         self._paced.close()
         self._clear_timer()
-        self._pipelined.clear()
+        self._discard_pipelined()
+        for share in (self._share, self._unsent_share):
+            self._server.account.release(share, self._loop.time())
         if self._task is not None:
             self._task.cancel()
 
+    def pause_writing(self) -> None:
+        """Run no further request until the caller has read its answers."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Run the next request."""
+        self._is_write_paused = False
+        self.note_unsent(self._loop.time())
+        if self._task is None and not self._is_ended:
+            self._start_next()
+
     def eof_received(self) -> bool:
         """Close the connection when the caller half-closes it."""
         return False
@@ -318,13 +424,91 @@
                 self._reject(_BAD_REQUEST)
         self._received_bytes += len(data)
         self._limit_overhead()
+        if not (self._is_failed or self._is_head_complete):
+            items = HEADER_OBJECT_BYTES * len(self._headers)
+            self._request_room(self._received_bytes + items)
         if self._is_idle and self._is_in_body and not self._is_failed:
             limit_s = self._server.limits.idle_timeout_s
             self._set_timer(limit_s, self._time_out_request)
-        if self._is_queue_full and not self._is_read_paused:
+        self._pause_if_full()
+        return not (self._is_failed or self._has_last_request)
+
+    def _pause_if_full(self) -> None:
+        is_full = self._is_queue_full or self._is_waiting_for_room
+        if is_full and not self._is_read_paused:
             self._is_read_paused = True
             self._paced.hold()
-        return not (self._is_failed or self._has_last_request)
+
+    def _resume_unless_full(self) -> None:
+        is_full = self._is_queue_full or self._is_waiting_for_room
+        if self._is_read_paused and not is_full:
+            self._is_read_paused = False
+            self._paced.release()
+
+    def _request_room(self, total: int) -> None:
+        """Reserve bytes for the request that arrives, or pause its reading."""
+        now = self._loop.time()
+        verdict = self._server.account.request(self._share, total, now)
+        if verdict is buffer_account.Verdict.WAITING:
+            self._is_waiting_for_room = True
+        elif verdict is not buffer_account.Verdict.GRANTED:
+            self._refuse_share(verdict)
+
+    def _settle(self, verdict: buffer_account.Verdict) -> None:
+        """Apply a later decision on the request that arrives."""
+        self._is_waiting_for_room = False
+        if verdict is buffer_account.Verdict.GRANTED:
+            # The account is not changed while it grants shares.
+            self._loop.call_soon(self._resume_unless_full)
+        else:
+            self._refuse_share(verdict)
+
+    def _refuse_share(self, verdict: buffer_account.Verdict) -> None:
+        self._body = bytearray()
+        decisions.failure(
+            logger,
+            "request_refused",
+            "callers: request refused for lack of room or progress",
+            verdict=verdict.name.lower(),
+            received=self._share.received,
+            buffered=self._server.account.used_bytes,
+            waiting=self._server.account.waiting,
+        )
+        self._reject(_REFUSALS[verdict])
+
+    def _settle_unsent(self, verdict: buffer_account.Verdict) -> None:
+        """Close the connection of a caller that does not read answers."""
+        decisions.failure(
+            logger,
+            "answer_unread",
+            "callers: connection with unread answers closed",
+            unsent=self._transport.get_write_buffer_size(),
+        )
+        self.abort()
+
+    def note_unsent(self, now: float) -> None:
+        """Account for the answers that the caller has not read."""
+        account = self._server.account
+        unsent = self._transport.get_write_buffer_size()
+        share = self._unsent_share
+        if not unsent:
+            if share.reserved:
+                account.release(share, now)
+            return
+        if not share.is_arriving:
+            share.begin(now)
+        if unsent != share.reserved:
+            share.advance(max(0, share.reserved - unsent), now)
+            account.resize(share, unsent, now)
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._transport.abort()
+
+    def _discard_pipelined(self) -> None:
+        for _, _, share in self._pipelined:
+            self._server.account.release(share, self._loop.time())
+        self._pipelined.clear()
 
     def _limit_overhead(self) -> None:
         """Reject a request of which too many bytes belong to no body.
@@ -379,6 +563,11 @@
         if length and int(length) > self._server.limits.max_body_bytes:
             self._reject(_BODY_TOO_LARGE)
             return
+        self._share.begin(self._received)
+        if length:
+            self._request_room(self._share.reserved + int(length))
+        if self._is_failed:
+            return
         expected = http_types.find_header(tuple(self._headers), b"expect")
         if expected.lower() == b"100-continue" and self._task is None:
             self._transport.write(_CONTINUE)
@@ -386,9 +575,15 @@
     def on_body(self, chunk: bytes) -> None:
         """Buffer bytes of the body."""
         self._paced.count_item()
+        if self._is_failed:
+            return
         self._body += chunk
+        self._share.advance(len(chunk), self._loop.time())
         if len(self._body) > self._server.limits.max_body_bytes:
             self._reject(_BODY_TOO_LARGE)
+        elif len(self._body) > self._share.reserved:
+            steps = len(self._body) // buffer_account.STEP_BYTES + 1
+            self._request_room(steps * buffer_account.STEP_BYTES)
 
     def on_message_complete(self) -> None:
         """Run the request, or queue it behind the one in flight."""
@@ -405,14 +600,26 @@
         is_persistent = self._parser.should_keep_alive()
         self._body = bytearray()
         self._received_bytes = 0
+        share = self._end_share(len(request.body))
         if not is_persistent:
             self._has_last_request = True
-        if self._task is None:
-            self._start(request, is_persistent)
+        if self._task is None and not self._is_write_paused:
+            self._start(request, is_persistent, share)
         else:
-            self._pipelined.append((request, is_persistent))
+            self._pipelined.append((request, is_persistent, share))
             self._pipelined_bytes += len(request.body)
 
+    def _end_share(self, body_bytes: int) -> buffer_account.Share:
+        """Return the share of a request that has arrived."""
+        share = self._share
+        share.is_arriving = False
+        items = HEADER_OBJECT_BYTES * len(self._headers)
+        total = self._head_bytes + items + body_bytes
+        self._server.account.resize(share, total, self._loop.time())
+        self._is_waiting_for_room = False
+        self._share = buffer_account.Share(self._settle)
+        return share
+
     def _count_head(self, count: int) -> None:
         self._head_bytes += count
         if self._head_bytes > self._server.limits.max_header_bytes:
@@ -446,12 +653,19 @@
         return unread.is_readable(self._transport)
 
     def _start(
-        self, request: http_types.HttpRequest, is_persistent: bool
+        self,
+        request: http_types.HttpRequest,
+        is_persistent: bool,
+        share: buffer_account.Share,
     ) -> None:
         self._clear_timer()
         self._task = self._loop.create_task(
             self._answer(request, is_persistent)
         )
+        # A task that is cancelled before its first step runs no code.
+        self._task.add_done_callback(
+            lambda _: self._server.account.release(share, self._loop.time())
+        )
 
     async def _answer(
         self, request: http_types.HttpRequest, is_persistent: bool
@@ -477,9 +691,11 @@
 
     def _start_next(self) -> None:
         if self._pipelined:
-            request, is_persistent = self._pipelined.pop(0)
+            if self._is_write_paused:
+                return
+            request, is_persistent, share = self._pipelined.pop(0)
             self._pipelined_bytes -= len(request.body)
-            self._start(request, is_persistent)
+            self._start(request, is_persistent, share)
         elif self._is_failed:
             self._end()
         elif not self._is_in_head:
@@ -488,9 +704,7 @@
                 self._set_timer(limit_s, self._time_out_request)
             else:
                 self._start_idle()
-        if self._is_read_paused and not self._is_queue_full:
-            self._is_read_paused = False
-            self._paced.release()
+        self._resume_unless_full()
 
     def _write(
         self, answer: http_types.HttpAnswer, is_last: bool, is_head: bool
@@ -505,6 +719,7 @@
         if not is_head:
             parts.append(answer.body)
         self._transport.write(b"".join(parts))
+        self.note_unsent(self._loop.time())
 
     def _reject(self, answer: http_types.HttpAnswer) -> None:
         """Reject a malformed, oversized or slow request.
@@ -515,6 +730,8 @@
         if self._is_failed:
             return
         self._is_failed = True
+        self._body = bytearray()
+        self._server.account.release(self._share, self._loop.time())
         self._clear_timer()
         if self._task is None and not self._pipelined:
             self._write(answer, True, False)
@@ -531,7 +748,7 @@
         if self._is_ended or self._transport.is_closing():
             return
         self._is_ended = True
-        self._pipelined.clear()
+        self._discard_pipelined()
         self._paced.close()
         self._transport.resume_reading()
         self._transport.write_eof()
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -13,6 +13,7 @@
 from trefoilwind import errors
 from trefoilwind.distribution import frames
 from trefoilwind.gateway import board as board_lib
+from trefoilwind.gateway import buffer_account
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import control_messages
 from trefoilwind.gateway import entry as entry_lib
@@ -157,11 +158,17 @@
         self._members_read = asyncio.Event()
         self._headers = headers
         self._notices = server_notices.ServerNotices()
+        self._account = buffer_account.BufferAccount(
+            buffer_account.terms(
+                settings.process.memory_bytes, settings.process.descriptors
+            )
+        )
         self._remote = stream_calls.RemoteCalls()
         self._incoming = stream_calls.IncomingCalls(
             self._target.run,
             lambda: self._limits().max_body_bytes,
             self._target.refuse_arrival,
+            self._account,
         )
         self._peers = peers_lib.Peers(
             frames.Hello(
@@ -201,7 +208,9 @@
             self._random,
             lambda: self._operator_records.age_s,
         )
-        self._callers = http_server.HttpServer(self._serve, self._limits)
+        self._callers = http_server.HttpServer(
+            self._serve, self._limits, self._account
+        )
         self._publisher = publisher_lib.Publisher(
             store, node_settings.MESH_TOPIC, self._random
         )
--- a/trefoilwind/gateway/stream_calls.py
+++ b/trefoilwind/gateway/stream_calls.py
@@ -9,6 +9,7 @@
 
 from trefoilwind import errors
 from trefoilwind.distribution import frames
+from trefoilwind.gateway import buffer_account
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import streams
@@ -22,6 +23,8 @@
 # Seconds before a call's deadline at which the entry node cancels it, so that
 # the answer still reaches the caller, which is milliseconds away.
 DEADLINE_MARGIN_S = 0.01
+# Retry time of a call for whose body there was no room.
+NO_ROOM_RETRY_S = 0.5
 
 
 class RemoteCalls:
@@ -168,8 +171,10 @@
                 is_restricted=call.allowed_regions is not None,
             )
         )
+        # The body is not copied while it waits to be sent.
+        body = memoryview(call.body)
         for start in range(size, len(call.body), size):
-            chunk = call.body[start : start + size]
+            chunk = body[start : start + size]
             is_last = start + size >= len(call.body)
             stream.send(frames.CallBody(call_id, chunk, is_last))
 
@@ -209,6 +214,7 @@
     Attributes:
         call_open: First frame of the call.
         chunks: Chunks of the body so far.
+        share: Bytes that the body occupies.
         received: Event loop time in seconds at which the call was sent, by the
             clock of this node.
         expiry: Timer that discards the call at its deadline.
@@ -216,6 +222,7 @@
 
     call_open: frames.CallOpen
     chunks: list[bytes]
+    share: buffer_account.Share
     received: float
     expiry: asyncio.TimerHandle
 
@@ -230,6 +237,7 @@
         refuse: Callable[[calls.Call], calls.Outcome | None] = lambda call: (
             None
         ),
+        account: buffer_account.BufferAccount | None = None,
     ):
         """Initialize without calls.
 
@@ -238,7 +246,9 @@
             max_body_bytes: Returns the size of the largest body.
             refuse: Returns the refusal of a call whose body is still to
                 arrive, or None to await it.
+            account: Account of buffered bytes; None for no bound on them.
         """
+        self._account = account
         self._run = run
         self._max_body_bytes = max_body_bytes
         self._refuse = refuse
@@ -305,10 +315,57 @@
         expiry = self._loop.call_at(
             received + frame.remaining_s, self._discard, stream, frame.call_id
         )
-        arrival = _Arrival(frame, [frame.body], received, expiry)
+        share = buffer_account.Share(
+            lambda _: self._refuse_arrival(stream, frame, received)
+        )
+        arrival = _Arrival(frame, [frame.body], share, received, expiry)
         self._discard(stream, frame.call_id)
         self._arrivals.setdefault(stream, {})[frame.call_id] = arrival
         stream.begin_run()
+        share.begin(self._loop.time())
+        self._grow(stream, arrival, len(frame.body))
+
+    def _grow(
+        self, stream: streams.Stream, arrival: _Arrival, count: int
+    ) -> bool:
+        """Account for bytes of a body; refuse its call if there is no room.
+
+        The reading of a stream is not paused, as it carries other calls.
+        """
+        share = arrival.share
+        share.advance(count, self._loop.time())
+        if self._account is None or self._account.try_request(
+            share, share.received
+        ):
+            return True
+        self._refuse_arrival(stream, arrival.call_open, arrival.received)
+        return False
+
+    def _refuse_arrival(
+        self, stream: streams.Stream, frame: frames.CallOpen, received: float
+    ) -> None:
+        """Refuse a call whose body has not arrived; it has not run."""
+        if self._discard(stream, frame.call_id) is None:
+            return
+        decisions.failure(
+            logger,
+            "arrival_refused",
+            "target: call refused for lack of room for its body",
+            peer=stream.peer,
+            buffered=self._account.used_bytes,
+            elapsed_ms=round((self._loop.time() - received) * 1000),
+        )
+        error = errors.CallError(
+            errors.Reason.OVERLOADED,
+            _STEP,
+            not_run=True,
+            retry_s=NO_ROOM_RETRY_S,
+        )
+        _send_outcome(stream, frame.call_id, calls.Outcome(error))
+
+    def _release(self, share: buffer_account.Share) -> None:
+        if self._account is not None:
+            self._account.release(share, self._loop.time())
 
     def _discard(self, stream: streams.Stream, call_id: int) -> _Arrival | None:
         """Remove and return a call whose body is arriving; None if unknown."""
@@ -318,6 +375,7 @@
             self._arrivals.pop(stream, None)
         if arrival is not None:
             arrival.expiry.cancel()
+            self._release(arrival.share)
             stream.end_run()
         return arrival
 
@@ -328,7 +386,9 @@
         if arrival is None:
             return
         arrival.chunks.append(frame.chunk)
-        if sum(map(len, arrival.chunks)) > self._max_body_bytes():
+        if not self._grow(stream, arrival, len(frame.chunk)):
+            return
+        if arrival.share.received > self._max_body_bytes():
             logger.warning(
                 "target: body of a call from peer %s is too large; "
                 "closing the stream",
@@ -336,13 +396,10 @@
             )
             stream.abort()
         elif frame.is_last:
+            body = b"".join(arrival.chunks)
+            arrival.chunks.clear()
             self._discard(stream, frame.call_id)
-            self._start(
-                stream,
-                arrival.call_open,
-                b"".join(arrival.chunks),
-                arrival.received,
-            )
+            self._start(stream, arrival.call_open, body, arrival.received)
 
     def _start(
         self,
@@ -356,10 +413,21 @@
         )
         self._tasks.setdefault(stream, {})[call_open.call_id] = task
         stream.begin_run()
+        share = buffer_account.Share(lambda _: None)
+        if self._account is not None:
+            self._account.resize(share, len(body), self._loop.time())
         # A task that is cancelled before its first step runs no code.
-        task.add_done_callback(lambda _: self._ended(stream, call_open.call_id))
+        task.add_done_callback(
+            lambda _: self._ended(stream, call_open.call_id, share)
+        )
 
-    def _ended(self, stream: streams.Stream, call_id: int) -> None:
+    def _ended(
+        self,
+        stream: streams.Stream,
+        call_id: int,
+        share: buffer_account.Share,
+    ) -> None:
+        self._release(share)
         self._tasks.get(stream, {}).pop(call_id, None)
         stream.end_run()
 
@@ -439,8 +507,9 @@
             outcome.mean_s,
         )
     )
+    body = memoryview(result.body)
     for start in range(size, len(result.body), size):
-        chunk = result.body[start : start + size]
+        chunk = body[start : start + size]
         is_last = start + size >= len(result.body)
         stream.send(frames.AnswerBody(call_id, chunk, is_last))
 
--- a/trefoilwind/gateway/streams.py
+++ b/trefoilwind/gateway/streams.py
@@ -101,7 +101,9 @@
         self._peer_data_centre: str = ""
         self._unsent: list[bytes] = []
         # Unsent chunks of bodies by call id, the next body first.
-        self._bodies: dict[int, collections.deque[bytes]] = {}
+        self._bodies: dict[
+            int, collections.deque[frames.CallBody | frames.AnswerBody]
+        ] = {}
         self._body_bytes = 0
         self._is_write_paused = False
         self._last_received = self._loop.time()
@@ -247,17 +249,17 @@
         if not self._unsent and not self._bodies:
             self._loop.call_soon(self._flush)
         if isinstance(frame, _BODY_FRAMES):
-            chunk = frames.encode(frame)
+            # Encoded when it is written, so that the body is not copied.
             chunks = self._bodies.setdefault(frame.call_id, collections.deque())
-            chunks.append(chunk)
-            self._body_bytes += len(chunk)
+            chunks.append(frame)
+            self._body_bytes += len(frame.chunk)
             return
         self._unsent.append(frames.encode(frame))
 
     def discard_body(self, call_id: int) -> None:
         """Do not send the rest of the body of a call that has ended."""
-        for chunk in self._bodies.pop(call_id, ()):
-            self._body_bytes -= len(chunk)
+        for frame in self._bodies.pop(call_id, ()):
+            self._body_bytes -= len(frame.chunk)
 
     def finish(self) -> None:
         """Send the unsent frames and end this side of the connection.
@@ -416,11 +418,11 @@
         Bodies that took turns would all arrive late on a full path.
         """
         call_id, chunks = next(iter(self._bodies.items()))
-        chunk = chunks.popleft()
-        self._body_bytes -= len(chunk)
+        frame = chunks.popleft()
+        self._body_bytes -= len(frame.chunk)
         if not chunks:
             del self._bodies[call_id]
-        return chunk
+        return frames.encode(frame)
 
     def _schedule(self) -> None:
         """Set the timer to the time at which the peer may have to be probed.
