Run pipelined idempotent requests of a connection at the same time

Cause: requests of one connection ran one after the other, so a slow one held up the work behind it; answers were written whether or not the caller read them. Change: GET and HEAD of idempotent routes run beside each other, at most 8 of a connection; answers keep the order of the requests. Requests behind an answer that closes the connection are cancelled and not answered. No request starts while answers wait in the write buffer. The account of buffered bytes and the connections have gauges.

--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -559,3 +559,130 @@
             return await reader.read()
 
     assert uvloop.run(run()).startswith(b"HTTP/1.1 408")
+
+
+class _Overlapping(_Server):
+    """A server on which GET requests of a connection may overlap."""
+
+    def __init__(self):
+        super().__init__()
+        self.server = http_server.HttpServer(
+            self._handle,
+            lambda: self.limits,
+            may_overlap=lambda request: request.method == b"GET",
+        )
+
+    async def _handle(self, request):
+        if request.target != b"/endless":
+            return await super()._handle(request)
+        try:
+            return await asyncio.Future()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+
+
+async def _pipeline(server: _Overlapping, *requests: bytes):
+    """Send requests at once; return when those started wait.
+
+    The writer is returned too, as it closes the connection when it is freed.
+    """
+    reader, writer = await server.connect()
+    writer.write(
+        b"".join(b"%b HTTP/1.1\r\nHost: a\r\n\r\n" % r for r in requests)
+    )
+    await server.started.wait()
+    await asyncio.sleep(0.05)
+    return reader, writer
+
+
+def test_slow_pipelined_request_does_not_hold_up_the_work_behind_it():
+    async def run():
+        server = _Overlapping()
+        reader, _writer = await _pipeline(
+            server, b"GET /held", b"GET /1", b"GET /2"
+        )
+        assert len(server.requests) == 3
+        server.server.close_after_answers()
+        server.release()
+        async with asyncio.timeout(10.0):
+            return await reader.read()
+
+    assert uvloop.run(run()).count(b"HTTP/1.1 200") == 3
+
+
+def test_request_that_must_not_overlap_waits_for_those_ahead_of_it():
+    async def run():
+        server = _Overlapping()
+        reader, _writer = await _pipeline(
+            server, b"GET /held", b"PUT /1", b"GET /2"
+        )
+        assert len(server.requests) == 1
+        server.server.close_after_answers()
+        server.release()
+        async with asyncio.timeout(10.0):
+            await reader.read()
+        return [request.target for request in server.requests]
+
+    assert uvloop.run(run()) == [b"/held", b"/1", b"/2"]
+
+
+def test_overlapping_requests_of_a_connection_are_bounded():
+    async def run():
+        server = _Overlapping()
+        count = http_server.MAX_OVERLAPPING + 5
+        reader, _writer = await _pipeline(server, *[b"GET /held"] * count)
+        assert len(server.requests) == http_server.MAX_OVERLAPPING
+        server.server.close_after_answers()
+        server.release()
+        async with asyncio.timeout(10.0):
+            return count, (await reader.read()).count(b"HTTP/1.1 200")
+
+    count, answered = uvloop.run(run())
+    assert answered == count
+
+
+def test_requests_behind_a_closing_answer_are_cancelled_and_not_answered():
+    """They count as not read, so their callers may send them again."""
+
+    async def run():
+        server = _Overlapping()
+        server.last = True
+        reader, _writer = await _pipeline(
+            server, b"GET /held", b"GET /endless", b"PUT /2"
+        )
+        server.release()
+        async with asyncio.timeout(10.0):
+            received = await reader.read()
+            await server.cancelled.wait()
+        assert server.server.requests_dropped == 2
+        assert b"/2" not in {request.target for request in server.requests}
+        return received
+
+    assert uvloop.run(run()).count(b"HTTP/1.1 200") == 1
+
+
+def test_answers_to_a_caller_that_does_not_read_stop_its_requests():
+    """Each answer was added to those that waited to be sent."""
+
+    async def run():
+        limits = mesh.CallerLimits()
+        server = _Server(limits)
+        reader, writer = await server.connect()
+        body = bytes(4_000_000)
+        head = b"PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+        reader._transport.pause_reading()
+        for _ in range(8):
+            writer.write(head % len(body) + body)
+        await server.started.wait()
+        await asyncio.sleep(0.5)
+        handled = len(server.requests)
+        used = server.server.account.used_bytes
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        return handled, used, server.server.account.used_bytes
+
+    handled, used, left = uvloop.run(run())
+    assert handled < 8
+    assert used > 1_000_000
+    assert left == 0
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -44,6 +44,7 @@
 _STATUS_UNAVAILABLE = 503
 _STATUS_TIMEOUT = 504
 
+_SAFE_METHODS = frozenset({b"GET", b"HEAD"})
 _FINAL_REASONS = frozenset(
     {errors.Reason.DEADLINE_EXCEEDED, errors.Reason.POISON_REQUEST}
 )
@@ -168,6 +169,15 @@
         self._log_result(metadata, call, progress, result, answer.status)
         return answer
 
+    def may_overlap(self, request: http_types.HttpRequest) -> bool:
+        """Return True if a request may run beside others of its connection."""
+        if request.method not in _SAFE_METHODS:
+            return False
+        host = request.header(b"host").decode("latin-1")
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        route = self._board.routes.value.match(host, path)
+        return route is not None and route.is_idempotent
+
     @property
     def _timeout_at(self) -> float | None:
         """Event loop time in seconds at which a stop ends the calls."""
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -1,8 +1,10 @@
 """HTTP/1.1 server on the event loop; httptools parses the requests."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import http
 import logging
 
@@ -21,6 +23,8 @@
 
 # Pipelined requests of one connection from which on reading is paused.
 _MAX_PIPELINED = 16
+# Requests of one connection that run at the same time.
+MAX_OVERLAPPING = 8
 # Bytes of pipelined request bodies above which reading is paused.
 _MAX_PIPELINED_BYTES = 256 * 1024
 # Bytes outside of its head and body that a request may have: the framing of
@@ -67,6 +71,7 @@
         handler: Handler,
         limits: Callable[[], mesh.CallerLimits],
         account: buffer_account.BufferAccount | None = None,
+        may_overlap: Callable[[http_types.HttpRequest], bool] = lambda _: False,
     ):
         """Initialize without an address.
 
@@ -75,7 +80,10 @@
             limits: Returns the limits on the requests.
             account: Account of buffered bytes, which also bounds the
                 connections; None for one of the default process.
+            may_overlap: Returns whether a request may run beside others of
+                its connection.
         """
+        self._may_overlap = may_overlap
         self._handler = handler
         self._limits = limits
         self._account = account or buffer_account.BufferAccount(
@@ -132,6 +140,11 @@
         """Account of the bytes that connections buffer."""
         return self._account
 
+    @property
+    def connections_open(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
     @property
     def connections_refused(self) -> int:
         """Number of connections closed as there were too many."""
@@ -147,7 +160,7 @@
         """Number of requests read and left unanswered at a closed connection.
 
         They were pipelined behind an answer after which the connection was
-        closed, and have not run.
+        closed. None has run, except those that may overlap with others.
         """
         return self._requests_dropped
 
@@ -156,6 +169,10 @@
         """True if closing the sockets would reset what callers have sent."""
         return any(self._unread())
 
+    def may_overlap(self, request: http_types.HttpRequest) -> bool:
+        """Return True if a request may run beside others."""
+        return self._may_overlap(request)
+
     def count_dropped(self, count: int) -> None:
         """Count requests that were read and are not answered."""
         self._requests_dropped += count
@@ -290,6 +307,25 @@
         self._connections.discard(connection)
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class _Running:
+    """A request that runs, or whose answer waits behind an earlier one.
+
+    Attributes:
+        request: The request.
+        is_persistent: False if its caller wants no further answer.
+        share: Bytes that it and its answer occupy.
+        task: Task that runs it.
+        answer: Its answer; None until it is known.
+    """
+
+    request: http_types.HttpRequest
+    is_persistent: bool
+    share: buffer_account.Share
+    task: asyncio.Task | None = None
+    answer: http_types.HttpAnswer | None = None
+
+
 class _Connection(asyncio.Protocol):
     """Connection of a caller; answers are sent in the order of requests."""
 
@@ -299,10 +335,10 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._paced = paced_parsing.PacedParser(server.rate, self._parse)
-        self._task: asyncio.Task | None = None
-        self._pipelined: list[
-            tuple[http_types.HttpRequest, bool, buffer_account.Share]
-        ] = []
+        # Requests that have been started, in order.
+        self._running: collections.deque[_Running] = collections.deque()
+        # Requests that have not been started, in order.
+        self._pipelined: collections.deque[_Running] = collections.deque()
         self._share = buffer_account.Share(self._settle)
         self._unsent_share = buffer_account.Share(
             self._settle_unsent, is_answer=True
@@ -324,7 +360,7 @@
     @property
     def is_busy(self) -> bool:
         """True while a request is received or run, or its answer is sent."""
-        is_pending = self._task is not None or self._is_in_body
+        is_pending = self._running or self._is_in_body
         if is_pending or self._paced.has_rest:
             return True
         is_unsent = self._is_ended and self._transport.get_write_buffer_size()
@@ -377,11 +413,9 @@
         self._server.remove(self)
         self._paced.close()
         self._clear_timer()
-        self._discard_pipelined()
+        self._discard_requests()
         for share in (self._share, self._unsent_share):
             self._server.account.release(share, self._loop.time())
-        if self._task is not None:
-            self._task.cancel()
 
     def pause_writing(self) -> None:
         """Run no further request until the caller has read its answers."""
@@ -391,7 +425,7 @@
         """Run the next request."""
         self._is_write_paused = False
         self.note_unsent(self._loop.time())
-        if self._task is None and not self._is_ended:
+        if not (self._running or self._is_ended):
             self._start_next()
 
     def eof_received(self) -> bool:
@@ -505,10 +539,15 @@
         """Close the connection at once."""
         self._transport.abort()
 
-    def _discard_pipelined(self) -> None:
-        for _, _, share in self._pipelined:
-            self._server.account.release(share, self._loop.time())
+    def _discard_requests(self) -> None:
+        """Cancel the requests whose answers cannot be sent."""
+        discarded = (*self._running, *self._pipelined)
+        self._running.clear()
         self._pipelined.clear()
+        for each in discarded:
+            self._server.account.release(each.share, self._loop.time())
+            if each.task is not None:
+                each.task.cancel()
 
     def _limit_overhead(self) -> None:
         """Reject a request of which too many bytes belong to no body.
@@ -569,7 +608,7 @@
         if self._is_failed:
             return
         expected = http_types.find_header(tuple(self._headers), b"expect")
-        if expected.lower() == b"100-continue" and self._task is None:
+        if expected.lower() == b"100-continue" and not self._running:
             self._transport.write(_CONTINUE)
 
     def on_body(self, chunk: bytes) -> None:
@@ -603,11 +642,9 @@
         share = self._end_share(len(request.body))
         if not is_persistent:
             self._has_last_request = True
-        if self._task is None and not self._is_write_paused:
-            self._start(request, is_persistent, share)
-        else:
-            self._pipelined.append((request, is_persistent, share))
-            self._pipelined_bytes += len(request.body)
+        self._pipelined.append(_Running(request, is_persistent, share))
+        self._pipelined_bytes += len(request.body)
+        self._start_allowed()
 
     def _end_share(self, body_bytes: int) -> buffer_account.Share:
         """Return the share of a request that has arrived."""
@@ -633,7 +670,7 @@
 
     @property
     def _is_idle(self) -> bool:
-        return self._task is None and not self._pipelined
+        return not (self._running or self._pipelined)
 
     @property
     def _is_queue_full(self) -> bool:
@@ -643,7 +680,9 @@
     @property
     def _has_next_request(self) -> bool:
         """True if a request, or the beginning of one, was sent already."""
-        if self._pipelined or self._is_receiving or self._paced.has_rest:
+        if self._running or self._pipelined:
+            return True
+        if self._is_receiving or self._paced.has_rest:
             return True
         return self._is_readable
 
@@ -652,57 +691,72 @@
         """True if bytes or the end of the connection were not read yet."""
         return unread.is_readable(self._transport)
 
-    def _start(
-        self,
-        request: http_types.HttpRequest,
-        is_persistent: bool,
-        share: buffer_account.Share,
-    ) -> None:
-        self._clear_timer()
-        self._task = self._loop.create_task(
-            self._answer(request, is_persistent)
-        )
-        # A task that is cancelled before its first step runs no code.
-        self._task.add_done_callback(
-            lambda _: self._server.account.release(share, self._loop.time())
+    @property
+    def _may_start_next(self) -> bool:
+        """True if the next request may run now."""
+        if not self._pipelined or self._is_write_paused:
+            return False
+        if len(self._running) >= MAX_OVERLAPPING:
+            return False
+        return not self._running or all(
+            self._server.may_overlap(each.request)
+            for each in (self._pipelined[0], *self._running)
         )
 
-    async def _answer(
-        self, request: http_types.HttpRequest, is_persistent: bool
-    ) -> None:
+    def _start_allowed(self) -> None:
+        """Start the next requests that may run now."""
+        while self._may_start_next:
+            started = self._pipelined.popleft()
+            self._pipelined_bytes -= len(started.request.body)
+            self._clear_timer()
+            self._running.append(started)
+            started.task = self._loop.create_task(self._answer(started))
+
+    async def _answer(self, running: _Running) -> None:
         try:
-            answer = await self._server.handler(request)
+            answer = await self._server.handler(running.request)
         except asyncio.CancelledError:
-            self._task = None
+            if running in self._running:
+                self._running.remove(running)
+                self._server.account.release(running.share, self._loop.time())
             raise
         except Exception:
             logger.exception("callers: unexpected exception in a request")
             answer = _INTERNAL
-        self._task = None
-        # A request that was sent before this answer is answered as well.
-        is_closing = self._server.is_closing and not self._has_next_request
-        is_last = answer.is_last or not is_persistent or is_closing
-        self._write(answer, is_last, request.method == b"HEAD")
-        if is_last:
-            self._server.count_dropped(len(self._pipelined))
-            self._end()
-            return
+        running.task = None
+        running.answer = answer
+        if answer.body:
+            share = running.share
+            total = share.reserved + len(answer.body)
+            self._server.account.resize(share, total, self._loop.time())
+        self._send_answers()
+
+    def _send_answers(self) -> None:
+        """Send the answers that are ready, in the order of the requests."""
+        while self._running and self._running[0].answer is not None:
+            done = self._running.popleft()
+            self._server.account.release(done.share, self._loop.time())
+            answer = done.answer
+            # A request that was sent before this answer is answered as well.
+            is_closing = self._server.is_closing and not self._has_next_request
+            is_last = answer.is_last or not done.is_persistent or is_closing
+            self._write(answer, is_last, done.request.method == b"HEAD")
+            if is_last:
+                unanswered = len(self._running) + len(self._pipelined)
+                self._server.count_dropped(unanswered)
+                self._end()
+                return
         self._start_next()
 
     def _start_next(self) -> None:
-        if self._pipelined:
-            if self._is_write_paused:
-                return
-            request, is_persistent, share = self._pipelined.pop(0)
-            self._pipelined_bytes -= len(request.body)
-            self._start(request, is_persistent, share)
-        elif self._is_failed:
-            self._end()
-        elif not self._is_in_head:
-            if self._is_in_body:
+        self._start_allowed()
+        if self._is_idle:
+            if self._is_failed:
+                self._end()
+            elif self._is_in_body:
                 limit_s = self._server.limits.idle_timeout_s
                 self._set_timer(limit_s, self._time_out_request)
-            else:
+            elif not self._is_in_head:
                 self._start_idle()
         self._resume_unless_full()
 
@@ -733,7 +787,7 @@
         self._body = bytearray()
         self._server.account.release(self._share, self._loop.time())
         self._clear_timer()
-        if self._task is None and not self._pipelined:
+        if self._is_idle:
             self._write(answer, True, False)
             self._end()
 
@@ -748,7 +802,7 @@
         if self._is_ended or self._transport.is_closing():
             return
         self._is_ended = True
-        self._discard_pipelined()
+        self._discard_requests()
         self._paced.close()
         self._transport.resume_reading()
         self._transport.write_eof()
--- a/trefoilwind/gateway/metrics_page.py
+++ b/trefoilwind/gateway/metrics_page.py
@@ -29,6 +29,13 @@
             was late.
         requests_dropped: Requests that were read and not answered, as their
             connection was closed after an earlier answer.
+        buffered_bytes: Bytes reserved for requests and unread answers.
+        buffer_bytes: Bytes that may be reserved.
+        buffers_waiting: Requests whose reading is paused for lack of room.
+        buffers_refused: Requests refused and answers cut off for lack of room
+            or progress.
+        caller_connections: Open connections of callers.
+        connections_refused: Connections closed as there were too many.
         slots: Calls that the backend server runs at once.
         occupied: Calls running at the backend server or waiting for a slot.
         limit_per_s: Calls per second that the backend server accepts; infinity
@@ -45,6 +52,12 @@
     in_flight: int
     loop_delay_s: float
     requests_dropped: int
+    buffered_bytes: int
+    buffer_bytes: int
+    buffers_waiting: int
+    buffers_refused: int
+    caller_connections: int
+    connections_refused: int
     slots: int
     occupied: int
     limit_per_s: float
@@ -116,6 +129,37 @@
         " connection, since the start.",
         gauges.requests_dropped,
     )
+    yield prometheus.gauge(
+        "buffered_bytes",
+        "Bytes reserved for requests and unread answers.",
+        gauges.buffered_bytes,
+    )
+    yield prometheus.gauge(
+        "buffer_limit_bytes",
+        "Bytes that may be reserved for them.",
+        gauges.buffer_bytes,
+    )
+    yield prometheus.gauge(
+        "buffers_waiting",
+        "Requests whose reading is paused for lack of room.",
+        gauges.buffers_waiting,
+    )
+    yield prometheus.gauge(
+        "buffers_refused",
+        "Requests refused and answers cut off for lack of room or progress,"
+        " since the start.",
+        gauges.buffers_refused,
+    )
+    yield prometheus.gauge(
+        "caller_connections",
+        "Open connections of callers.",
+        gauges.caller_connections,
+    )
+    yield prometheus.gauge(
+        "caller_connections_refused",
+        "Connections closed as there were too many, since the start.",
+        gauges.connections_refused,
+    )
     yield prometheus.gauge(
         "backend_slots",
         "Calls that the backend server runs at once.",
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -209,7 +209,7 @@
             lambda: self._operator_records.age_s,
         )
         self._callers = http_server.HttpServer(
-            self._serve, self._limits, self._account
+            self._serve, self._limits, self._account, self._entry.may_overlap
         )
         self._publisher = publisher_lib.Publisher(
             store, node_settings.MESH_TOPIC, self._random
@@ -290,6 +290,12 @@
             in_flight=self._in_flight,
             loop_delay_s=self._loop_delay_s,
             requests_dropped=self._callers.requests_dropped,
+            buffered_bytes=self._account.used_bytes,
+            buffer_bytes=self._account.account_terms.large_bytes,
+            buffers_waiting=self._account.waiting,
+            buffers_refused=self._account.refused,
+            caller_connections=self._callers.connections_open,
+            connections_refused=self._callers.connections_refused,
             slots=self._target.slots,
             occupied=self._target.occupied,
             limit_per_s=self._target.limit_per_s,
