Keep room for small requests and bound what peers send into a full account

Cause: a stalled small request could be refused for the sake of a large one; a request of 200 KB waited behind many of 64 MB; the addresses of the machine had accounts of their own. Change: small requests give way to small ones only; who needs least goes first and takes the place of who needs most; metrics, readiness and heartbeats use the account of the process and bodies of up to 1 MB.

--- a/tests/test_gateway/test_gateway_buffer_account.py
+++ b/tests/test_gateway/test_gateway_buffer_account.py
@@ -51,6 +51,20 @@
     ]
 
 
+def test_stalled_small_request_stays_unless_small_ones_wait():
+    world = _World()
+    world.arrive("upload", 60_000)
+    world.arrive("large", 9 * _MB)[0].advance(9 * _MB, 0.9)
+    world.arrive("other", 5 * _MB)
+    world.account.check(1.0)
+    assert not world.settled
+    while world.arrive("more", 60_000, 1.0)[1] is _Verdict.GRANTED:
+        pass
+    world.account.check(1.1)
+    assert world.settled[0] == ("upload", _Verdict.TOO_SLOW)
+    assert ("more", _Verdict.GRANTED) in world.settled
+
+
 def test_stalled_body_stays_while_there_is_room():
     world = _World()
     world.arrive("a", 9 * _MB)[0].advance(_MB, 1.0)
@@ -114,6 +128,9 @@
     for _ in range(_TERMS.max_waiting):
         assert world.arrive("b", _MB)[1] is _Verdict.WAITING
     assert world.arrive("c", _MB)[1] is _Verdict.NO_ROOM
+    assert not world.settled
+    assert world.arrive("smaller", 200_000)[1] is _Verdict.WAITING
+    assert world.settled == [("b", _Verdict.NO_ROOM)]
 
 
 def test_time_of_a_pause_does_not_count_as_slowness():
--- a/trefoilwind/gateway/buffer_account.py
+++ b/trefoilwind/gateway/buffer_account.py
@@ -194,11 +194,11 @@
         if share in self._waiting:
             share.needed = max(share.needed, total)
             return Verdict.WAITING
-        if self._has_room(share, total) and not self._is_behind(total):
+        if self._has_room(share, total):
             self._reserve(share, total)
             return Verdict.GRANTED
         is_possible = total <= self._terms.large_bytes
-        if not is_possible or len(self._waiting) >= self._terms.max_waiting:
+        if not is_possible or not self._may_wait(total - share.reserved):
             self._refused[Verdict.NO_ROOM] += 1
             return Verdict.NO_ROOM
         share.needed = total
@@ -266,10 +266,16 @@
                 refused[share] = Verdict.TOO_SLOW
         is_over = self._used > self._terms.large_bytes
         if self._waiting or is_over:
+            # Small requests give up their room for small ones only.
+            is_small_short = any(
+                share.needed <= SMALL_BYTES for share in self._waiting
+            )
             stalled = [
                 share
                 for share in arriving
-                if share not in refused and _is_stalled(share, now)
+                if share not in refused
+                and (is_small_short or share.reserved > SMALL_BYTES)
+                and _is_stalled(share, now)
             ]
             missing = sum(map(_missing, self._waiting))
             missing += max(0, self._used - self._terms.large_bytes)
@@ -297,9 +303,17 @@
             limit += self._terms.reserve_bytes
         return self._used + total - share.reserved <= limit
 
-    def _is_behind(self, total: int) -> bool:
-        """Return True if a large share has to wait behind others."""
-        return total > SMALL_BYTES and bool(self._waiting)
+    def _may_wait(self, missing: int) -> bool:
+        """Return True if a share may wait, also in place of one for more."""
+        if len(self._waiting) < self._terms.max_waiting:
+            return True
+        most = max(self._waiting, key=_missing)
+        if _missing(most) <= missing:
+            return False
+        self._refused[Verdict.NO_ROOM] += 1
+        self._drop(most)
+        most.settle(Verdict.NO_ROOM)
+        return True
 
     def _reserve(self, share: Share, total: int) -> None:
         self._used += total - share.reserved
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -272,6 +272,11 @@
         """Settings in effect."""
         return self._settings
 
+    @property
+    def account(self) -> buffer_account.BufferAccount:
+        """Account of the bytes that the process buffers."""
+        return self._account
+
     @property
     def counts(self) -> counts_lib.MeshCounts:
         """Counters since the start of the process."""
--- a/trefoilwind/platform/program.py
+++ b/trefoilwind/platform/program.py
@@ -29,6 +29,8 @@
 FILE_CHECK_INTERVAL_S = 1.0
 _LISTEN_BACKLOG = 64
 _BYTES_PER_MB = 1_000_000
+# Limits of the addresses of the machine; a heartbeat has some hundred bytes.
+_ENDPOINT_LIMITS = mesh.CallerLimits(max_body_bytes=1024 * 1024)
 
 
 def mesh_settings(
@@ -146,7 +148,9 @@
 async def _serve_metrics(node: node_lib.MeshNode, host: str, port: int) -> None:
     """Serve the metrics; if that fails, the node still serves callers."""
     page = metrics_page.MetricsPage(node.counts, lambda: node.gauges)
-    server = http_server.HttpServer(page.serve, mesh.CallerLimits)
+    server = http_server.HttpServer(
+        page.serve, lambda: _ENDPOINT_LIMITS, node.account
+    )
     try:
         await server.listen(host, port, _LISTEN_BACKLOG)
     except OSError as error:
@@ -168,7 +172,9 @@
     }
     for text, handler in handlers.items():
         address = settings_lib.address(text)
-        server = http_server.HttpServer(handler, mesh.CallerLimits)
+        server = http_server.HttpServer(
+            handler, lambda: _ENDPOINT_LIMITS, node.account
+        )
         try:
             await server.listen(address.host, address.port, _LISTEN_BACKLOG)
         except OSError as error:
