--- a/trefoilwind/cmd/platform_node.py
+++ b/trefoilwind/cmd/platform_node.py
@@ -23,6 +23,7 @@
 from trefoilwind import errors
 from trefoilwind.logs import decisions
 from trefoilwind.model import addresses
+from trefoilwind.platform import allocator
 from trefoilwind.platform import program
 from trefoilwind.platform import settings as settings_lib
 
@@ -37,6 +38,7 @@
     settings = settings_lib.load_from_environment()
     if isinstance(settings, errors.Error):
         _fail(settings, EXIT_USAGE)
+    allocator.map_large_blocks()
     writer = decisions.Writer(settings.machine.node)
     writer.start()
     problem = uvloop.run(program.run(settings, arguments.metrics_port))
