Count no pause of the node as slowness of a caller

Cause: a body whose reading was paused behind pipelined requests counted as slow; a part of a body was refused although running requests would free room; a connection that was being closed could start a further request. Change: the rate is measured anew once reading goes on; parts are refused at once only if no other request holds bytes; no start on a closing connection.

--- a/tests/test_gateway/test_gateway_buffer_account.py
+++ b/tests/test_gateway/test_gateway_buffer_account.py
@@ -111,6 +111,19 @@
     ]
 
 
+def test_part_of_a_body_stays_while_a_running_request_will_free_room():
+    world = _World()
+    running, _ = world.arrive("running", 6 * _MB)
+    running.is_arriving = False
+    part, _ = world.arrive("part", 4 * _MB)
+    part.advance(4 * _MB, 0.1)
+    world.account.request(part, 5 * _MB, 0.1)
+    world.account.check(0.9)
+    assert not world.settled
+    world.account.release(running, 1.0)
+    assert world.settled == [("part", _Verdict.GRANTED)]
+
+
 def test_request_that_waits_for_long_is_refused():
     world = _World()
     busy, _ = world.arrive("busy", 10 * _MB)
--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from tests.test_gateway import fakes
+from trefoilwind.gateway import buffer_account
 from trefoilwind.gateway import http_server
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import paced_parsing
@@ -686,3 +687,26 @@
     assert handled < 8
     assert used > 1_000_000
     assert left == 0
+
+
+def test_body_whose_reading_is_paused_is_not_too_slow(monkeypatch):
+    """It waited behind pipelined requests, whose number is bounded."""
+    monkeypatch.setattr(buffer_account, "RATE_GRACE_S", 0.5)
+    monkeypatch.setattr(buffer_account, "MIN_RATE", 1e9)
+    body = bytes(300_000)
+    head = b"PUT /%b HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+
+    async def run():
+        server = _Server(mesh.CallerLimits())
+        reader, writer = await server.connect()
+        writer.write(head % (b"held", 0))
+        for _ in range(3):
+            writer.write(head % (b"1", len(body)) + body)
+        await server.started.wait()
+        await asyncio.sleep(1.5)
+        server.server.close_after_answers()
+        server.release()
+        async with asyncio.timeout(10.0):
+            return await reader.read()
+
+    assert uvloop.run(run()).count(b"HTTP/1.1 200") == 4
--- a/trefoilwind/gateway/buffer_account.py
+++ b/trefoilwind/gateway/buffer_account.py
@@ -284,12 +284,13 @@
             if now - since >= MAX_WAIT_S:
                 refused[share] = Verdict.NO_ROOM
         if not refused and self._waiting:
-            refused |= self._deadlocked(arriving)
+            refused |= self._deadlocked()
         return list(refused.items())
 
-    def _deadlocked(self, arriving: list[Share]) -> dict[Share, Verdict]:
+    def _deadlocked(self) -> dict[Share, Verdict]:
         """Return the share to refuse if all that hold bytes wait for more."""
-        if any(share.reserved > SMALL_BYTES for share in arriving):
+        others = self._shares - self._waiting.keys()
+        if any(share.reserved > SMALL_BYTES for share in others):
             return {}
         holding = [share for share in self._waiting if share.reserved]
         if not holding:
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -425,7 +425,8 @@
         """Run the next request."""
         self._is_write_paused = False
         self.note_unsent(self._loop.time())
-        if not (self._running or self._is_ended):
+        is_open = not (self._is_ended or self._transport.is_closing())
+        if is_open and not self._running:
             self._start_next()
 
     def eof_received(self) -> bool:
@@ -471,12 +472,16 @@
         is_full = self._is_queue_full or self._is_waiting_for_room
         if is_full and not self._is_read_paused:
             self._is_read_paused = True
+            # Its rate does not count while nothing is read.
+            self._share.is_arriving = False
             self._paced.hold()
 
     def _resume_unless_full(self) -> None:
         is_full = self._is_queue_full or self._is_waiting_for_room
         if self._is_read_paused and not is_full:
             self._is_read_paused = False
+            if self._is_in_body and not self._is_failed:
+                self._share.begin(self._loop.time())
             self._paced.release()
 
     def _request_room(self, total: int) -> None:
