--- a/tests/test_gateway/test_gateway_http_server.py
+++ b/tests/test_gateway/test_gateway_http_server.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from tests.test_gateway import fakes
+from trefoilwind.gateway import buffer_account
 from trefoilwind.gateway import http_server
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import paced_parsing
@@ -570,7 +571,7 @@
         server.server = http_server.HttpServer(
             server._handle,
             lambda: server.limits,
-            lambda head: refused if head.target == b"/no" else None,
+            check_head=lambda head: refused if head.target == b"/no" else None,
         )
         reader, writer = await server.connect()
         writer.write(_HEAD_OF_BODY % b"/yes" + b"12345")
@@ -589,3 +590,153 @@
 
 
 _HEAD_OF_BODY = b"POST %b HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n"
+
+
+class _Overlapping(_Server):
+    """A server on which GET requests of a connection may overlap."""
+
+    def __init__(self):
+        super().__init__()
+        self.server = http_server.HttpServer(
+            self._handle,
+            lambda: self.limits,
+            may_overlap=lambda request: request.method == b"GET",
+        )
+
+    async def _handle(self, request):
+        if request.target != b"/endless":
+            return await super()._handle(request)
+        try:
+            return await asyncio.Future()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+
+
+async def _pipeline(server: _Overlapping, *requests: bytes):
+    """Send requests at once; return when those started wait.
+
+    The writer is returned too, as it closes the connection when it is freed.
+    """
+    reader, writer = await server.connect()
+    writer.write(
+        b"".join(b"%b HTTP/1.1\r\nHost: a\r\n\r\n" % r for r in requests)
+    )
+    await server.started.wait()
+    await asyncio.sleep(0.05)
+    return reader, writer
+
+
+def test_slow_pipelined_request_does_not_hold_up_the_work_behind_it():
+    async def run():
+        server = _Overlapping()
+        reader, _writer = await _pipeline(
+            server, b"GET /held", b"GET /1", b"GET /2"
+        )
+        assert len(server.requests) == 3
+        server.server.close_after_answers()
+        server.release()
+        async with asyncio.timeout(10.0):
+            return await reader.read()
+
+    assert uvloop.run(run()).count(b"HTTP/1.1 200") == 3
+
+
+def test_request_that_must_not_overlap_waits_for_those_ahead_of_it():
+    async def run():
+        server = _Overlapping()
+        reader, _writer = await _pipeline(
+            server, b"GET /held", b"PUT /1", b"GET /2"
+        )
+        assert len(server.requests) == 1
+        server.server.close_after_answers()
+        server.release()
+        async with asyncio.timeout(10.0):
+            await reader.read()
+        return [request.target for request in server.requests]
+
+    assert uvloop.run(run()) == [b"/held", b"/1", b"/2"]
+
+
+def test_overlapping_requests_of_a_connection_are_bounded():
+    async def run():
+        server = _Overlapping()
+        count = http_server.MAX_OVERLAPPING + 5
+        reader, _writer = await _pipeline(server, *[b"GET /held"] * count)
+        assert len(server.requests) == http_server.MAX_OVERLAPPING
+        server.server.close_after_answers()
+        server.release()
+        async with asyncio.timeout(10.0):
+            return count, (await reader.read()).count(b"HTTP/1.1 200")
+
+    count, answered = uvloop.run(run())
+    assert answered == count
+
+
+def test_requests_behind_a_closing_answer_are_cancelled_and_not_answered():
+    """They count as not read, so their callers may send them again."""
+
+    async def run():
+        server = _Overlapping()
+        server.last = True
+        reader, _writer = await _pipeline(
+            server, b"GET /held", b"GET /endless", b"PUT /2"
+        )
+        server.release()
+        async with asyncio.timeout(10.0):
+            received = await reader.read()
+            await server.cancelled.wait()
+        assert server.server.requests_dropped == 2
+        assert b"/2" not in {request.target for request in server.requests}
+        return received
+
+    assert uvloop.run(run()).count(b"HTTP/1.1 200") == 1
+
+
+def test_answers_to_a_caller_that_does_not_read_stop_its_requests():
+    """Each answer was added to those that waited to be sent."""
+
+    async def run():
+        limits = mesh.CallerLimits()
+        server = _Server(limits)
+        reader, writer = await server.connect()
+        body = bytes(4_000_000)
+        head = b"PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+        reader._transport.pause_reading()
+        for _ in range(8):
+            writer.write(head % len(body) + body)
+        await server.started.wait()
+        await asyncio.sleep(0.5)
+        handled = len(server.requests)
+        used = server.server.account.used_bytes
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        return handled, used, server.server.account.used_bytes
+
+    handled, used, left = uvloop.run(run())
+    assert handled < 8
+    assert used > 1_000_000
+    assert left == 0
+
+
+def test_body_whose_reading_is_paused_is_not_too_slow(monkeypatch):
+    """It waited behind pipelined requests, whose number is bounded."""
+    monkeypatch.setattr(buffer_account, "RATE_GRACE_S", 0.5)
+    monkeypatch.setattr(buffer_account, "MIN_RATE", 1e9)
+    body = bytes(300_000)
+    head = b"PUT /%b HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+
+    async def run():
+        server = _Server(mesh.CallerLimits())
+        reader, writer = await server.connect()
+        writer.write(head % (b"held", 0))
+        for _ in range(3):
+            writer.write(head % (b"1", len(body)) + body)
+        await server.started.wait()
+        await asyncio.sleep(1.5)
+        server.server.close_after_answers()
+        server.release()
+        async with asyncio.timeout(10.0):
+            return await reader.read()
+
+    assert uvloop.run(run()).count(b"HTTP/1.1 200") == 4
--- a/trefoilwind/gateway/http_server.py
+++ b/trefoilwind/gateway/http_server.py
@@ -1,13 +1,16 @@
 """HTTP/1.1 server on the event loop; httptools parses the requests."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import http
 import logging
 
 import httptools
 
+from trefoilwind.gateway import buffer_account
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import paced_parsing
 from trefoilwind.gateway import unread
@@ -22,12 +25,20 @@
 
 # Pipelined requests of one connection from which on reading is paused.
 _MAX_PIPELINED = 16
+# Requests of one connection that run at the same time.
+MAX_OVERLAPPING = 8
 # Bytes of pipelined request bodies above which reading is paused.
 _MAX_PIPELINED_BYTES = 256 * 1024
 # Bytes outside of its head and body that a request may have: the framing of
 # chunks, their extensions and trailers; and more per byte of the body.
 MAX_OVERHEAD_BYTES = 64 * 1024
 MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Memory of the objects of a header, beside its bytes.
+HEADER_OBJECT_BYTES = 150
+# Seconds between two checks of the account of buffered bytes.
+ACCOUNT_CHECK_S = 0.25
+# Retry time given to a request that found no room for its body.
+_NO_ROOM_RETRY_S = b"1"
 # Seconds from the end of the last answer within which the caller has to close
 # its connection.
 LINGER_S = 1.0
@@ -41,6 +52,16 @@
 _HEAD_TOO_LARGE = http_types.HttpAnswer(431, (), b"", is_last=True)
 _BODY_TOO_LARGE = http_types.HttpAnswer(413, (), b"", is_last=True)
 _TIMED_OUT = http_types.HttpAnswer(408, (), b"", is_last=True)
+_NO_ROOM = http_types.HttpAnswer(
+    503, ((b"Retry-After", _NO_ROOM_RETRY_S),), b"", is_last=True
+)
+_REFUSALS = {
+    buffer_account.Verdict.NO_ROOM: _NO_ROOM,
+    buffer_account.Verdict.TOO_SLOW: _TIMED_OUT,
+}
+# Limits of a process whose settings name none.
+_DEFAULT_MEMORY_BYTES = 300_000_000
+_DEFAULT_DESCRIPTORS = 4100
 _INTERNAL = http_types.HttpAnswer(500, (), b"", is_last=True)
 
 
@@ -51,11 +72,31 @@
         self,
         handler: Handler,
         limits: Callable[[], mesh.CallerLimits],
+        account: buffer_account.BufferAccount | None = None,
+        may_overlap: Callable[[http_types.HttpRequest], bool] = lambda _: False,
         check_head: HeadCheck = lambda request: None,
     ):
+        """Initialize without an address.
+
+        Args:
+            handler: Coroutine function that answers the requests.
+            limits: Returns the limits on the requests.
+            account: Account of buffered bytes, which also bounds the
+                connections; None for one of the default process.
+            may_overlap: Returns whether a request may run beside others of
+                its connection.
+            check_head: Returns the refusal of a request whose body is still to
+                be read, or None.
+        """
+        self._may_overlap = may_overlap
         self._handler = handler
         self._check_head = check_head
         self._limits = limits
+        self._account = account or buffer_account.BufferAccount(
+            buffer_account.terms(_DEFAULT_MEMORY_BYTES, _DEFAULT_DESCRIPTORS)
+        )
+        self._check_timer: asyncio.TimerHandle | None = None
+        self._connections_refused = 0
         self._connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
         self._is_closing = False
@@ -105,6 +146,21 @@
         """
         return sum(connection.is_ended for connection in self._connections)
 
+    @property
+    def account(self) -> buffer_account.BufferAccount:
+        """Account of the bytes that connections buffer."""
+        return self._account
+
+    @property
+    def connections_open(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    @property
+    def connections_refused(self) -> int:
+        """Number of connections closed as there were too many."""
+        return self._connections_refused
+
     @property
     def connections_accepted(self) -> int:
         """Number of connections accepted so far."""
@@ -115,7 +171,7 @@
         """Number of requests read and left unanswered at a closed connection.
 
         They were pipelined behind an answer after which the connection was
-        closed, and have not run.
+        closed. None has run, except those that may overlap with others.
         """
         return self._requests_dropped
 
@@ -124,6 +180,10 @@
         """True if closing the sockets would reset what callers have sent."""
         return any(self._unread())
 
+    def may_overlap(self, request: http_types.HttpRequest) -> bool:
+        """Return True if a request may run beside others."""
+        return self._may_overlap(request)
+
     def count_dropped(self, count: int) -> None:
         """Count requests that were read and are not answered."""
         self._requests_dropped += count
@@ -214,13 +274,69 @@
     def add(self, connection: "_Connection") -> None:
         """Register a new connection."""
         self._connections_accepted += 1
+        most = self._account.account_terms.max_connections
+        if len(self._connections) >= most:
+            self._make_room(connection)
         self._connections.add(connection)
+        if self._check_timer is None:
+            self._schedule_check()
+
+    def _make_room(self, connection: "_Connection") -> None:
+        """Close the connection that has been idle for longest, or a new one.
+
+        Args:
+            connection: The new connection.
+        """
+        idle = [each for each in self._connections if each.is_idle]
+        victim = min(idle, key=lambda each: each.idle_since, default=connection)
+        self._connections_refused += 1
+        decisions.failure(
+            logger,
+            "connection_refused",
+            "callers: too many connections; one is closed",
+            open=len(self._connections),
+            was_idle=victim is not connection,
+        )
+        self.remove(victim)
+        victim.abort()
+
+    def _schedule_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._check_timer = loop.call_later(ACCOUNT_CHECK_S, self._check)
+
+    def _check(self) -> None:
+        self._check_timer = None
+        now = asyncio.get_running_loop().time()
+        for connection in self._connections:
+            connection.note_unsent(now)
+        self._account.check(now)
+        if self._connections:
+            self._schedule_check()
 
     def remove(self, connection: "_Connection") -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class _Running:
+    """A request that runs, or whose answer waits behind an earlier one.
+
+    Attributes:
+        request: The request.
+        is_persistent: False if its caller wants no further answer.
+        share: Bytes that it and its answer occupy.
+        task: Task that runs it.
+        answer: Its answer; None until it is known.
+    """
+
+    request: http_types.HttpRequest
+    is_persistent: bool
+    share: buffer_account.Share
+    task: asyncio.Task | None = None
+    answer: http_types.HttpAnswer | None = None
+
+
 class _Connection(asyncio.Protocol):
     """Connection of a caller; answers are sent in the order of requests."""
 
@@ -230,8 +346,16 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._paced = paced_parsing.PacedParser(server.rate, self._parse)
-        self._task: asyncio.Task | None = None
-        self._pipelined: list[tuple[http_types.HttpRequest, bool]] = []
+        # Requests that have been started, in order.
+        self._running: collections.deque[_Running] = collections.deque()
+        # Requests that have not been started, in order.
+        self._pipelined: collections.deque[_Running] = collections.deque()
+        self._share = buffer_account.Share(self._settle)
+        self._unsent_share = buffer_account.Share(
+            self._settle_unsent, is_answer=True
+        )
+        self._is_write_paused = False
+        self._is_waiting_for_room = False
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
         self._is_in_head = False
@@ -247,7 +371,7 @@
     @property
     def is_busy(self) -> bool:
         """True while a request is received or run, or its answer is sent."""
-        is_pending = self._task is not None or self._is_in_body
+        is_pending = self._running or self._is_in_body
         if is_pending or self._paced.has_rest:
             return True
         is_unsent = self._is_ended and self._transport.get_write_buffer_size()
@@ -266,6 +390,11 @@
         is_closing = self._is_ended or self._transport.is_closing()
         return self._is_idle and not is_closing
 
+    @property
+    def idle_since(self) -> float:
+        """Event loop time in seconds since which it is idle."""
+        return self._idle_since
+
     @property
     def fileno(self) -> int:
         """File descriptor of the socket."""
@@ -295,9 +424,21 @@
         self._server.remove(self)
         self._paced.close()
         self._clear_timer()
-        self._pipelined.clear()
-        if self._task is not None:
-            self._task.cancel()
+        self._discard_requests()
+        for share in (self._share, self._unsent_share):
+            self._server.account.release(share, self._loop.time())
+
+    def pause_writing(self) -> None:
+        """Run no further request until the caller has read its answers."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Run the next request."""
+        self._is_write_paused = False
+        self.note_unsent(self._loop.time())
+        is_open = not (self._is_ended or self._transport.is_closing())
+        if is_open and not self._running:
+            self._start_next()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller half-closes it."""
@@ -329,13 +470,100 @@
                 self._reject(_BAD_REQUEST)
         self._received_bytes += len(data)
         self._limit_overhead()
+        if not (self._is_failed or self._is_head_complete):
+            items = HEADER_OBJECT_BYTES * len(self._headers)
+            self._request_room(self._received_bytes + items)
         if self._is_idle and self._is_in_body and not self._is_failed:
             limit_s = self._server.limits.idle_timeout_s
             self._set_timer(limit_s, self._time_out_request)
-        if self._is_queue_full and not self._is_read_paused:
+        self._pause_if_full()
+        return not (self._is_failed or self._has_last_request)
+
+    def _pause_if_full(self) -> None:
+        is_full = self._is_queue_full or self._is_waiting_for_room
+        if is_full and not self._is_read_paused:
             self._is_read_paused = True
+            # Its rate does not count while nothing is read.
+            self._share.is_arriving = False
             self._paced.hold()
-        return not (self._is_failed or self._has_last_request)
+
+    def _resume_unless_full(self) -> None:
+        is_full = self._is_queue_full or self._is_waiting_for_room
+        if self._is_read_paused and not is_full:
+            self._is_read_paused = False
+            if self._is_in_body and not self._is_failed:
+                self._share.begin(self._loop.time())
+            self._paced.release()
+
+    def _request_room(self, total: int) -> None:
+        """Reserve bytes for the request that arrives, or pause its reading."""
+        now = self._loop.time()
+        verdict = self._server.account.request(self._share, total, now)
+        if verdict is buffer_account.Verdict.WAITING:
+            self._is_waiting_for_room = True
+        elif verdict is not buffer_account.Verdict.GRANTED:
+            self._refuse_share(verdict)
+
+    def _settle(self, verdict: buffer_account.Verdict) -> None:
+        """Apply a later decision on the request that arrives."""
+        self._is_waiting_for_room = False
+        if verdict is buffer_account.Verdict.GRANTED:
+            # The account is not changed while it grants shares.
+            self._loop.call_soon(self._resume_unless_full)
+        else:
+            self._refuse_share(verdict)
+
+    def _refuse_share(self, verdict: buffer_account.Verdict) -> None:
+        self._body = bytearray()
+        decisions.failure(
+            logger,
+            "request_refused",
+            "callers: request refused for lack of room or progress",
+            verdict=verdict.name.lower(),
+            received=self._share.received,
+            buffered=self._server.account.used_bytes,
+            waiting=self._server.account.waiting,
+        )
+        self._reject(_REFUSALS[verdict])
+
+    def _settle_unsent(self, verdict: buffer_account.Verdict) -> None:
+        """Close the connection of a caller that does not read answers."""
+        decisions.failure(
+            logger,
+            "answer_unread",
+            "callers: connection with unread answers closed",
+            unsent=self._transport.get_write_buffer_size(),
+        )
+        self.abort()
+
+    def note_unsent(self, now: float) -> None:
+        """Account for the answers that the caller has not read."""
+        account = self._server.account
+        unsent = self._transport.get_write_buffer_size()
+        share = self._unsent_share
+        if not unsent:
+            if share.reserved:
+                account.release(share, now)
+            return
+        if not share.is_arriving:
+            share.begin(now)
+        if unsent != share.reserved:
+            share.advance(max(0, share.reserved - unsent), now)
+            account.resize(share, unsent, now)
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._transport.abort()
+
+    def _discard_requests(self) -> None:
+        """Cancel the requests whose answers cannot be sent."""
+        discarded = (*self._running, *self._pipelined)
+        self._running.clear()
+        self._pipelined.clear()
+        for each in discarded:
+            self._server.account.release(each.share, self._loop.time())
+            if each.task is not None:
+                each.task.cancel()
 
     def _limit_overhead(self) -> None:
         """Reject a request of which too many bytes belong to no body.
@@ -394,8 +622,13 @@
         if refusal is not None:
             self._reject(refusal)
             return
+        self._share.begin(self._received)
+        if length:
+            self._request_room(self._share.reserved + int(length))
+        if self._is_failed:
+            return
         expected = http_types.find_header(tuple(self._headers), b"expect")
-        if expected.lower() == b"100-continue" and self._task is None:
+        if expected.lower() == b"100-continue" and not self._running:
             self._transport.write(_CONTINUE)
 
     def _refusal_of_head(self, length: bytes) -> http_types.HttpAnswer | None:
@@ -421,9 +654,15 @@
     def on_body(self, chunk: bytes) -> None:
         """Buffer bytes of the body."""
         self._paced.count_item()
+        if self._is_failed:
+            return
         self._body += chunk
+        self._share.advance(len(chunk), self._loop.time())
         if len(self._body) > self._server.limits.max_body_bytes:
             self._reject(_BODY_TOO_LARGE)
+        elif len(self._body) > self._share.reserved:
+            steps = len(self._body) // buffer_account.STEP_BYTES + 1
+            self._request_room(steps * buffer_account.STEP_BYTES)
 
     def on_message_complete(self) -> None:
         """Run the request, or queue it behind the one in flight."""
@@ -440,13 +679,23 @@
         is_persistent = self._parser.should_keep_alive()
         self._body = bytearray()
         self._received_bytes = 0
+        share = self._end_share(len(request.body))
         if not is_persistent:
             self._has_last_request = True
-        if self._task is None:
-            self._start(request, is_persistent)
-        else:
-            self._pipelined.append((request, is_persistent))
-            self._pipelined_bytes += len(request.body)
+        self._pipelined.append(_Running(request, is_persistent, share))
+        self._pipelined_bytes += len(request.body)
+        self._start_allowed()
+
+    def _end_share(self, body_bytes: int) -> buffer_account.Share:
+        """Return the share of a request that has arrived."""
+        share = self._share
+        share.is_arriving = False
+        items = HEADER_OBJECT_BYTES * len(self._headers)
+        total = self._head_bytes + items + body_bytes
+        self._server.account.resize(share, total, self._loop.time())
+        self._is_waiting_for_room = False
+        self._share = buffer_account.Share(self._settle)
+        return share
 
     def _count_head(self, count: int) -> None:
         self._head_bytes += count
@@ -461,7 +710,7 @@
 
     @property
     def _is_idle(self) -> bool:
-        return self._task is None and not self._pipelined
+        return not (self._running or self._pipelined)
 
     @property
     def _is_queue_full(self) -> bool:
@@ -471,7 +720,9 @@
     @property
     def _has_next_request(self) -> bool:
         """True if a request, or the beginning of one, was sent already."""
-        if self._pipelined or self._is_receiving or self._paced.has_rest:
+        if self._running or self._pipelined:
+            return True
+        if self._is_receiving or self._paced.has_rest:
             return True
         return self._is_readable
 
@@ -480,52 +731,74 @@
         """True if bytes or the end of the connection were not read yet."""
         return unread.is_readable(self._transport)
 
-    def _start(
-        self, request: http_types.HttpRequest, is_persistent: bool
-    ) -> None:
-        self._clear_timer()
-        self._task = self._loop.create_task(
-            self._answer(request, is_persistent)
+    @property
+    def _may_start_next(self) -> bool:
+        """True if the next request may run now."""
+        if not self._pipelined or self._is_write_paused:
+            return False
+        if len(self._running) >= MAX_OVERLAPPING:
+            return False
+        return not self._running or all(
+            self._server.may_overlap(each.request)
+            for each in (self._pipelined[0], *self._running)
         )
 
-    async def _answer(
-        self, request: http_types.HttpRequest, is_persistent: bool
-    ) -> None:
+    def _start_allowed(self) -> None:
+        """Start the next requests that may run now."""
+        while self._may_start_next:
+            started = self._pipelined.popleft()
+            self._pipelined_bytes -= len(started.request.body)
+            self._clear_timer()
+            self._running.append(started)
+            started.task = self._loop.create_task(self._answer(started))
+
+    async def _answer(self, running: _Running) -> None:
         try:
-            answer = await self._server.handler(request)
+            answer = await self._server.handler(running.request)
         except asyncio.CancelledError:
-            self._task = None
+            if running in self._running:
+                self._running.remove(running)
+                self._server.account.release(running.share, self._loop.time())
             raise
         except Exception:
             logger.exception("callers: unexpected exception in a request")
             answer = _INTERNAL
-        self._task = None
-        # A request that was sent before this answer is answered as well.
-        is_closing = self._server.is_closing and not self._has_next_request
-        is_last = answer.is_last or not is_persistent or is_closing
-        self._write(answer, is_last, request.method == b"HEAD")
-        if is_last:
-            self._server.count_dropped(len(self._pipelined))
-            self._end()
-            return
+        running.task = None
+        running.answer = answer
+        if answer.body:
+            share = running.share
+            total = share.reserved + len(answer.body)
+            self._server.account.resize(share, total, self._loop.time())
+        self._send_answers()
+
+    def _send_answers(self) -> None:
+        """Send the answers that are ready, in the order of the requests."""
+        while self._running and self._running[0].answer is not None:
+            done = self._running.popleft()
+            self._server.account.release(done.share, self._loop.time())
+            answer = done.answer
+            # A request that was sent before this answer is answered as well.
+            is_closing = self._server.is_closing and not self._has_next_request
+            is_last = answer.is_last or not done.is_persistent or is_closing
+            self._write(answer, is_last, done.request.method == b"HEAD")
+            if is_last:
+                unanswered = len(self._running) + len(self._pipelined)
+                self._server.count_dropped(unanswered)
+                self._end()
+                return
         self._start_next()
 
     def _start_next(self) -> None:
-        if self._pipelined:
-            request, is_persistent = self._pipelined.pop(0)
-            self._pipelined_bytes -= len(request.body)
-            self._start(request, is_persistent)
-        elif self._is_failed:
-            self._end()
-        elif not self._is_in_head:
-            if self._is_in_body:
+        self._start_allowed()
+        if self._is_idle:
+            if self._is_failed:
+                self._end()
+            elif self._is_in_body:
                 limit_s = self._server.limits.idle_timeout_s
                 self._set_timer(limit_s, self._time_out_request)
-            else:
+            elif not self._is_in_head:
                 self._start_idle()
-        if self._is_read_paused and not self._is_queue_full:
-            self._is_read_paused = False
-            self._paced.release()
+        self._resume_unless_full()
 
     def _write(
         self, answer: http_types.HttpAnswer, is_last: bool, is_head: bool
@@ -540,6 +813,7 @@
         if not is_head:
             parts.append(answer.body)
         self._transport.write(b"".join(parts))
+        self.note_unsent(self._loop.time())
 
     def _reject(self, answer: http_types.HttpAnswer) -> None:
         """Reject a malformed, oversized or slow request.
@@ -550,8 +824,10 @@
         if self._is_failed:
             return
         self._is_failed = True
+        self._body = bytearray()
+        self._server.account.release(self._share, self._loop.time())
         self._clear_timer()
-        if self._task is None and not self._pipelined:
+        if self._is_idle:
             self._write(answer, True, False)
             self._end()
 
@@ -566,7 +842,7 @@
         if self._is_ended or self._transport.is_closing():
             return
         self._is_ended = True
-        self._pipelined.clear()
+        self._discard_requests()
         self._paced.close()
         self._transport.resume_reading()
         self._transport.write_eof()
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -14,6 +14,7 @@
 from trefoilwind.customers import access as access_lib
 from trefoilwind.distribution import frames
 from trefoilwind.gateway import board as board_lib
+from trefoilwind.gateway import buffer_account
 from trefoilwind.gateway import calls
 from trefoilwind.gateway import cold_servers
 from trefoilwind.gateway import control_messages
@@ -180,11 +181,17 @@
         self._members_read = asyncio.Event()
         self._headers = headers
         self._notices = server_notices.ServerNotices()
+        self._account = buffer_account.BufferAccount(
+            buffer_account.terms(
+                settings.process.memory_bytes, settings.process.descriptors
+            )
+        )
         self._remote = stream_calls.RemoteCalls()
         self._incoming = stream_calls.IncomingCalls(
             self._target.run,
             lambda: self._limits().max_body_bytes,
             self._target.refuse_arrival,
+            self._account,
         )
         self._peers = peers_lib.Peers(
             frames.Hello(
@@ -241,7 +248,11 @@
             self._quotas,
         )
         self._callers = http_server.HttpServer(
-            self._serve, self._limits, self._entry.check_head
+            self._serve,
+            self._limits,
+            self._account,
+            self._entry.may_overlap,
+            self._entry.check_head,
         )
         self._publisher = publisher_lib.Publisher(
             store, node_settings.MESH_TOPIC, self._random
@@ -310,6 +321,11 @@
         """Quotas of customers."""
         return self._quotas
 
+    @property
+    def account(self) -> buffer_account.BufferAccount:
+        """Account of the bytes that the process buffers."""
+        return self._account
+
     @property
     def counts(self) -> counts_lib.MeshCounts:
         """Counters since the start of the process."""
@@ -329,6 +345,12 @@
             in_flight=self._in_flight,
             loop_delay_s=self._loop_delay_s,
             requests_dropped=self._callers.requests_dropped,
+            buffered_bytes=self._account.used_bytes,
+            buffer_bytes=self._account.account_terms.large_bytes,
+            buffers_waiting=self._account.waiting,
+            buffers_refused=self._account.refused,
+            caller_connections=self._callers.connections_open,
+            connections_refused=self._callers.connections_refused,
             slots=self._target.slots,
             occupied=self._target.occupied,
             limit_per_s=self._target.limit_per_s,
