Choose owners of quotas by each node's own view

The owner was elected by promises of a majority of relays. That is a group of our own that agrees on something, which the project does not run: what has to be agreed on goes through the platform's store. Now the owner is the first candidate of a ranking that a node hears, directly or by the report of another candidate. A candidate that hears half of the others or fewer does not lend, nor does one in the time in which an earlier owner may lend or be owed tokens. A process that was suspended begins anew.

--- a/trefoilwind/customers/quota_exchange.py
+++ b/trefoilwind/customers/quota_exchange.py
@@ -1,4 +1,4 @@
-"""Requests for tokens, loans and claims of one node; no network of its own.
+"""Requests for tokens, loans and owners of one node; no network of its own.
 
 Answers thousands of small customers at hundreds of nodes: a node sends the asks
 of all its customers in one request to a relay of its data centre, a few times a
@@ -11,10 +11,10 @@
 import logging
 
 from trefoilwind.customers import quota_account
-from trefoilwind.customers import quota_ballot
 from trefoilwind.customers import quota_limits
 from trefoilwind.customers import quota_messages
 from trefoilwind.customers import quota_owner
+from trefoilwind.customers import quota_ownership
 from trefoilwind.distribution import topology
 from trefoilwind.logs import decisions
 from trefoilwind.membership import directory
@@ -31,7 +31,8 @@
 # Seconds for which a node and a relay collect what they send together.
 COLLECT_S = 0.005
 RELAY_COLLECT_S = 0.01
-# Seconds between two claims, and between two looks at the customers at work.
+# Seconds between two messages to the other candidates, and between two looks
+# at the customers at work.
 TICK_S = 0.2
 # Seconds without a call or request after which a customer's state is dropped;
 # longer than the window and all loans.
@@ -87,8 +88,8 @@
         self._epoch = epoch
         self._terms = terms
         self._ports = ports
-        self._ballot = quota_ballot.Ballot(
-            node_id, epoch, ports.is_alive, started
+        self._ownership = quota_ownership.Ownership(
+            node_id, ports.is_alive, started
         )
         self._customers: dict[str, mesh.Customer] = {}
         self._members = directory.Snapshot()
@@ -191,12 +192,8 @@
         elif isinstance(message, quota_messages.Answers):
             for answer in message.answers:
                 self._deliver(answer, now)
-        elif isinstance(message, quota_messages.Claim):
-            support = self._ballot.support(sender, message, now)
-            if support.slots:
-                self._ports.send(sender, support)
-        elif isinstance(message, quota_messages.Support):
-            self._ballot.merge_support(sender, message, now)
+        elif isinstance(message, quota_messages.Reachable):
+            self._ownership.merge(sender, message, now)
 
     def _spend(
         self, name: str, account: quota_account.Account, now: float
@@ -228,7 +225,7 @@
             self._base_calls.clear()
         own = members.by_node.get(self._node_id)
         self._data_centre = own.data_centre if own is not None else ""
-        self._ballot.set_voters(quota_ballot.voters(members), now)
+        self._ownership.set_candidates(quota_ownership.candidates(members), now)
 
     # Periodic work.
 
@@ -239,11 +236,11 @@
             return
         now = self._ports.now()
         self._update_members(now)
-        if self._ballot.is_voter:
-            claim = self._ballot.claim(now)
-            for voter in self._ballot.voters:
-                if voter != self._node_id:
-                    self._ports.send(voter, claim)
+        if self._ownership.is_candidate:
+            reachable = self._ownership.observe(now)
+            for candidate in self._ownership.candidates:
+                if candidate != self._node_id:
+                    self._ports.send(candidate, reachable)
         self._drop_idle(now)
         if any(
             account.wants(len(self._waiting.get(name, ())), now)
@@ -308,7 +305,7 @@
 
     def _relay_of(self, data_centre: str) -> str:
         """Return the first relay of a data centre that can be reached."""
-        count = quota_ballot.VOTERS_OF_ONE_DATA_CENTRE
+        count = quota_ownership.CANDIDATES_OF_ONE_DATA_CENTRE
         for node_id in topology.relays(self._members, data_centre, count):
             if node_id == self._node_id or self._ports.is_alive(node_id):
                 return node_id
@@ -354,7 +351,7 @@
             "quota_unanswered",
             "quotas: no owner answered",
             customer=name,
-            owner=self._ballot.owner(name, now),
+            owner=self._ownership.owner(name, now),
             relay=self._relay_of(self._data_centre),
         )
         resolve(NO_OWNER_RETRY_S)
@@ -367,7 +364,7 @@
         """Divide a request by the owners of its customers and send it on."""
         by_owner: dict[str, list[quota_messages.Ask]] = {}
         for ask in request.asks:
-            owner = self._ballot.owner(ask.customer, now)
+            owner = self._ownership.owner(ask.customer, now)
             by_owner.setdefault(owner, []).append(ask)
         for owner, asks in by_owner.items():
             part = dataclasses.replace(request, asks=tuple(asks))
@@ -421,7 +418,7 @@
         for request in message.requests:
             owned = []
             for ask in request.asks:
-                owner = self._ballot.owner(ask.customer, now)
+                owner = self._ownership.owner(ask.customer, now)
                 if owner == self._node_id:
                     owned.append(ask)
                 elif message.hops < _MAX_HOPS:
@@ -462,7 +459,7 @@
 
         The second value is the time in seconds until they may be lent.
         """
-        tenure = self._ballot.tenure(name, now)
+        tenure = self._ownership.tenure(name, now)
         if tenure is None or name not in self._customers:
             return None, NO_OWNER_RETRY_S
         if now < tenure.lends_at:
--- a/trefoilwind/customers/quota_messages.py
+++ b/trefoilwind/customers/quota_messages.py
@@ -112,35 +112,16 @@
     answers: tuple[Answer, ...]
 
 
-@codec.message("quota.claim")
+@codec.message("quota.reachable")
 @dataclasses.dataclass(frozen=True)
-class Claim:
-    """Request of a voter to be the owner of the slots that it may own.
+class Reachable:
+    """Candidates that the sender, a candidate itself, has heard recently.
 
     Attributes:
-        sent_s: Time of the claim on the sender's clock in seconds.
-        epoch: Start of the sender's process.
-        owned: Slots of which the sender is the owner now.
+        nodes: Their ids.
     """
 
-    sent_s: float
-    epoch: int
-    owned: tuple[str, ...]
-
-
-@codec.message("quota.support")
-@dataclasses.dataclass(frozen=True)
-class Support:
-    """Promise to support no other owner of some slots for a while.
-
-    Attributes:
-        sent_s: `Claim.sent_s`.
-        slots: The slots, with the seconds since the sender's support of another
-            owner of each has ended.
-    """
-
-    sent_s: float
-    slots: tuple[tuple[str, float], ...]
+    nodes: tuple[str, ...]
 
 
-MESSAGES = (Request, Requests, Answer, Answers, Claim, Support)
+MESSAGES = (Request, Requests, Answer, Answers, Reachable)
