Compare backend servers by their times of the same kind of work

Cause: the mean over calls of 40 and of 640 ms told what a server had run lately, not how fast it is.

Change: target nodes measure each route and answer with the mean of the call's own route; entry nodes derive one slowness per server from it.

--- a/trefoilwind/distribution/frames.py
+++ b/trefoilwind/distribution/frames.py
@@ -127,7 +127,8 @@
             queued for it, more while a limit delays calls longer; -1 if
             unknown.
         failure_share: Share of its recent calls that failed.
-        mean_s: Mean time in seconds of its calls; -1 if unknown.
+        mean_s: Mean time in seconds of its calls of the same class; -1 if
+            unknown.
     """
 
     call_id: int
@@ -168,7 +169,8 @@
         has_arrived: True if a backend server received the call and refused
             it.
         failure_share: Share of its recent calls that failed.
-        mean_s: Mean time in seconds of its calls; -1 if unknown.
+        mean_s: Mean time in seconds of its calls of the same class; -1 if
+            unknown.
     """
 
     call_id: int
--- a/trefoilwind/emulator/world.py
+++ b/trefoilwind/emulator/world.py
@@ -21,7 +21,7 @@
 from trefoilwind.model import members
 from trefoilwind.routing import call_queue
 from trefoilwind.routing import failures
-from trefoilwind.routing import service_time
+from trefoilwind.routing import kind_times
 
 # Largest share of the time until its deadline that a caller waits before it
 # retries, as the platform documents it for its clients.
@@ -92,7 +92,7 @@
         self.refusal_callbacks: dict[int, Callable[[], None]] = {}
         self.is_check_scheduled = False
         self.failures = failures.FailureShare()
-        self.mean_time = service_time.MeanTime()
+        self.kind_times = kind_times.MeasuredTimes()
         self._speed = speed
         self._troubles = troubles
 
@@ -417,8 +417,8 @@
             occupied = server.queue.occupied
             failure_share = server.failures.current(now)
             if not is_failure:
-                server.mean_time = server.mean_time.with_sample(held_s)
-            mean_s = server.mean_time.seconds
+                server.kind_times.record(call.route_name, held_s)
+            mean_s = server.kind_times.mean_s(call.route_name)
             on_answer(
                 _Answer(status, 0.0, occupied, held_s, failure_share, mean_s)
             )
--- a/trefoilwind/gateway/calls.py
+++ b/trefoilwind/gateway/calls.py
@@ -120,8 +120,8 @@
             limit does; negative if unknown.
         failure_share: Share of the backend server's recent calls that failed,
             as measured by the target node.
-        mean_s: Average time in seconds of the backend server's calls, as
-            measured by the target node; negative if unknown.
+        mean_s: Average time in seconds of the backend server's calls of the
+            same route, as measured by the target node; negative if unknown.
     """
 
     result: Result
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -16,6 +16,7 @@
 from trefoilwind.routing import answer_sizes
 from trefoilwind.routing import cold_start
 from trefoilwind.routing import failures
+from trefoilwind.routing import kind_times
 from trefoilwind.routing import path_latency
 from trefoilwind.routing import placement
 from trefoilwind.routing import service_time
@@ -52,7 +53,7 @@
             report; -1 if none.
         in_flight_at_report: Value of `in_flight` at the last report.
         reported_at: Monotonic time in seconds of the last report.
-        mean_time: Reported average time of its calls.
+        slowness: Reported times of its calls, relative to typical ones.
         paused_until: Monotonic time in seconds until which it is not used.
         own_failures: Failure share of the own calls.
         reported_failures: Failure share reported by its node.
@@ -62,7 +63,7 @@
     reported_occupied: int = -1
     in_flight_at_report: int = 0
     reported_at: float = 0.0
-    mean_time: service_time.ReportedTime = service_time.ReportedTime()
+    slowness: service_time.ReportedTime = service_time.ReportedTime()
     paused_until: float = 0.0
     own_failures: failures.FailureShare = failures.FailureShare()
     reported_failures: failures.FailureShare = failures.FailureShare()
@@ -122,6 +123,7 @@
         self._answer_sizes = answer_sizes.AnswerSizes()
         self._states: dict[str, _BackendState] = {}
         self._typical_s = INITIAL_SERVICE_S
+        self._typical_times = kind_times.TypicalTimes()
         # Backend servers of the members, by node id, and the snapshot from
         # which they were noted.
         self._appearances: dict[str, cold_start.Appearance] = {}
@@ -178,8 +180,9 @@
             return is_drawn and is_available(member)
 
         groups = list(self._groups(call.service, call.version))
-        candidates = self._sampled(groups, is_warm, now) or self._sampled(
-            groups, is_available, now
+        kind = call.route_name
+        candidates = self._sampled(groups, is_warm, kind, now) or self._sampled(
+            groups, is_available, kind, now
         )
         choose = placement.choose
         if was_refused:
@@ -194,10 +197,11 @@
             tuple[placement.Distance, Sequence[members_lib.Member]]
         ],
         is_eligible: Callable[[members_lib.Member], bool],
+        kind: str,
         now: float,
     ) -> list[placement.Candidate]:
         return [
-            self._candidate(member, distance, now)
+            self._candidate(member, distance, kind, now)
             for distance, group in groups
             for member in placement.sample(group, is_eligible, self._draw)
         ]
@@ -247,9 +251,16 @@
             reported = failures.FailureShare(outcome.failure_share, now)
             state.reported_failures = reported
         if outcome.mean_s >= 0:
-            state.mean_time = service_time.ReportedTime(outcome.mean_s, now)
             difference = outcome.mean_s - self._typical_s
             self._typical_s += SAMPLE_WEIGHT * difference
+            if route_name:
+                self._typical_times.record(route_name, outcome.mean_s)
+            state.slowness = kind_times.slowness(
+                state.slowness,
+                outcome.mean_s,
+                self._typical_times.seconds(route_name, self._typical_s),
+                now,
+            )
         result = outcome.result
         has_failed = calls.was_shed(result) or calls.has_failed(result)
         if has_failed is False and route_name:
@@ -315,23 +326,25 @@
         self,
         member: members_lib.Member,
         distance: placement.Distance,
+        kind: str,
         now: float,
     ) -> placement.Candidate:
         state = self._state(member.node_id)
+        slowness = state.slowness.estimate_s(
+            cold_start.expected_time_s(
+                1.0, self._appearances[member.node_id].seen_at, now
+            ),
+            now,
+        )
+        typical_s = self._typical_times.seconds(kind, self._typical_s)
         is_own = member.node_id == self._own.node_id
         return placement.Candidate(
             member.node_id,
             distance,
             member.slots,
             self._own_occupied() if is_own else state.estimated_occupied(now),
-            state.mean_time.estimate_s(
-                cold_start.expected_time_s(
-                    self._typical_s,
-                    self._appearances[member.node_id].seen_at,
-                    now,
-                ),
-                now,
-            ),
+            typical_s * slowness,
             state.failure_share(now),
+            self._typical_s * slowness,
             path_latency.excess_s(distance, self._round_trip_s(member.node_id)),
         )
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -18,6 +18,7 @@
 from trefoilwind.routing import call_queue
 from trefoilwind.routing import cold_limit
 from trefoilwind.routing import failures
+from trefoilwind.routing import kind_times
 from trefoilwind.routing import service_time
 from trefoilwind.telemetry import counts as counts_lib
 
@@ -93,6 +94,7 @@
         self._queue = call_queue.CallQueue(1)
         self._failures = failures.FailureShare()
         self._mean_time = service_time.MeanTime()
+        self._kind_times = kind_times.MeasuredTimes()
         self._notice = mesh.ServerNotice()
         # True once the running backend server has answered a call.
         self._has_answered = False
@@ -199,6 +201,7 @@
         self._unreachable_until = 0.0
         self._failures = failures.FailureShare()
         self._mean_time = service_time.MeanTime()
+        self._kind_times = kind_times.MeasuredTimes()
         self._has_answered = False
         max_idle = server.slots + SPARE_IDLE_CONNECTIONS
         self._client = http_client.HttpClient(server.address, max_idle)
@@ -384,17 +387,20 @@
             held_s = self._now() - started if is_answer else -1.0
         finally:
             self._apply_change(self._queue.release(ticket, held_s, self._now()))
-        self._record_result(result, held_s)
+        self._record_result(call.route_name, result, held_s)
         share = self._failures.current(self._now())
-        mean_s = self._mean_time.seconds
+        mean_s = self._kind_times.mean_s(call.route_name)
         return calls.Outcome(result, held_s, self.load, share, mean_s)
 
-    def _record_result(self, result: calls.Result, held_s: float) -> None:
+    def _record_result(
+        self, kind: str, result: calls.Result, held_s: float
+    ) -> None:
         has_failed = calls.was_shed(result) or calls.has_failed(result)
         if has_failed is not None:
             self._failures = self._failures.with_result(has_failed, self._now())
         if has_failed is False and held_s >= 0:
             self._mean_time = self._mean_time.with_sample(held_s)
+            self._kind_times.record(kind, held_s)
 
     async def _exchange(self, call: calls.Call) -> calls.Result:
         server = self._server
--- a/trefoilwind/routing/placement.py
+++ b/trefoilwind/routing/placement.py
@@ -71,8 +71,10 @@
         distance: Distance from the entry node.
         slots: Number of calls that it runs concurrently.
         occupied: Estimated number of calls that it runs or queues.
-        service_s: Estimated service time of a call in seconds.
+        service_s: Estimated service time of this call in seconds.
         failure_share: Share of its recent calls that failed.
+        mean_s: Estimated mean service time of the calls ahead in seconds; 0
+            if it is the same.
         extra_path_s: Seconds by which its path is longer than its distance
             tells.
     """
@@ -83,6 +85,7 @@
     occupied: float
     service_s: float
     failure_share: float = 0.0
+    mean_s: float = 0.0
     extra_path_s: float = 0.0
 
 
@@ -134,9 +137,9 @@
     fixed_cost_s += FAILURE_COST_S * max(
         0.0, candidate.failure_share - TOLERATED_FAILURE_SHARE
     )
-    return fixed_cost_s + candidate.service_s * (
-        1.0 + occupancy_factor + queueing_factor
-    )
+    mean_s = candidate.mean_s or candidate.service_s
+    run_s = candidate.service_s * (1.0 + occupancy_factor)
+    return fixed_cost_s + run_s + mean_s * queueing_factor
 
 
 def choose(
