Avoid a server that fails part of its calls while another has room

Cause: up to half of its calls could fail without any effect on the placement, as in overload healthy servers fail that many.

Change: failures above a tenth count while a sound server that is no further away has a free slot; so avoiding it crosses no further.

--- a/tests/test_routing/test_routing_placement.py
+++ b/tests/test_routing/test_routing_placement.py
@@ -91,3 +91,13 @@
         for member in placement.sample("abcdef", lambda n: True, rng.random)
     )
     assert all(2700 < counts[member] < 3300 for member in "abcdef")
+
+
+def test_server_that_fails_a_third_is_used_while_others_have_room():
+    failing = dataclasses.replace(_LOCAL, node_id="f", failure_share=0.33)
+    busy = dataclasses.replace(_LOCAL, occupied=10.0)
+    assert placement.choose((failing, busy)) is busy
+    # In overload, or with room further away only, it is as good as before.
+    full = dataclasses.replace(_LOCAL, occupied=30.0)
+    assert placement.choose((failing, full)) is failing
+    assert placement.choose((failing, _REMOTE)) is failing
--- a/trefoilwind/routing/placement.py
+++ b/trefoilwind/routing/placement.py
@@ -55,6 +55,9 @@
 # Share of failures that does not indicate a faulty backend server: in overload
 # up to half of its runs fail, because calls that they make in turn are late.
 TOLERATED_FAILURE_SHARE = 0.5
+# The same while a sound server that is no further away has a free slot. Then
+# failures are not due to overload, and avoiding the server crosses no further.
+TOLERATED_FAILURE_SHARE_WITH_ROOM = 0.1
 # Number of equally distant backend servers that are compared for a call.
 SAMPLE_SIZE = 2
 # Share of the service time that is added to the cost of a fully occupied
@@ -146,10 +149,21 @@
     candidates: Sequence[Candidate], transfer_bytes: int = 0
 ) -> Candidate | None:
     """Return the candidate with the lowest cost, or None."""
-    return min(
-        candidates, key=lambda each: cost_s(each, transfer_bytes), default=None
+    nearest_room = min(
+        (each.distance for each in candidates if _is_sound_and_free(each)),
+        default=None,
     )
 
+    def cost(each: Candidate) -> float:
+        total_s = cost_s(each, transfer_bytes)
+        if nearest_room is not None and nearest_room <= each.distance:
+            tolerated = TOLERATED_FAILURE_SHARE_WITH_ROOM
+            failing = min(each.failure_share, TOLERATED_FAILURE_SHARE)
+            total_s += FAILURE_COST_S * max(0.0, failing - tolerated)
+        return total_s
+
+    return min(candidates, key=cost, default=None)
+
 
 def choose_after_refusal(
     candidates: Sequence[Candidate], transfer_bytes: int = 0
@@ -170,6 +184,11 @@
     return choose(worth_trying, transfer_bytes)
 
 
+def _is_sound_and_free(candidate: Candidate) -> bool:
+    is_sound = candidate.failure_share <= TOLERATED_FAILURE_SHARE_WITH_ROOM
+    return is_sound and has_free_slot(candidate)
+
+
 def has_free_slot(candidate: Candidate) -> bool:
     """Return True if a call is expected to start there without waiting."""
     return candidate.occupied + 1 <= candidate.slots
