Read a table of names in the settings of the platform

The decoder of settings had no map of names to values, so the table of data centres ended every program at its start; unit tests gave no such table.

Measured: test_platform_settings fails without the change and passes with it.

--- a/tests/test_platform/test_platform_settings.py
+++ b/tests/test_platform/test_platform_settings.py
@@ -21,6 +21,8 @@
 service = "s"
 [network]
 internal_ports = [7660, 7675]
+[network.zones]
+perth-a = "perth"
 [network.listen]
 inbound = "10.1.0.35:8145"
 outbound = "10.1.0.35:8141"
@@ -44,6 +46,7 @@
     mesh_settings = program.mesh_settings(settings)
     assert mesh_settings.node_id == "sidecar-1"
     assert str(mesh_settings.peer_address) == "10.1.0.35:8145"
+    assert mesh_settings.data_centres == {"perth-a": "perth"}
 
 
 @pytest.mark.parametrize(
@@ -70,6 +73,12 @@
             "terms.bounds.grace_s",
             errors.Reason.WRONG_TYPE,
         ),
+        (
+            'perth-a = "perth"',
+            "perth-a = 5",
+            "network.zones.perth-a",
+            errors.Reason.WRONG_TYPE,
+        ),
         ("[self]", "[self", "", errors.Reason.SYNTAX),
     ],
 )
--- a/trefoilwind/json_documents.py
+++ b/trefoilwind/json_documents.py
@@ -237,6 +237,8 @@
             return self._structure_class(value, expected, path)
         if get_origin(expected) is tuple:
             return self._structure_tuple(value, get_args(expected)[0], path)
+        if get_origin(expected) is dict:
+            return self._structure_map(value, get_args(expected)[1], path)
         if isinstance(expected, types.UnionType):
             return self.structure(value, get_args(expected)[0], path)
         return _structure_scalar(value, expected, path)
@@ -284,6 +286,17 @@
             items.append(item)
         return tuple(items)
 
+    def _structure_map(self, value: Any, item_type: Any, path: str) -> Any:
+        if not isinstance(value, dict):
+            return _error(errors.Reason.WRONG_TYPE, path, "object expected")
+        items = {}
+        for name, plain in value.items():
+            item = self.structure(plain, item_type, f"{path}.{name}")
+            if isinstance(item, errors.SettingsError):
+                return item
+            items[name] = item
+        return items
+
     def _checked(self, value: Any, prefix: str) -> Any:
         """Return the value, or an error for the first failed check."""
         check = self._checks.get(type(value))
