--- a/trefoilwind/customers/quota_account.py
+++ b/trefoilwind/customers/quota_account.py
@@ -27,8 +27,6 @@
 # Seconds for which an answer that lent too little tells that another request
 # has no token soon, and for which a missing answer tells that none will come.
 SHORT_S = 0.3
-# Expected calls below which no token is held: it would end unused.
-_LEAST_EXPECTED = 0.35
 
 
 @dataclasses.dataclass(slots=True)
@@ -211,8 +209,12 @@
         return self._demand_per_s * decay * AHEAD_S
 
     def _ahead(self, now: float) -> int:
-        """Return the number of tokens for the calls that are expected."""
-        return math.ceil(self._expected(now) - _LEAST_EXPECTED)
+        """Return the number of tokens for the calls that are expected.
+
+        None for less than a whole call: at many nodes with little demand most
+        of the tokens would end unused.
+        """
+        return int(self._expected(now))
 
     def _usable_refused(self, now: float) -> int:
         """Return for how many calls refused since the last ask to have tokens.
--- a/trefoilwind/customers/quota_exchange.py
+++ b/trefoilwind/customers/quota_exchange.py
@@ -22,10 +22,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Seconds for which a call waits for a token. Two ways between regions take 60 ms;
-# on a link that is full of configurations they took over 150 ms, and a refusal
-# costs a caller more than the wait.
-
+# Seconds for which a call waits for a token. Two ways between regions take
+# 60 ms; on a link that is full of configurations they took over 150 ms, and a
+# refusal costs a caller more than the wait.
 WAIT_S = 0.5
 # Rate and burst of the requests of a node; calls that wait use the burst.
 REQUESTS_PER_S = 10.0
