Remember records received from a peer when an offset expires

Cause: a node that got the operators' records from a peer and never read the store itself lost the knowledge that it has them when its first read by offset got OFFSET_EXPIRED. Its target then refused all calls with RECORDS_UNKNOWN until the store was read, so for the whole time of an outage of the store that followed, also without customers or evacuations.

Change: has_read follows the last advance of the offset, by a read or by a peer, and does not depend on the offset or on an own read.

No whole node was run against a store that fails.

--- a/tests/test_gateway/test_gateway_follower.py
+++ b/tests/test_gateway/test_gateway_follower.py
@@ -274,6 +274,23 @@
     assert not reader.records
 
 
+def test_records_of_a_peer_are_forgotten_when_the_offset_expires():
+    """Guards against refused calls until a store that fails is read again."""
+
+    async def scenario():
+        plans = [follower_lib.ReadPlan(0.0, 0.0)]
+        idle = follower_lib.ReadPlan(0.0, 0.0, is_due=False)
+        reader = _Reader(lambda: plans.pop() if plans else idle)
+        for value in (b"1", b"2"):
+            await reader.store.put(_TOPIC, "a", value)
+        reader.store.expire_history(_TOPIC)
+        reader.follower.start_at(1)
+        await reader.run_until(lambda: reader.follower.offset is None)
+        return reader
+
+    assert uvloop.run(scenario()).follower.has_read
+
+
 def test_record_that_cannot_be_handled_is_left_out_and_the_others_hold(caplog):
     async def scenario():
         store = keyed_store.MemoryStore()
--- a/trefoilwind/gateway/follower.py
+++ b/trefoilwind/gateway/follower.py
@@ -130,7 +130,6 @@
         self._offset: int | None = None
         self._failures = 0
         self._unavailable_since = 0.0
-        self._last_read_at = -float("inf")
         # Start of the read in flight; None for none.
         self._reading_since: float | None = None
         # Completed to end the wait for a record; None while there is none.
@@ -150,8 +149,9 @@
 
     @property
     def has_read(self) -> bool:
-        """True once the newest record of each key has been read."""
-        return self._offset is not None or self._last_read_at > 0
+        """True once the newest record of each key was read or received."""
+        # An expired offset does not undo it, also if a peer sent the records.
+        return self._current_at > -float("inf")
 
     @property
     def read_s(self) -> float:
@@ -388,9 +388,8 @@
         return problem
 
     def _succeeded(self) -> None:
-        now = asyncio.get_running_loop().time()
-        self._last_read_at = now
         if self._failures:
+            now = asyncio.get_running_loop().time()
             outage_s = now - self._unavailable_since
             logger.info(
                 "store: reading %s works again after %.1f s",
