Answer calls that wait for a token while the limit is removed

Cause: a configuration without limited customers drops all accounts of the quotas. The end of the wait of a call then raised KeyError in a timer, its future was never completed and its caller got no answer.

Change: such a call runs without a token, as its customer has no limit.

Result: the new test fails with KeyError before and passes now.

--- a/tests/test_customers/test_customers_quota_exchange.py
+++ b/tests/test_customers/test_customers_quota_exchange.py
@@ -7,6 +7,7 @@
 from tests.test_customers import quota_mesh
 from trefoilwind.customers import quota_exchange
 from trefoilwind.customers import quota_ownership
+from trefoilwind.distribution import topology
 from trefoilwind.model import mesh
 
 # Usual demand of a customer as a part of its limit.
@@ -176,6 +177,30 @@
     assert made.largest_excess(lowered) <= 0
 
 
+def test_call_that_waits_while_its_limit_is_removed_gets_no_result():
+    """Guards against a request without an answer after a new configuration."""
+    made = quota_mesh.Mesh(4, 1)
+    relay = topology.relays(made.snapshot, "d0", 1)[0]
+    node_id = next(each for each in made.node_ids if each != relay)
+    ports = quota_exchange.Ports(
+        lambda: made.now,
+        lambda delay_s, function: made.at(made.now + delay_s, function),
+        lambda peer, message: None,
+        lambda peer: True,
+        lambda: made.snapshot,
+    )
+    exchange = quota_exchange.Exchange(node_id, 1, quota_mesh.TERMS, ports, 0.0)
+    exchange.set_customers((_customer(10.0),))
+    results = []
+    made.run(0.1)
+    for _ in range(20):
+        exchange.take("c", results.append)
+    assert len(results) < 20
+    exchange.set_customers(())
+    made.run(1.0)
+    assert results == [None] * 20
+
+
 def test_message_without_a_limited_customer():
     """Guards against a cost where no customer has a limit."""
     made = _started(mesh.Customer("c"))
--- a/trefoilwind/customers/quota_exchange.py
+++ b/trefoilwind/customers/quota_exchange.py
@@ -342,8 +342,12 @@
         waiting.remove(resolve)
         if not waiting:
             self._waiting.pop(name, None)
+        account = self._accounts.get(name)
+        if account is None or name not in self._customers:
+            # The limit was removed while the call waited.
+            resolve(None)
+            return
         now = self._ports.now()
-        account = self._accounts[name]
         account.note_unanswered(now)
         account.note_refused()
         decisions.failure(
