Keep the tokens of a customer that is removed and added again

Cause: a configuration without a customer, or without its limit, dropped what the owner of its quota had lent. The next configuration with it made a new bucket, filled since the start of the ownership, while the tokens lent before were still in use.

Change: buckets of removed customers are kept until they are idle.

--- a/tests/test_customers/test_customers_quota_exchange.py
+++ b/tests/test_customers/test_customers_quota_exchange.py
@@ -177,6 +177,23 @@
     assert made.largest_excess(lowered) <= 0
 
 
+def test_customer_that_is_removed_and_added_again_gets_a_full_bucket():
+    """Guards against tokens that are lent again after each configuration."""
+    customer = _customer(20.0)
+    made = _started(customer)
+    made.load("c", 150.0, 3, 20)
+
+    def replace():
+        for exchange in made.exchanges.values():
+            exchange.set_customers((_customer(1.0, "other"),))
+            exchange.set_customers((customer,))
+
+    for step in range(10):
+        made.at(8.0 + 0.5 * step, replace)
+    made.run(21)
+    assert made.largest_excess(customer) <= 0
+
+
 def test_call_that_waits_while_its_limit_is_removed_gets_no_result():
     """Guards against a request without an answer after a new configuration."""
     made = quota_mesh.Mesh(4, 1)
--- a/trefoilwind/customers/quota_exchange.py
+++ b/trefoilwind/customers/quota_exchange.py
@@ -125,11 +125,11 @@
         }
         self._base_calls.clear()
         now = self._ports.now()
-        for name, lender in list(self._lenders.items()):
+        # The others are kept until they are idle: a customer that is added
+        # again must not get the tokens twice.
+        for name, lender in self._lenders.items():
             if name in self._customers:
                 lender.set_terms(self._owner_terms(name), now)
-            else:
-                del self._lenders[name]
         if self._customers and not self._is_ticking:
             self._is_ticking = True
             self._tick()
