Take no record beyond a peer's offset for one lost by the store

Cause: a read of the newest records in several pages ends at the offset of the first page, while later pages may hold later records. A peer that read so answered with a configuration that a node at the same offset did not have yet. The node took it for one that a restored store had lost and refused all requests with keys until it had that configuration, with a proof of any age. Nodes that accept a configuration that others reject, as during an update, had the same effect for as long as it was in force.

Change: before the first restore of the store, which its era tells, such a proof waits for the records.

The sequence was found by reading, not in a run of a mesh.

--- a/tests/test_gateway/test_gateway_proof_exchange.py
+++ b/tests/test_gateway/test_gateway_proof_exchange.py
@@ -165,6 +165,21 @@
     assert node.exchange.is_confirmed
 
 
+def test_peer_with_a_record_beyond_its_offset_makes_keys_doubtful():
+    """Guards against refusals in a storm, when newest records fill pages."""
+    node = _Node()
+    node.proof.note_read(node.now)
+    node.now += 1.0
+    _ask(node)
+    node.answer(0.5, next_offset=node.held.offset, version=2)
+    # The peer's proof does not count before its records have arrived.
+    assert node.exchange.age_s == 1.0
+    assert node.exchange.is_confirmed
+    node.held = freshness_proof.Held(node.held.offset + 1, 2)
+    node.proof.note_records(node.held)
+    assert node.exchange.age_s == 0.5
+
+
 def _restore(node: _Node) -> None:
     node.held = freshness_proof.Held(positions.position(1, 4), 1)
     node.proof.note_read(node.now)
--- a/trefoilwind/customers/freshness_proof.py
+++ b/trefoilwind/customers/freshness_proof.py
@@ -107,6 +107,11 @@
                 # The peer does not know that the store was restored.
                 continue
             elif held.version < proof.held.version:
+                if not positions.era(held.offset):
+                    # Pages of the newest records may hold later ones, so a
+                    # peer may have records beyond its offset.
+                    waiting.append(proof)
+                    continue
                 self._lost_version = max(self._lost_version, proof.held.version)
             else:
                 self._has_peer_proof = True
