Let a node lend only while enough candidates hear it

Cause: a node counted the candidates that it hears. If its own messages reach no other node while theirs arrive, as when its outgoing streams are closed and cannot be opened, it went on lending to its own callers while the others chose a new owner. In a mesh of 12 nodes with one customer of 25 calls a second at five times its limit, the bound was exceeded by 97 calls.

Change: a candidate counts toward the majority only while its messages tell that it hears this node.

--- a/tests/test_customers/quota_mesh.py
+++ b/tests/test_customers/quota_mesh.py
@@ -57,6 +57,8 @@
         # Nodes that reach only each other; all others reach each other too.
         self.cut_off: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
+        # Nodes that reach no other one, while others reach them.
+        self.mute: set[str] = set()
         self.served = collections.defaultdict(list)
         self.refused = collections.defaultdict(list)
         self.messages: collections.Counter[str] = collections.Counter()
@@ -207,6 +209,8 @@
         return self._is_linked(node_id, peer)
 
     def _is_linked(self, node_id: str, peer: str) -> bool:
+        if node_id in self.mute:
+            return False
         if frozenset((node_id, peer)) in self.cut_pairs:
             return False
         return (node_id in self.cut_off) == (peer in self.cut_off)
--- a/tests/test_customers/test_customers_quota_exchange.py
+++ b/tests/test_customers/test_customers_quota_exchange.py
@@ -139,6 +139,19 @@
     assert late <= 0.05 * served
 
 
+def test_owner_that_no_other_node_hears_goes_on_lending():
+    """Guards against two owners while messages pass in one direction only."""
+    customer = _customer(25.0)
+    made = _started(customer, 12)
+    owner = _owner(made, "c")
+    made.load("c", 60.0, 3, 20, [owner])
+    made.load("c", 60.0, 3, 20)
+    made.at(8, lambda: made.mute.add(owner))
+    made.at(16, made.mute.clear)
+    made.run(21)
+    assert made.largest_excess(customer) <= 0
+
+
 def test_candidates_disagree_after_they_have_not_heard_of_each_other():
     """Guards against a half that keeps to owners which can't lend."""
     customers = [_customer(8.0, f"c{each}") for each in range(20)]
--- a/trefoilwind/customers/quota_ownership.py
+++ b/trefoilwind/customers/quota_ownership.py
@@ -96,8 +96,10 @@
         # another candidate that it hears it.
         self._heard: dict[str, float] = {}
         self._reported: dict[str, float] = {}
-        # Time since which this node hears enough candidates; None if it does
-        # not.
+        # Time of the last message of each candidate that hears this node.
+        self._confirmed: dict[str, float] = {}
+        # Time since which this node and enough candidates hear each other; None
+        # if they do not.
         self._connected_since: float | None = None
         self._observed_at = started
         # Time since which this node is the owner of a slot.
@@ -131,7 +133,12 @@
             )
             for each in ids
         }
-        for table in (self._heard, self._reported, self._owned_since):
+        for table in (
+            self._heard,
+            self._reported,
+            self._confirmed,
+            self._owned_since,
+        ):
             for gone in table.keys() - set(ids):
                 del table[gone]
         self._update_owned(now)
@@ -141,7 +148,14 @@
         is_suspended = now - self._observed_at > _SUSPENDED_S
         self._observed_at = now
         heard = self._heard_now(now)
-        if is_suspended or not self._hears_enough(heard):
+        # One that does not hear this node may take another one for the owner.
+        mutual = {
+            node_id
+            for node_id in heard
+            if node_id == self._node_id
+            or now < self._confirmed.get(node_id, -HEARD_S) + HEARD_S
+        }
+        if is_suspended or not self._is_majority(mutual):
             # Others may have taken over meanwhile.
             self._connected_since = None
             self._owned_since.clear()
@@ -163,6 +177,8 @@
         if sender not in self._rankings:
             return
         self._heard[sender] = now
+        if self._node_id in message.nodes:
+            self._confirmed[sender] = now
         for node_id in message.nodes:
             if node_id in self._rankings:
                 self._reported[node_id] = now
@@ -211,7 +227,7 @@
             heard.add(self._node_id)
         return heard
 
-    def _hears_enough(self, heard: set[str]) -> bool:
+    def _is_majority(self, heard: set[str]) -> bool:
         """Return True for more than half; of an even half, with the first."""
         if not self._candidates:
             return False
