Take no request for a nested call of one without an id

Cause: the ids of running requests included the empty one. While a request without an id ran at the backend server beside an entry node, all requests there without a parent id counted as nested calls. They needed no key, used no quota and went ahead of others in the queues.

Change: no request is running under the empty id.

--- a/tests/test_gateway/test_gateway_target.py
+++ b/tests/test_gateway/test_gateway_target.py
@@ -108,6 +108,20 @@
     _run(scenario)
 
 
+def test_request_without_an_id_makes_others_count_as_nested():
+    """Guards against requests that need no key beside one without an id."""
+
+    async def scenario(fixture: _TargetFixture) -> None:
+        fixture.announce()
+        task = asyncio.create_task(fixture.target.run(fakes.call(headers=())))
+        await fixture.started.wait()
+        assert not fixture.target.is_running(b"")
+        fixture.release.set()
+        await task
+
+    _run(scenario)
+
+
 def test_call_for_another_service_or_version_is_refused_as_not_run():
     async def scenario(fixture: _TargetFixture) -> None:
         fixture.release.set()
--- a/trefoilwind/gateway/target.py
+++ b/trefoilwind/gateway/target.py
@@ -172,7 +172,9 @@
 
     def is_running(self, request_id: bytes) -> bool:
         """Return True if a request with this id runs at the backend server."""
-        return request_id in self._running_ids
+        # Unrelated requests without an id would count as nested calls, which
+        # need no key.
+        return bool(request_id) and request_id in self._running_ids
 
     def regions_of(self, request_id: bytes) -> frozenset[str] | None:
         """Return the allowed regions of a running request; None for all."""
