--- a/tests/test_customers/test_customers_quota_exchange.py
+++ b/tests/test_customers/test_customers_quota_exchange.py
@@ -7,6 +7,7 @@
 from tests.test_customers import quota_mesh
 from trefoilwind.customers import quota_exchange
 from trefoilwind.customers import quota_ownership
+from trefoilwind.distribution import topology
 from trefoilwind.model import mesh
 
 # Usual demand of a customer as a part of its limit.
@@ -138,6 +139,19 @@
     assert late <= 0.05 * served
 
 
+def test_owner_that_no_other_node_hears_goes_on_lending():
+    """Guards against two owners while messages pass in one direction only."""
+    customer = _customer(25.0)
+    made = _started(customer, 12)
+    owner = _owner(made, "c")
+    made.load("c", 60.0, 3, 20, [owner])
+    made.load("c", 60.0, 3, 20)
+    made.at(8, lambda: made.mute.add(owner))
+    made.at(16, made.mute.clear)
+    made.run(21)
+    assert made.largest_excess(customer) <= 0
+
+
 def test_candidates_disagree_after_they_have_not_heard_of_each_other():
     """Guards against a half that keeps to owners which can't lend."""
     customers = [_customer(8.0, f"c{each}") for each in range(20)]
@@ -176,6 +190,47 @@
     assert made.largest_excess(lowered) <= 0
 
 
+def test_customer_that_is_removed_and_added_again_gets_a_full_bucket():
+    """Guards against tokens that are lent again after each configuration."""
+    customer = _customer(20.0)
+    made = _started(customer)
+    made.load("c", 150.0, 3, 20)
+
+    def replace():
+        for exchange in made.exchanges.values():
+            exchange.set_customers((_customer(1.0, "other"),))
+            exchange.set_customers((customer,))
+
+    for step in range(10):
+        made.at(8.0 + 0.5 * step, replace)
+    made.run(21)
+    assert made.largest_excess(customer) <= 0
+
+
+def test_call_that_waits_while_its_limit_is_removed_gets_no_result():
+    """Guards against a request without an answer after a new configuration."""
+    made = quota_mesh.Mesh(4, 1)
+    relay = topology.relays(made.snapshot, "d0", 1)[0]
+    node_id = next(each for each in made.node_ids if each != relay)
+    ports = quota_exchange.Ports(
+        lambda: made.now,
+        lambda delay_s, function: made.at(made.now + delay_s, function),
+        lambda peer, message: None,
+        lambda peer: True,
+        lambda: made.snapshot,
+    )
+    exchange = quota_exchange.Exchange(node_id, 1, quota_mesh.TERMS, ports, 0.0)
+    exchange.set_customers((_customer(10.0),))
+    results = []
+    made.run(0.1)
+    for _ in range(20):
+        exchange.take("c", results.append)
+    assert len(results) < 20
+    exchange.set_customers(())
+    made.run(1.0)
+    assert results == [None] * 20
+
+
 def test_message_without_a_limited_customer():
     """Guards against a cost where no customer has a limit."""
     made = _started(mesh.Customer("c"))
