Soak customers and the withdrawal of a key

Cause: the soak sent no keys, so nothing checked that requests with unknown or withdrawn keys never run on nodes under faults. Change: plans from seed 60000 on have customers; the ledger checks the key of each run, X-Tenant, that no key reaches a backend server, and that no key runs in a request whose last byte was sent over 5 s after its withdrawal.

--- a/tests/test_soak/ledger.py
+++ b/tests/test_soak/ledger.py
@@ -14,6 +14,8 @@
 # nodes end a call 0.01 s before it, and it is given in whole milliseconds.
 DUE_SLACK_S = 0.03
 STABLE_WINDOW_S = 4.0
+# Seconds after the acknowledged withdrawal of a key in which it may be used.
+REVOKE_S = 5.0
 # Seconds after SIGTERM until which a request may be begun that the node need
 # not end, and the part of the grace after which it may be given up.
 LAST_EXCUSED_S = 3.0
@@ -45,6 +47,8 @@
             the connection ended before the last byte was sent, "cut" after it.
         seal: Seal of the backend server; empty in an answer of the node.
         is_kept: True if its connection had an earlier request.
+        key: Key of its customer; empty if it carries none.
+        is_nested: True if a backend server sent it.
     """
 
     request_id: str
@@ -59,6 +63,8 @@
     status: int = 0
     seal: str = ""
     is_kept: bool = False
+    key: str = ""
+    is_nested: bool = False
 
 
 @dataclasses.dataclass
@@ -120,6 +126,8 @@
     Attributes:
         left: Times at which the leaving of an instance was acknowledged.
         configured: Times at which a configuration was sent and acknowledged.
+        customers: Customer of each key; empty without customers.
+        withdrawn: Times at which the withdrawal of a key was acknowledged.
         counts: Requests by outcome, and others.
         broken: Promises that were broken.
     """
@@ -133,6 +141,8 @@
         self.runs: dict[str, list[Run]] = collections.defaultdict(list)
         self.left: dict[str, float] = {}
         self.configured: list[float] = []
+        self.customers: dict[str, str] = {}
+        self.withdrawn: dict[str, float] = {}
         self._delays: list[tuple[float, float]] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.broken: list[str] = []
@@ -209,6 +219,18 @@
         if request.kind != "safe" and is_refused:
             self.break_promise("never runs later", self._describe(request))
 
+    def check_customer(self, run: Run, customer: str) -> None:
+        """Check the key of a request that runs, and the customer named."""
+        request = self.requests.get(run.request_id)
+        if request is None or not self.customers:
+            return
+        due = "" if request.is_nested else self.customers.get(request.key)
+        if due is None:
+            self.break_promise("known key", self._describe(request))
+        elif customer != due:
+            detail = f"{customer!r}, not {due!r}; {self._describe(request)}"
+            self.break_promise("customer", detail)
+
     def end_request(self, request: Request, body: bytes) -> None:
         request.ended = self._loop.time()
         self.counts[str(request.status or request.end)] += 1
@@ -243,11 +265,24 @@
         for index, node in enumerate(self.nodes):
             for stop in node.stops:
                 self._check_restart(index, stop.started, end)
+        self._check_withdrawn()
         cut = [each for each in self.requests.values() if self._is_lost(each)]
         self._check_kept(cut)
         self._check_reloads(cut)
         self._check_configurations(cut)
 
+    def _check_withdrawn(self) -> None:
+        for request in self.requests.values():
+            withdrawn = self.withdrawn.get(request.key, math.inf)
+            if request.sent == math.inf or not self.runs[request.request_id]:
+                continue
+            # A late soak notes the end of a write too late.
+            delay_s = self.delay_s(request.begun, request.sent)
+            late_s = request.sent - delay_s - withdrawn
+            if late_s > REVOKE_S:
+                detail = f"{late_s:.2f} s after; {self._describe(request)}"
+                self.break_promise("withdrawn key", detail)
+
     def _is_read(self, request: Request) -> bool:
         """Return True if a node that cut a request off had read it whole."""
         # The soak sees the end late if it is late itself.
--- a/tests/test_soak/peers.py
+++ b/tests/test_soak/peers.py
@@ -29,6 +29,20 @@
 _NESTED_S = 0.25
 # Parts in which a caller with a slow link sends a body.
 _PARTS = 10
+# Rows of the customers in the configuration.
+CUSTOMERS = (
+    {"name": "small", "api_keys": ["k-small"], "rate_per_s": 0, "burst": 0},
+    {
+        "name": "two",
+        "api_keys": ["k-old", "k-new"],
+        "rate_per_s": 0,
+        "burst": 0,
+    },
+    {"name": "limited", "api_keys": ["k-few"], "rate_per_s": 10, "burst": 10},
+)
+WITHDRAWN_KEY = "k-old"
+# Keys of requests; most are known, and an empty one is not sent.
+KEYS = ("k-small", "k-old", "k-old", "k-new", "k-few", "k-unknown", "")
 
 # What uvloop raises for a connection that is lost or was closed before.
 _LOST = (OSError, EOFError, RuntimeError)
@@ -181,6 +195,8 @@
         self, request: http_types.HttpRequest
     ) -> http_types.HttpAnswer:
         request_id = request.header(b"x-request-id").decode()
+        if request.header(b"authorization"):
+            self._ledger.break_promise("no key to servers", request_id)
         own = ((b"X-Request-Id", request_id.encode()),)
         not_run = (*own, (b"X-Not-Executed", b"1"))
         if request.header(b"x-expect-instance").decode() != self._instance:
@@ -194,6 +210,8 @@
         sum_ = ledger_lib.digest(request.method, request.target, request.body)
         caller_service = request.header(b"x-caller-service").decode()
         self._ledger.start_run(run, sum_, caller_service)
+        customer = request.header(b"x-tenant").decode()
+        self._ledger.check_customer(run, customer)
         work_s = int(request.header(b"x-work-ms")) / 1000 * self._slowness
         left_s = int(request.header(b"x-deadline-ms")) / 1000
         run.status = 504 if work_s > left_s else 200
@@ -239,6 +257,7 @@
         request = ledger_lib.Request(
             call_id, self._node, "safe", sum_, now, due, now
         )
+        request.is_nested = True
         self._ledger.requests[call_id] = request
         answer = b""
         try:
@@ -329,8 +348,10 @@
         port: int,
         habit: Habit,
         ledger: ledger_lib.Ledger,
+        keys: tuple[str, ...] = ("",),
     ):
         self._name = name
+        self._keys = keys
         self._node = node
         self._port = port
         self._habit = habit
@@ -371,6 +392,8 @@
             now + self._habit.timeout_s,
         )
         self._ledger.requests[request.request_id] = request
+        authorization = planned.headers.get("Authorization", "")
+        request.key = authorization.removeprefix("Bearer ")
         request.is_kept = self._is_used
         self._is_used = True
         return request
@@ -425,6 +448,8 @@
 
     def _requests(self) -> Iterator[_Planned]:
         rng = random.Random(self._name)
+        # Its own stream, so that requests are the same without customers.
+        key_rng = random.Random(f"keys {self._name}")
         number = 0
         while True:
             number += 1
@@ -438,6 +463,10 @@
             }
             if self._habit.calls and rng.random() < _NESTED_SHARE:
                 headers["X-Calls"] = str(self._habit.calls)
+            if key := key_rng.choice(self._keys):
+                headers["Authorization"] = f"Bearer {key}"
+                # The system replaces what a caller names.
+                headers["X-Tenant"] = "forged"
             yield _Planned(
                 f"{'POST' if kb else 'GET'} /{kind}/{rng.randrange(1000)}",
                 headers,
--- a/tests/test_soak/plan.py
+++ b/tests/test_soak/plan.py
@@ -7,6 +7,8 @@
 # Seconds of calm before each series, and its length.
 _CALM_S = 3.0
 _SERIES_S = 9.0
+# Plans of smaller seeds have no customers, so that known seeds stay the same.
+FIRST_SEED_WITH_CUSTOMERS = 60_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,6 +44,7 @@
     habits: str = "mixed"
     # Cores that all nodes and the busy processes share; 0 for all cores.
     cores: int = 0
+    has_customers: bool = False
 
 
 def draw(seed: int, seconds: float) -> Plan:
@@ -69,6 +72,23 @@
     )
 
 
+def add_customers(plan: Plan, seconds: float) -> Plan:
+    """Return a plan with customers and the withdrawal of a key.
+
+    Args:
+        plan: The plan; unchanged if its seed is below the first one.
+        seconds: Seconds in which faults begin.
+    """
+    if plan.seed < FIRST_SEED_WITH_CUSTOMERS:
+        return plan
+    rng = random.Random(f"customers {plan.seed}")
+    faults = [*plan.faults]
+    if rng.random() < 0.8:
+        faults.append(Fault(rng.uniform(2.0, seconds / 2), "withdraw"))
+    faults.sort(key=lambda fault: fault.at)
+    return dataclasses.replace(plan, faults=tuple(faults), has_customers=True)
+
+
 def draw_planned(seed: int, seconds: float, count: int = 0) -> Plan:
     """Return a plan of planned work and trouble of the store only.
 
--- a/tests/test_soak/run.py
+++ b/tests/test_soak/run.py
@@ -50,6 +50,7 @@
         plan = plan_lib.draw_planned(seed, seconds, nodes)
     else:
         plan = plan_lib.draw(seed, seconds)
+    plan = plan_lib.add_customers(plan, seconds)
     ledger = uvloop.run(_run(plan, seconds, folder))
     (folder / "failures.txt").write_text("\n".join(ledger.failures()))
     counts = " ".join(f"{k}={v}" for k, v in sorted(ledger.counts.items()))
--- a/tests/test_soak/world.py
+++ b/tests/test_soak/world.py
@@ -44,6 +44,8 @@
 [terms.bounds]
 grace_s = {grace_s}
 budget_ratio = {budget_ratio}
+strict_revoke = {strict_revoke}
+revoke_s = {revoke_s}
 """
 _PROGRAM = "trefoilwind.cmd.platform_node"
 _PORTS = ("outbound", "ready", "control", "app", "inbound", "inner")
@@ -224,6 +226,7 @@
         self._loop = asyncio.get_running_loop()
         self._store = fakes.StoreServer()
         self._version = 10
+        self._withdrawn_keys: set[str] = set()
         self._nodes: list[Node] = []
         self._servers: list[peers.BackendServer] = []
         self._callers: list[peers.Caller] = []
@@ -232,6 +235,12 @@
             links_lib.Quality(plan.delay_s, plan.bytes_per_s),
         )
         self.ledger = ledger_lib.Ledger(plan.services)
+        if plan.has_customers:
+            self.ledger.customers = {
+                key: row["name"]
+                for row in peers.CUSTOMERS
+                for key in row["api_keys"]
+            }
 
     async def run(self, seconds: float) -> None:
         try:
@@ -260,6 +269,8 @@
             fields |= {"index": index, "service": service, "store": store}
             fields |= {"zone": self._plan.zones[index]}
             fields |= {"grace_s": ledger_lib.GRACE_S}
+            fields |= {"strict_revoke": str(self._plan.has_customers).lower()}
+            fields |= {"revoke_s": ledger_lib.REVOKE_S}
             node = Node(self._folder, index, fields, self._plan, self.ledger)
             self._nodes.append(node)
             await node.start()
@@ -270,6 +281,7 @@
                     fields["outbound"],
                     habit,
                     self.ledger,
+                    peers.KEYS if self._plan.has_customers else ("",),
                 )
                 for number, habit in enumerate(peers.HABITS[self._plan.habits])
             ]
@@ -304,6 +316,7 @@
     async def _begin(self, fault: plan_lib.Fault) -> None:
         own = {
             "configure": self._configure,
+            "withdraw": self._withdraw,
             "refuse": self._refuse,
             "harm": self._harm,
             "harm_store": self._harm_store,
@@ -373,6 +386,20 @@
         for key in keys:
             self._links.quality[key] = self._links.sound(key)
 
+    async def _withdraw(self, fault: plan_lib.Fault) -> None:
+        """Withdraw a key by a new configuration."""
+        self._withdrawn_keys.add(peers.WITHDRAWN_KEY)
+        await self._configure(fault)
+        now = self._loop.time()
+        self.ledger.withdrawn[peers.WITHDRAWN_KEY] = now
+
+    def _customers(self) -> list[dict[str, Any]]:
+        return [
+            row
+            | {"api_keys": sorted({*row["api_keys"]} - self._withdrawn_keys)}
+            for row in peers.CUSTOMERS
+        ]
+
     async def _configure(self, fault: plan_lib.Fault) -> None:
         rng = random.Random(f"configuration {self._plan.seed} {fault.at}")
         self._version += rng.randint(1, 5)
@@ -411,6 +438,8 @@
             "routes": _table(rows),
             "services": _table(services),
         }
+        if self._plan.has_customers:
+            document["tenants"] = _table(self._customers())
         self.ledger.configured.append(self._loop.time())
         self._store.append("op", b"config", json.dumps(document).encode())
 
