Soak a flood by one customer and the evacuation of a data centre

Cause: nothing checked quotas and evacuations on nodes under faults. Change: in drawn plans one customer repeats at once at every node, and one data centre is evacuated and taken back. The ledger counts the runs of a limited customer in any 5 s, and reports requests sent over 5 s after the acknowledgement that run in the evacuated data centre, unless the store or one of the two nodes had a fault in the 4 s before.

--- a/tests/test_soak/ledger.py
+++ b/tests/test_soak/ledger.py
@@ -1,9 +1,11 @@
 """What callers and backend servers saw, and the promises that it must keep."""
 
 import asyncio
+import bisect
 import collections
 import dataclasses
 import hashlib
+import itertools
 import math
 
 # The users' bounds in seconds; the first one is in the nodes' settings.
@@ -16,6 +18,14 @@
 STABLE_WINDOW_S = 4.0
 # Seconds after the acknowledged withdrawal of a key in which it may be used.
 REVOKE_S = 5.0
+# Seconds after the acknowledged evacuation of a data centre in which requests
+# may still be sent there.
+EVACUATION_S = 5.0
+# Seconds of the window in which the runs of a customer are counted, the factor
+# by which they may exceed its limit, and the runs allowed on top.
+QUOTA_WINDOW_S = 5.0
+QUOTA_FACTOR = 1.1
+QUOTA_SLACK = 20
 # Seconds after SIGTERM until which a request may be begun that the node need
 # not end, and the part of the grace after which it may be given up.
 LAST_EXCUSED_S = 3.0
@@ -102,6 +112,8 @@
         self.stops: list[Stop] = []
         self.reloads: list[float] = []
         self.faults: list[tuple[float, float]] = []
+        # Acknowledged evacuations of its data centre, until their deletion.
+        self.evacuations: list[tuple[float, float]] = []
 
     def is_sound(self, start: float, end: float) -> bool:
         """Return True without unplanned faults near a span of time."""
@@ -127,6 +139,8 @@
         left: Times at which the leaving of an instance was acknowledged.
         configured: Times at which a configuration was sent and acknowledged.
         customers: Customer of each key; empty without customers.
+        limits: Rate per second and burst of each limited customer.
+        store: Faults of the store.
         withdrawn: Times at which the withdrawal of a key was acknowledged.
         counts: Requests by outcome, and others.
         broken: Promises that were broken.
@@ -143,6 +157,8 @@
         self.configured: list[float] = []
         self.customers: dict[str, str] = {}
         self.withdrawn: dict[str, float] = {}
+        self.limits: dict[str, tuple[float, float]] = {}
+        self.store = History()
         self._delays: list[tuple[float, float]] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.broken: list[str] = []
@@ -266,6 +282,8 @@
             for stop in node.stops:
                 self._check_restart(index, stop.started, end)
         self._check_withdrawn()
+        self._check_evacuations()
+        self._check_quotas()
         cut = [each for each in self.requests.values() if self._is_lost(each)]
         self._check_kept(cut)
         self._check_reloads(cut)
@@ -283,6 +301,39 @@
                 detail = f"{late_s:.2f} s after; {self._describe(request)}"
                 self.break_promise("withdrawn key", detail)
 
+    def _check_evacuations(self) -> None:
+        for run in itertools.chain.from_iterable(self.runs.values()):
+            request = self.requests[run.request_id]
+            sent = min(request.sent, run.started)
+            sent -= self.delay_s(request.begun, sent)
+            parties = self.store, self.nodes[request.node], self.nodes[run.node]
+            if any(
+                start + EVACUATION_S < sent and run.started < end
+                for start, end in self.nodes[run.node].evacuations
+            ) and all(each.is_sound(sent, run.started) for each in parties):
+                self.break_promise("evacuated", self._describe(request))
+
+    def _check_quotas(self) -> None:
+        starts = collections.defaultdict(list)
+        for request_id, runs in self.runs.items():
+            key = self.requests[request_id].key
+            if runs:
+                starts[self.customers.get(key, "")].append(runs[0].started)
+        for name, (rate_per_s, burst) in self.limits.items():
+            times = sorted(starts[name])
+            allowed = rate_per_s * QUOTA_WINDOW_S + burst
+            allowed = allowed * QUOTA_FACTOR + QUOTA_SLACK
+            # Runs in the window that begins with each.
+            counts = [
+                (bisect.bisect_left(times, at + QUOTA_WINDOW_S) - index, at)
+                for index, at in enumerate(times)
+            ]
+            most, at = max(counts, default=(0, 0.0))
+            self.counts[f"most runs of {name}"] = most
+            if most > allowed:
+                detail = f"{name}: {most} runs from {at - self._started:.2f} s"
+                self.break_promise("quota", f"{detail}; allowed {allowed:.0f}")
+
     def _is_read(self, request: Request) -> bool:
         """Return True if a node that cut a request off had read it whole."""
         # The soak sees the end late if it is late itself.
--- a/tests/test_soak/peers.py
+++ b/tests/test_soak/peers.py
@@ -319,6 +319,10 @@
     Habit(("upload",), (0.2, 1.0), (40, 560), (50, 1700), 1.0, 2.0, True),
     Habit(("safe", "order"), (0.2, 1.0), (20, 100), (0, 4), 0.0, 0.8, False, 3),
 )
+# Repeats at once, whatever the answer; more than 40 requests a second at each
+# node, where the customer's limit for all nodes is 10.
+FLOOD = Habit(("safe",), (0.0, 0.02), (1, 20), (0, 0), 0.0, 2.0)
+FLOOD_KEY = "k-few"
 HABITS = {MIXED: _MIXED_HABITS, SHORT: _SHORT_HABITS}
 # Timeouts of the routes in seconds.
 TIMEOUTS_S = {
--- a/tests/test_soak/plan.py
+++ b/tests/test_soak/plan.py
@@ -45,6 +45,8 @@
     # Cores that all nodes and the busy processes share; 0 for all cores.
     cores: int = 0
     has_customers: bool = False
+    # True if one customer sends many times its limit.
+    has_flood: bool = False
 
 
 def draw(seed: int, seconds: float) -> Plan:
@@ -73,7 +75,10 @@
 
 
 def add_customers(plan: Plan, seconds: float) -> Plan:
-    """Return a plan with customers and the withdrawal of a key.
+    """Return a plan with customers, and what happens to these.
+
+    A key is withdrawn, a customer exceeds its limit, or a data centre is
+    evacuated and taken back.
 
     Args:
         plan: The plan; unchanged if its seed is below the first one.
@@ -85,8 +90,16 @@
     faults = [*plan.faults]
     if rng.random() < 0.8:
         faults.append(Fault(rng.uniform(2.0, seconds / 2), "withdraw"))
+    if rng.random() < 0.8:
+        zone = rng.choice(plan.zones)
+        at = rng.uniform(1.0, seconds / 4)
+        for_s = rng.uniform(7.0, 10.0)
+        faults.append(Fault(at, "evacuate", (), for_s, zone))
+    has_flood = rng.random() < 0.6
     faults.sort(key=lambda fault: fault.at)
-    return dataclasses.replace(plan, faults=tuple(faults), has_customers=True)
+    return dataclasses.replace(
+        plan, faults=tuple(faults), has_customers=True, has_flood=has_flood
+    )
 
 
 def draw_planned(seed: int, seconds: float, count: int = 0) -> Plan:
--- a/tests/test_soak/test_soak_ledger.py
+++ b/tests/test_soak/test_soak_ledger.py
@@ -242,6 +242,66 @@
     ledger.check_end(now)
 
 
+def _run_for_customer(ledger, request, now: float) -> None:
+    ledger.customers = {"k": "c"}
+    ledger.check_customer(_run(request, now), "c")
+
+
+def _run_with_withdrawn_key(ledger, request, now: float, late_s: float) -> None:
+    ledger.withdrawn = {"k": now - ledger_lib.REVOKE_S - late_s}
+    ledger.start_run(_run(request, now), "sum", "a")
+    ledger.check_end(now)
+
+
+def _run_too_late_with_withdrawn_key(ledger, request, now: float) -> None:
+    _run_with_withdrawn_key(ledger, request, now, 0.1)
+
+
+def _run_in_time_with_withdrawn_key(ledger, request, now: float) -> None:
+    _run_with_withdrawn_key(ledger, request, now, -0.1)
+
+
+def _run_in_evacuated_data_centre(
+    ledger, request, now: float, late_s: float = 0.1
+) -> None:
+    start = now - ledger_lib.EVACUATION_S - late_s
+    ledger.nodes[1].evacuations.append((start, now + 9.0))
+    ledger.start_run(_run(request, now), "sum", "a")
+    ledger.check_end(now)
+
+
+def _run_in_time_in_evacuated_data_centre(ledger, request, now: float) -> None:
+    _run_in_evacuated_data_centre(ledger, request, now, -0.1)
+
+
+def _run_in_data_centre_taken_back(ledger, request, now: float) -> None:
+    ledger.nodes[1].evacuations.append((now - 9.0, now - 0.1))
+    ledger.start_run(_run(request, now), "sum", "a")
+    ledger.check_end(now)
+
+
+def _run_in_evacuated_near_a_fault_of_the_store(
+    ledger, request, now: float
+) -> None:
+    ledger.store.faults.append((now - 4.5, now - 3.5))
+    _run_in_evacuated_data_centre(ledger, request, now)
+
+
+def _run_over_quota(ledger, request, now: float, count: int = 87) -> None:
+    """Run requests of a customer that may run 86 in a window."""
+    ledger.customers, ledger.limits = {"k": "c"}, {"c": (10, 10)}
+    for number in range(count):
+        request_id = f"quota-{number}"
+        each = dataclasses.replace(request, request_id=request_id)
+        ledger.requests[request_id] = each
+        ledger.start_run(_run(each, now + number * 0.05), "sum", "a")
+    ledger.check_end(now)
+
+
+def _run_within_quota(ledger, request, now: float) -> None:
+    _run_over_quota(ledger, request, now, 86)
+
+
 @pytest.mark.parametrize(
     ("act", "fields", "broken"),
     [
@@ -284,6 +344,19 @@
         (_cut_long_after_a_configuration, {}, []),
         (_cut_in_the_last_part_of_its_time, {}, []),
         (_cut_as_often_otherwise, {}, []),
+        (_run_for_customer, {"key": "k"}, []),
+        (_run_for_customer, {"key": "other"}, ["known key"]),
+        (_run_for_customer, {"key": ""}, ["known key"]),
+        (_run_for_customer, {"is_nested": True}, ["customer"]),
+        (_run_too_late_with_withdrawn_key, {"key": "k"}, ["withdrawn key"]),
+        (_run_too_late_with_withdrawn_key, {"key": "other"}, []),
+        (_run_in_time_with_withdrawn_key, {"key": "k"}, []),
+        (_run_in_evacuated_data_centre, {}, ["evacuated"]),
+        (_run_in_time_in_evacuated_data_centre, {}, []),
+        (_run_in_data_centre_taken_back, {}, []),
+        (_run_in_evacuated_near_a_fault_of_the_store, {}, []),
+        (_run_over_quota, {"key": "k"}, ["quota"]),
+        (_run_within_quota, {"key": "k"}, []),
     ],
 )
 def test_broken_promise_is_reported(act, fields, broken):
--- a/tests/test_soak/world.py
+++ b/tests/test_soak/world.py
@@ -58,6 +58,8 @@
 # Seconds in which a process loads its modules.
 _BOOT_S = 2.0
 _SETTLE_S = 2.0
+# Seconds between two looks at the store's faults.
+_STORE_INTERVAL_S = 0.1
 # What a harmed link is like.
 _HARM = {
     "slow": {"delay_s": 0.15},
@@ -241,6 +243,11 @@
                 for row in peers.CUSTOMERS
                 for key in row["api_keys"]
             }
+            self.ledger.limits = {
+                row["name"]: (row["rate_per_s"], row["burst"])
+                for row in peers.CUSTOMERS
+                if row["rate_per_s"]
+            }
 
     async def run(self, seconds: float) -> None:
         try:
@@ -285,6 +292,17 @@
                 )
                 for number, habit in enumerate(peers.HABITS[self._plan.habits])
             ]
+            if self._plan.has_flood:
+                self._callers.append(
+                    peers.Caller(
+                        f"{self._plan.seed}-{index}-flood",
+                        index,
+                        fields["outbound"],
+                        peers.FLOOD,
+                        self.ledger,
+                        (peers.FLOOD_KEY,),
+                    )
+                )
         async with asyncio.timeout(_START_S):
             for node in self._nodes:
                 while not await node.is_ready():
@@ -292,6 +310,7 @@
 
     async def _run(self, seconds: float) -> None:
         watch = self._loop.create_task(self.ledger.measure_delays())
+        watch_store = self._loop.create_task(self._watch_store())
         async with asyncio.TaskGroup() as group:
             for caller in self._callers:
                 group.create_task(caller.run())
@@ -302,6 +321,7 @@
                 caller.is_ending = True
         await asyncio.sleep(_SETTLE_S)
         watch.cancel()
+        watch_store.cancel()
         self.ledger.check_end(ended)
 
     async def _carry_out(self, seconds: float) -> None:
@@ -317,6 +337,7 @@
         own = {
             "configure": self._configure,
             "withdraw": self._withdraw,
+            "evacuate": self._evacuate,
             "refuse": self._refuse,
             "harm": self._harm,
             "harm_store": self._harm_store,
@@ -386,6 +407,29 @@
         for key in keys:
             self._links.quality[key] = self._links.sound(key)
 
+    async def _watch_store(self) -> None:
+        """Record when the store has faults."""
+        while True:
+            if self._store.answers or self._store.delay_s:
+                now = self._loop.time()
+                span = (now - _STORE_INTERVAL_S, now + _STORE_INTERVAL_S)
+                self.ledger.store.faults.append(span)
+            await asyncio.sleep(_STORE_INTERVAL_S)
+
+    async def _evacuate(self, fault: plan_lib.Fault) -> None:
+        """Evacuate a data centre and take it back."""
+        key = f"evacuate/{fault.how}".encode()
+        self._store.append("op", key, b"{}")
+        now = self._loop.time()
+        try:
+            await asyncio.sleep(fault.seconds)
+        finally:
+            span = (now, self._loop.time())
+            self._store.append("op", key, b"")
+            for index, zone in enumerate(self._plan.zones):
+                if zone == fault.how:
+                    self.ledger.nodes[index].evacuations.append(span)
+
     async def _withdraw(self, fault: plan_lib.Fault) -> None:
         """Withdraw a key by a new configuration."""
         self._withdrawn_keys.add(peers.WITHDRAWN_KEY)
