--- a/tests/test_soak/plan.py
+++ b/tests/test_soak/plan.py
@@ -7,6 +7,8 @@
 # Seconds of calm before each series, and its length.
 _CALM_S = 3.0
 _SERIES_S = 9.0
+# Plans of smaller seeds have no customers, so that known seeds stay the same.
+FIRST_SEED_WITH_CUSTOMERS = 60_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,6 +44,9 @@
     habits: str = "mixed"
     # Cores that all nodes and the busy processes share; 0 for all cores.
     cores: int = 0
+    has_customers: bool = False
+    # True if one customer sends many times its limit.
+    has_flood: bool = False
 
 
 def draw(seed: int, seconds: float) -> Plan:
@@ -69,6 +74,34 @@
     )
 
 
+def add_customers(plan: Plan, seconds: float) -> Plan:
+    """Return a plan with customers, and what happens to these.
+
+    A key is withdrawn, a customer exceeds its limit, or a data centre is
+    evacuated and taken back.
+
+    Args:
+        plan: The plan; unchanged if its seed is below the first one.
+        seconds: Seconds in which faults begin.
+    """
+    if plan.seed < FIRST_SEED_WITH_CUSTOMERS:
+        return plan
+    rng = random.Random(f"customers {plan.seed}")
+    faults = [*plan.faults]
+    if rng.random() < 0.8:
+        faults.append(Fault(rng.uniform(2.0, seconds / 2), "withdraw"))
+    if rng.random() < 0.8:
+        zone = rng.choice(plan.zones)
+        at = rng.uniform(1.0, seconds / 4)
+        for_s = rng.uniform(7.0, 10.0)
+        faults.append(Fault(at, "evacuate", (), for_s, zone))
+    has_flood = rng.random() < 0.6
+    faults.sort(key=lambda fault: fault.at)
+    return dataclasses.replace(
+        plan, faults=tuple(faults), has_customers=True, has_flood=has_flood
+    )
+
+
 def draw_planned(seed: int, seconds: float, count: int = 0) -> Plan:
     """Return a plan of planned work and trouble of the store only.
 
--- a/tests/test_soak/world.py
+++ b/tests/test_soak/world.py
@@ -44,6 +44,8 @@
 [terms.bounds]
 grace_s = {grace_s}
 budget_ratio = {budget_ratio}
+strict_revoke = {strict_revoke}
+revoke_s = {revoke_s}
 """
 _PROGRAM = "trefoilwind.cmd.platform_node"
 _PORTS = ("outbound", "ready", "control", "app", "inbound", "inner")
@@ -56,6 +58,8 @@
 # Seconds in which a process loads its modules.
 _BOOT_S = 2.0
 _SETTLE_S = 2.0
+# Seconds between two looks at the store's faults.
+_STORE_INTERVAL_S = 0.1
 # What a harmed link is like.
 _HARM = {
     "slow": {"delay_s": 0.15},
@@ -224,6 +228,7 @@
         self._loop = asyncio.get_running_loop()
         self._store = fakes.StoreServer()
         self._version = 10
+        self._withdrawn_keys: set[str] = set()
         self._nodes: list[Node] = []
         self._servers: list[peers.BackendServer] = []
         self._callers: list[peers.Caller] = []
@@ -232,6 +237,17 @@
             links_lib.Quality(plan.delay_s, plan.bytes_per_s),
         )
         self.ledger = ledger_lib.Ledger(plan.services)
+        if plan.has_customers:
+            self.ledger.customers = {
+                key: row["name"]
+                for row in peers.CUSTOMERS
+                for key in row["api_keys"]
+            }
+            self.ledger.limits = {
+                row["name"]: (row["rate_per_s"], row["burst"])
+                for row in peers.CUSTOMERS
+                if row["rate_per_s"]
+            }
 
     async def run(self, seconds: float) -> None:
         try:
@@ -260,6 +276,8 @@
             fields |= {"index": index, "service": service, "store": store}
             fields |= {"zone": self._plan.zones[index]}
             fields |= {"grace_s": ledger_lib.GRACE_S}
+            fields |= {"strict_revoke": str(self._plan.has_customers).lower()}
+            fields |= {"revoke_s": ledger_lib.REVOKE_S}
             node = Node(self._folder, index, fields, self._plan, self.ledger)
             self._nodes.append(node)
             await node.start()
@@ -270,9 +288,21 @@
                     fields["outbound"],
                     habit,
                     self.ledger,
+                    peers.KEYS if self._plan.has_customers else ("",),
                 )
                 for number, habit in enumerate(peers.HABITS[self._plan.habits])
             ]
+            if self._plan.has_flood:
+                self._callers.append(
+                    peers.Caller(
+                        f"{self._plan.seed}-{index}-flood",
+                        index,
+                        fields["outbound"],
+                        peers.FLOOD,
+                        self.ledger,
+                        (peers.FLOOD_KEY,),
+                    )
+                )
         async with asyncio.timeout(_START_S):
             for node in self._nodes:
                 while not await node.is_ready():
@@ -280,6 +310,7 @@
 
     async def _run(self, seconds: float) -> None:
         watch = self._loop.create_task(self.ledger.measure_delays())
+        watch_store = self._loop.create_task(self._watch_store())
         async with asyncio.TaskGroup() as group:
             for caller in self._callers:
                 group.create_task(caller.run())
@@ -290,6 +321,7 @@
                 caller.is_ending = True
         await asyncio.sleep(_SETTLE_S)
         watch.cancel()
+        watch_store.cancel()
         self.ledger.check_end(ended)
 
     async def _carry_out(self, seconds: float) -> None:
@@ -304,6 +336,8 @@
     async def _begin(self, fault: plan_lib.Fault) -> None:
         own = {
             "configure": self._configure,
+            "withdraw": self._withdraw,
+            "evacuate": self._evacuate,
             "refuse": self._refuse,
             "harm": self._harm,
             "harm_store": self._harm_store,
@@ -373,6 +407,43 @@
         for key in keys:
             self._links.quality[key] = self._links.sound(key)
 
+    async def _watch_store(self) -> None:
+        """Record when the store has faults."""
+        while True:
+            if self._store.answers or self._store.delay_s:
+                now = self._loop.time()
+                span = (now - _STORE_INTERVAL_S, now + _STORE_INTERVAL_S)
+                self.ledger.store.faults.append(span)
+            await asyncio.sleep(_STORE_INTERVAL_S)
+
+    async def _evacuate(self, fault: plan_lib.Fault) -> None:
+        """Evacuate a data centre and take it back."""
+        key = f"evacuate/{fault.how}".encode()
+        self._store.append("op", key, b"{}")
+        now = self._loop.time()
+        try:
+            await asyncio.sleep(fault.seconds)
+        finally:
+            span = (now, self._loop.time())
+            self._store.append("op", key, b"")
+            for index, zone in enumerate(self._plan.zones):
+                if zone == fault.how:
+                    self.ledger.nodes[index].evacuations.append(span)
+
+    async def _withdraw(self, fault: plan_lib.Fault) -> None:
+        """Withdraw a key by a new configuration."""
+        self._withdrawn_keys.add(peers.WITHDRAWN_KEY)
+        await self._configure(fault)
+        now = self._loop.time()
+        self.ledger.withdrawn[peers.WITHDRAWN_KEY] = now
+
+    def _customers(self) -> list[dict[str, Any]]:
+        return [
+            row
+            | {"api_keys": sorted({*row["api_keys"]} - self._withdrawn_keys)}
+            for row in peers.CUSTOMERS
+        ]
+
     async def _configure(self, fault: plan_lib.Fault) -> None:
         rng = random.Random(f"configuration {self._plan.seed} {fault.at}")
         self._version += rng.randint(1, 5)
@@ -411,6 +482,8 @@
             "routes": _table(rows),
             "services": _table(services),
         }
+        if self._plan.has_customers:
+            document["tenants"] = _table(self._customers())
         self.ledger.configured.append(self._loop.time())
         self._store.append("op", b"config", json.dumps(document).encode())
 
