Let one node read for data centres of five nodes or more

In data centres of five or six nodes in a region without the store each node read the configurations itself across the link between regions. Small data centres of four nodes or fewer read as before.

--- a/trefoilwind/gateway/reader_selection.py
+++ b/trefoilwind/gateway/reader_selection.py
@@ -26,7 +26,7 @@
 from trefoilwind.gateway import follower
 
 # Smallest number of nodes of a data centre with which one reads for the others.
-MIN_NODES = 8
+MIN_NODES = 5
 # Seconds for which a read that others rely on waits for a record. Its
 # completion, with or without a record, is announced and shows that the reader
 # is alive.
