Explain where a request would go without sending it

Why a request goes to one backend server could be seen only afterwards, from logs, and not with the figures that were compared.

`trefoilwind-explain where` asks `/where` of a node's metrics server. The node answers from copies of the random state, picker, weights and quota account of its entry, through the functions of the request path. `Picker.pick` is split into `compare`, which returns the candidates; `placement.choose` and `cost_s` into the comparison's cost and the wait, with the same arithmetic.

--- a/trefoilwind/cmd/explain.py
+++ b/trefoilwind/cmd/explain.py
@@ -2,13 +2,20 @@
 
 import json
 from typing import Annotated
+import urllib.parse
 
 import cyclopts
+import urllib3
 
 from trefoilwind.cmd import common
 from trefoilwind.logs import explain
+from trefoilwind.logs import preview_text
 from trefoilwind.logs import reader
 
+_WHERE_PATH = "/where"
+_WHERE_TIMEOUT_S = 5.0
+_OK = 200
+
 app = cyclopts.App(
     help="Show from logs how requests were handled and why they failed."
 )
@@ -59,6 +66,57 @@
         raise SystemExit(common.EXIT_FAILED)
 
 
+@app.command
+def where(
+    url: str,
+    host: str,
+    path: str,
+    *,
+    method: str = "GET",
+    body_bytes: Annotated[int, cyclopts.Parameter(name="--bytes")] = 0,
+    customer: str = "",
+    as_json: Annotated[bool, cyclopts.Parameter(name="--json")] = False,
+) -> None:
+    """Explain where a request would go now, without sending it.
+
+    Args:
+        url: URL of the metrics server of the entry node.
+        host: Host of the request.
+        path: Its path.
+        method: Its HTTP method.
+        body_bytes: Size of its body.
+        customer: Name of its customer; no key is needed.
+        as_json: Print one JSON object.
+    """
+    common.check_url("URL", url)
+    query = urllib.parse.urlencode(
+        {
+            "host": host,
+            "path": path,
+            "method": method,
+            "bytes": body_bytes,
+            "customer": customer,
+        }
+    )
+    pool = urllib3.PoolManager(retries=False)
+    try:
+        answer = pool.request(
+            "GET",
+            f"{url.rstrip('/')}{_WHERE_PATH}?{query}",
+            timeout=_WHERE_TIMEOUT_S,
+        )
+        document = json.loads(answer.data) if answer.data else {}
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        common.fail(f"{url}: {error}", common.EXIT_FAILED)
+    if answer.status != _OK:
+        detail = document.get("error", f"status {answer.status}")
+        common.fail(f"{url}: {detail}", common.EXIT_FAILED)
+    if as_json:
+        print(json.dumps(document))
+    else:
+        print(preview_text.render(document))
+
+
 def _read(logs: tuple[str, ...]) -> list[reader.Line]:
     try:
         return reader.read(logs or ("-",))
--- a/trefoilwind/customers/access.py
+++ b/trefoilwind/customers/access.py
@@ -80,6 +80,11 @@
         """True if requests need a key, except on public routes."""
         return self._table is not None
 
+    @property
+    def is_confirmed(self) -> bool:
+        """True if keyed requests are not refused for outdated keys."""
+        return self._is_confirmed()
+
     def update(self, configuration: mesh.MeshConfiguration) -> None:
         """Put the customers of a configuration in force.
 
--- a/trefoilwind/customers/quota_exchange.py
+++ b/trefoilwind/customers/quota_exchange.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+import copy
 import dataclasses
 import logging
 
@@ -171,6 +172,32 @@
         self._ports.call_later(WAIT_S, lambda: self._end_wait(name, resolve))
         self._plan_ask(account, 1, now)
 
+    def preview(self, name: str) -> tuple[bool, float | None]:
+        """Return whether a call would get a token now; takes none.
+
+        Args:
+            name: A customer with a limit.
+
+        Returns:
+            Whether there is a token, and else the seconds until a retry, or
+            None if the call would wait for a token.
+        """
+        now = self._ports.now()
+        account = self._accounts.get(name)
+        account = (
+            quota_account.Account(now)
+            if account is None
+            else copy.deepcopy(account)
+        )
+        if not self._waiting.get(name) and account.spend(
+            self._count_base_calls(name), self._terms.window_s, now
+        ):
+            return True, None
+        retry_s = account.refusal_s(now)
+        if retry_s is None and not self._relay_of(self._data_centre):
+            retry_s = NO_OWNER_RETRY_S
+        return False, retry_s
+
     def give_back(self, name: str) -> None:
         """Return the token of a call that has certainly not run."""
         account = self._accounts.get(name)
--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import copy
 import dataclasses
 import logging
 import math
@@ -154,11 +155,40 @@
         """Return the answer to a request that this node cannot run now."""
         return self._unavailable(NO_BACKEND_RETRY_S)
 
+    def preview(
+        self,
+        request: http_types.HttpRequest,
+        route: mesh.HostRoute,
+        customer: mesh.Customer | None,
+        body_bytes: int,
+    ) -> tuple[calls.Call, picker_lib.Comparison]:
+        """Return the call for a request and where it goes; changes no state.
+
+        The choices are those of a request that is served at this moment.
+
+        Args:
+            request: The request, without its body.
+            route: Its route.
+            customer: Its customer; None for none.
+            body_bytes: Size of its body.
+        """
+        rng = random.Random()
+        rng.setstate(self._random.getstate())
+        copied = copy.copy(self)
+        copied._random = rng
+        copied._picker = self._picker.copy(rng.random)
+        copied._weighted_choice = self._weighted_choice.copy(rng.random)
+        metadata = self._headers.read(request.headers)
+        version = self._board.routes.value.version
+        call = copied._call(request, metadata, route, version, customer)
+        now = self._loop.time()
+        return call, copied._picker.compare(call, (), now, False, body_bytes)
+
     async def serve(
         self, request: http_types.HttpRequest
     ) -> http_types.HttpAnswer:
         """Return the answer to a request."""
-        if self._is_too_late(request):
+        if self._is_too_late(request.received):
             return self.refusal()
         table = self._board.routes.value
         if not table.version:
@@ -258,9 +288,18 @@
             return None
         return self._stop_deadline - STOP_MARGIN_S
 
-    def _is_too_late(self, request: http_types.HttpRequest) -> bool:
-        """Return True if a stop leaves no time to run a request."""
-        if request.received > self._last_start:
+    @property
+    def is_stopping(self) -> bool:
+        """True if requests are refused because the node stops."""
+        return self._is_too_late(self._loop.time())
+
+    def _is_too_late(self, received: float) -> bool:
+        """Return True if a stop leaves no time to run a request.
+
+        Args:
+            received: Event loop time in seconds at which it was received.
+        """
+        if received > self._last_start:
             return True
         timeout_at = self._timeout_at
         return timeout_at is not None and self._loop.time() >= timeout_at
--- a/trefoilwind/gateway/metrics_page.py
+++ b/trefoilwind/gateway/metrics_page.py
@@ -1,7 +1,9 @@
 """Metrics page of a node on the event loop, served over HTTP."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 
 from trefoilwind.gateway import http_types
@@ -11,6 +13,8 @@
 PATH = b"/metrics"
 _NOT_FOUND = http_types.HttpAnswer(404, ())
 
+Handler = Callable[[http_types.HttpRequest], Awaitable[http_types.HttpAnswer]]
+
 
 @dataclasses.dataclass(frozen=True)
 class Gauges:
@@ -80,15 +84,27 @@
         self,
         counts: counts_lib.MeshCounts,
         gauges: Callable[[], Gauges],
+        pages: Mapping[bytes, Handler] | None = None,
     ):
+        """Initialize the page.
+
+        Args:
+            counts: Counters of the node.
+            gauges: Returns its gauges.
+            pages: Handlers of further paths; None for none.
+        """
         self._counts = counts
         self._gauges = gauges
+        self._pages = dict(pages or {})
 
     async def serve(
         self, request: http_types.HttpRequest
     ) -> http_types.HttpAnswer:
         """Return the metrics as text."""
-        if request.target.partition(b"?")[0] != PATH:
+        path = request.target.partition(b"?")[0]
+        if path in self._pages:
+            return await self._pages[path](request)
+        if path != PATH:
             return _NOT_FOUND
         families = (*self._counts.families(), *_families(self._gauges()))
         media_type = prometheus.content_type().encode("latin-1")
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -30,6 +30,7 @@
 from trefoilwind.gateway import own_server
 from trefoilwind.gateway import peers as peers_lib
 from trefoilwind.gateway import picker as picker_lib
+from trefoilwind.gateway import placement_preview
 from trefoilwind.gateway import publisher as publisher_lib
 from trefoilwind.gateway import quotas as quotas_lib
 from trefoilwind.gateway import rollout_manager
@@ -321,6 +322,18 @@
         """Quotas of customers."""
         return self._quotas
 
+    @property
+    def preview(self) -> placement_preview.PlacementPreview:
+        """Explains where a request would go now."""
+        return placement_preview.PlacementPreview(
+            self._board,
+            self._entry,
+            self._picker,
+            self._access,
+            self._quotas,
+            self._loop.time,
+        )
+
     @property
     def account(self) -> buffer_account.BufferAccount:
         """Account of the bytes that the process buffers."""
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -4,6 +4,7 @@
 from collections.abc import Container
 from collections.abc import Iterator
 from collections.abc import Sequence
+import copy
 import dataclasses
 import math
 
@@ -87,6 +88,21 @@
         return max(self.in_flight, self.reported_occupied + change)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Comparison:
+    """Backend servers that were compared for one attempt.
+
+    Attributes:
+        chosen: The one that is to run the call; None if there is none.
+        candidates: Those compared, nearest first.
+        transfer_bytes: Size of the body and expected answer in bytes.
+    """
+
+    chosen: placement.Candidate | None
+    candidates: Sequence[placement.Candidate]
+    transfer_bytes: int
+
+
 class Picker:
     """Chooses versions and backend servers for calls."""
 
@@ -183,6 +199,28 @@
             now: Event loop time in seconds.
             was_refused: True if the last of them refused it for overload.
         """
+        chosen = self.compare(
+            call, tried, now, was_refused, len(call.body)
+        ).chosen
+        return "" if chosen is None else chosen.node_id
+
+    def compare(
+        self,
+        call: calls.Call,
+        tried: Container[str],
+        now: float,
+        was_refused: bool,
+        body_bytes: int,
+    ) -> Comparison:
+        """Return the backend servers that are compared for a call.
+
+        Args:
+            call: The call.
+            tried: Nodes to which the call has been sent before.
+            now: Event loop time in seconds.
+            was_refused: True if the last of them refused it for overload.
+            body_bytes: Size of its body.
+        """
         self._note_appearances(now)
 
         evacuations = self._board.evacuations.value
@@ -207,19 +245,48 @@
         choose = placement.choose
         if was_refused:
             choose = placement.choose_after_refusal
-        size = len(call.body)
+        size = body_bytes
         size += self._answer_sizes.expected_bytes(call.route_name)
         while True:
             candidates = self._sampled(
                 groups, is_warm, kind, now
             ) or self._sampled(groups, is_available, kind, now)
             chosen = choose(candidates, size)
-            if chosen is not None:
-                return chosen.node_id
-            if not held_back:
-                return ""
+            if chosen is not None or not held_back:
+                return Comparison(chosen, candidates, size)
             held_back = frozenset()
 
+    def copy(self, draw: Callable[[], float]) -> "Picker":
+        """Return a picker for previews; its choices change no state here.
+
+        Args:
+            draw: Returns a random number from 0 to 1.
+        """
+        copied = copy.copy(self)
+        copied._draw = draw
+        copied._states = dict(self._states)
+        return copied
+
+    def ages_s(
+        self, node_id: str, now: float
+    ) -> tuple[float | None, float | None]:
+        """Return the ages of the reported load and service time in seconds.
+
+        Args:
+            node_id: Node beside the backend server.
+            now: Event loop time in seconds.
+
+        Returns:
+            The two ages; None for what was never reported.
+        """
+        state = self._states.get(node_id, _BackendState())
+        has_load = state.reported_occupied >= 0
+        has_time = state.slowness.seconds >= 0.0
+        return (
+            now - state.reported_at if has_load else None,
+            now - state.slowness.reported_at if has_time else None,
+        )
+
     def _sampled(
         self,
         groups: Sequence[
--- a/trefoilwind/gateway/quotas.py
+++ b/trefoilwind/gateway/quotas.py
@@ -128,6 +128,10 @@
             self._counts.quota_refused(customer)
         return retry_s
 
+    def preview(self, customer: str) -> tuple[bool, float | None]:
+        """Return what `take` would do, as `Exchange.preview` does."""
+        return self._exchange.preview(customer)
+
     def give_back(self, customer: str, now: float) -> None:
         """Return the token of a call that has certainly not run.
 
--- a/trefoilwind/platform/program.py
+++ b/trefoilwind/platform/program.py
@@ -10,6 +10,7 @@
 from trefoilwind.gateway import metrics_page
 from trefoilwind.gateway import node as node_lib
 from trefoilwind.gateway import node_settings
+from trefoilwind.gateway import placement_preview
 from trefoilwind.gateway import streams
 from trefoilwind.gateway import supervision
 from trefoilwind.model import mesh
@@ -153,7 +154,11 @@
 
 async def _serve_metrics(node: node_lib.MeshNode, host: str, port: int) -> None:
     """Serve the metrics; if that fails, the node still serves callers."""
-    page = metrics_page.MetricsPage(node.counts, lambda: node.gauges)
+    page = metrics_page.MetricsPage(
+        node.counts,
+        lambda: node.gauges,
+        {placement_preview.PATH: node.preview.serve},
+    )
     server = http_server.HttpServer(
         page.serve, lambda: _ENDPOINT_LIMITS, node.account
     )
--- a/trefoilwind/routing/placement.py
+++ b/trefoilwind/routing/placement.py
@@ -128,11 +128,9 @@
         transfer_bytes: Size of the call's body and expected answer in bytes.
     """
     slots = max(1, candidate.slots)
-    excess = max(0.0, candidate.occupied + 1 - slots)
     occupancy_factor = OCCUPANCY_COST_SHARE * min(
         1.0, candidate.occupied / slots
     )
-    queueing_factor = excess / slots
     megabytes = transfer_bytes / _BYTES_PER_MB
     fixed_cost_s = PATH_LATENCY_S[candidate.distance]
     fixed_cost_s += candidate.extra_path_s
@@ -140,15 +138,35 @@
     fixed_cost_s += FAILURE_COST_S * max(
         0.0, candidate.failure_share - TOLERATED_FAILURE_SHARE
     )
-    mean_s = candidate.mean_s or candidate.service_s
     run_s = candidate.service_s * (1.0 + occupancy_factor)
-    return fixed_cost_s + run_s + mean_s * queueing_factor
+    return fixed_cost_s + run_s + wait_s(candidate)
+
+
+def wait_s(candidate: Candidate) -> float:
+    """Return the expected wait of a call for a slot there in seconds."""
+    slots = max(1, candidate.slots)
+    excess = max(0.0, candidate.occupied + 1 - slots)
+    mean_s = candidate.mean_s or candidate.service_s
+    return mean_s * (excess / slots)
 
 
 def choose(
     candidates: Sequence[Candidate], transfer_bytes: int = 0
 ) -> Candidate | None:
     """Return the candidate with the lowest cost, or None."""
+    cost = comparison_cost_s(candidates, transfer_bytes)
+    return min(candidates, key=cost, default=None)
+
+
+def comparison_cost_s(
+    candidates: Sequence[Candidate], transfer_bytes: int
+) -> Callable[[Candidate], float]:
+    """Return the function by whose result in seconds they are compared.
+
+    Args:
+        candidates: Backend servers to compare.
+        transfer_bytes: Size of the call's body and expected answer in bytes.
+    """
     nearest_room = min(
         (each.distance for each in candidates if _is_sound_and_free(each)),
         default=None,
@@ -162,7 +180,7 @@
             total_s += FAILURE_COST_S * max(0.0, failing - tolerated)
         return total_s
 
-    return min(candidates, key=cost, default=None)
+    return cost
 
 
 def choose_after_refusal(
--- a/trefoilwind/routing/weighted_choice.py
+++ b/trefoilwind/routing/weighted_choice.py
@@ -32,6 +32,13 @@
         self._fractions: dict[str, float] = {}
         self._version = 0
 
+    def copy(self, draw: Callable[[], float]) -> "WeightedChoice":
+        """Return a copy with the same positions and its own random numbers."""
+        copied = WeightedChoice(draw)
+        copied._fractions = dict(self._fractions)
+        copied._version = self._version
+        return copied
+
     def choose(
         self,
         route: mesh.HostRoute,
