Test the preview on a running node and show shares

The preview was tested on an entry only, not through a node, the program's metrics server and the platform's headers. Its text lacked the share of the service and the customer's regions, and showed -0.0 for an empty server.

--- a/tests/test_gateway/test_gateway_node.py
+++ b/tests/test_gateway/test_gateway_node.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import json
 import logging
 import time
 
@@ -806,6 +807,25 @@
     _run(scenario)
 
 
+def test_preview_of_a_node_lacks_its_configuration_or_server():
+    async def scenario(cluster: _Cluster) -> None:
+        await cluster.write("config", "config 3")
+        node = await cluster.add("n1")
+        await _until(lambda: node.is_ready)
+        page = metrics_page.MetricsPage(
+            node.counts, lambda: node.gauges, {b"/where": node.preview.serve}
+        )
+        target = b"/where?host=a.example&path=/a/1"
+        request = http_types.HttpRequest(b"GET", target, (), b"", 0.0)
+        answer = await page.serve(request)
+        document = json.loads(answer.body)
+        assert document["configuration"] == 3
+        assert document["chosen"]["node"] == "n1"
+        assert document["customer"] is None
+
+    _run(scenario)
+
+
 def test_delay_of_the_event_loop_is_measured_and_logged(caplog):
     caplog.set_level(logging.INFO)
 
--- a/tests/test_platform/test_platform_program.py
+++ b/tests/test_platform/test_platform_program.py
@@ -130,6 +130,8 @@
         assert page.startswith(b"HTTP/1.1 200")
         assert b"trefoilwind_ready 0" in page
         assert (await _get(ports["metrics"], "/")).startswith(b"HTTP/1.1 404")
+        preview = await _get(ports["metrics"], "/where?host=a&path=/a")
+        assert b'"reason": "records-unknown", "status": 503' in preview
         ready = await _until_served(ports["ready"], "/")
         assert not ready.startswith(b"HTTP/1.1 200")
         answer = await _until_served(ports["outbound"], "/a")
--- a/trefoilwind/gateway/placement_preview.py
+++ b/trefoilwind/gateway/placement_preview.py
@@ -264,7 +264,9 @@
             "failure_share": round(candidate.failure_share, _DIGITS),
             "cost_s": round(total_s, _DIGITS),
             "parts_s": {
-                name: round(each, _DIGITS) for name, each in parts_s.items()
+                # The sum turns a negative zero into zero.
+                name: round(each, _DIGITS) + 0.0
+                for name, each in parts_s.items()
             },
             "load_age_s": _rounded(load_age_s),
             "service_time_age_s": _rounded(time_age_s),
--- a/trefoilwind/logs/preview_text.py
+++ b/trefoilwind/logs/preview_text.py
@@ -20,7 +20,8 @@
             limit = f"{customer['rate_per_s']:g}/s burst {customer['burst']:g}"
         lines.append(
             f"customer {customer['name']}: rank {customer['rank']},"
-            f" limit {limit}"
+            f" limit {limit}, allowed regions"
+            f" {_names(customer['allowed_regions'] or None, 'all')}"
         )
     quota = document.get("quota")
     if quota is not None:
@@ -33,7 +34,8 @@
             f" {_names(document['allowed_regions'], 'all')}"
         )
         lines.append(
-            f"service {document['service']}, version"
+            f"service {document['service']}"
+            f" (share {route['shares'][document['service']]:g}), version"
             f" {version['name'] or 'any'} (share {version['share']:g})"
         )
     lines.append(f"evacuated: {_names(document['evacuated'], 'none')}")
