Move the checks of a request by its head out of the entry node's calls

gateway/entry.py had grown by the access check, its log line and the rule for pipelined requests; they are a part of their own, gateway/request_checks.py. No behaviour changes. tests of entry and preview pass.

--- a/trefoilwind/gateway/entry.py
+++ b/trefoilwind/gateway/entry.py
@@ -16,6 +16,7 @@
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import picker as picker_lib
 from trefoilwind.gateway import quotas as quotas_lib
+from trefoilwind.gateway import request_checks
 from trefoilwind.gateway import unread
 from trefoilwind.logs import decisions
 from trefoilwind.model import mesh
@@ -28,7 +29,6 @@
 logger = logging.getLogger(__name__)
 
 _STEP = "entry.call"
-_ACCESS_STEP = "entry.access"
 # Seconds until the deadline of a request that gives none.
 DEFAULT_DEADLINE_S = 10.0
 # Nodes to which one call is sent at most before it is refused.
@@ -44,16 +44,12 @@
 RETRY_JITTER = 0.5
 # Routes whose longest times are kept; the operator names them.
 MAX_ROUTES_MEASURED = 1000
-# Retry time given to callers while the keys in force may be outdated.
-KEYS_UNCONFIRMED_RETRY_S = 0.5
-_STATUS_UNAUTHORIZED = 401
 _STATUS_NOT_FOUND = 404
 _STATUS_TOO_MANY = 429
 _STATUS_BAD_GATEWAY = 502
 _STATUS_UNAVAILABLE = 503
 _STATUS_TIMEOUT = 504
 
-_SAFE_METHODS = frozenset({b"GET", b"HEAD"})
 _FINAL_REASONS = frozenset(
     {errors.Reason.DEADLINE_EXCEEDED, errors.Reason.POISON_REQUEST}
 )
@@ -114,7 +110,14 @@
         self._random = rng
         self._configuration_age_s = configuration_age_s
         self._regions_of_running = regions_of_running
-        self._access = access or access_lib.Access()
+        self._checks = request_checks.RequestChecks(
+            access or access_lib.Access(),
+            board,
+            headers,
+            is_running,
+            counts,
+            self._unavailable,
+        )
         self._quotas = quotas
         self._weighted_choice = weighted_choice.WeightedChoice(rng.random)
         self._loop = asyncio.get_running_loop()
@@ -155,6 +158,11 @@
         """Return the answer to a request that this node cannot run now."""
         return self._unavailable(NO_BACKEND_RETRY_S)
 
+    @property
+    def checks(self) -> request_checks.RequestChecks:
+        """Checks of requests by their heads."""
+        return self._checks
+
     def preview(
         self,
         request: http_types.HttpRequest,
@@ -198,9 +206,9 @@
         route = table.match(metadata.host, path)
         if route is None:
             return http_types.HttpAnswer(_STATUS_NOT_FOUND, ())
-        customer = self._check_access(metadata, route)
-        if isinstance(customer, access_lib.Refusal):
-            return self._access_refused(customer, metadata, route)
+        customer = self._checks.customer(metadata, route)
+        if isinstance(customer, http_types.HttpAnswer):
+            return customer
         call = self._call(request, metadata, route, table.version, customer)
         if self._is_refused(call):
             return http_types.HttpAnswer(_STATUS_BAD_GATEWAY, ())
@@ -217,70 +225,6 @@
         self._log_result(metadata, call, progress, result, answer.status)
         return answer
 
-    def check_head(
-        self, request: http_types.HttpRequest
-    ) -> http_types.HttpAnswer | None:
-        """Return the answer to a request that is refused before its body.
-
-        Args:
-            request: The request, without its body.
-
-        Returns:
-            A refusal, or None if the body is to be read.
-        """
-        if not self._access.is_required:
-            return None
-        metadata = self._headers.read(request.headers)
-        path = request.target.partition(b"?")[0].decode("latin-1")
-        route = self._board.routes.value.match(metadata.host, path)
-        if route is None:
-            return None
-        customer = self._check_access(metadata, route)
-        if isinstance(customer, access_lib.Refusal):
-            return self._access_refused(customer, metadata, route)
-        return None
-
-    def _check_access(
-        self, metadata: calls.RequestMetadata, route: mesh.HostRoute
-    ) -> mesh.Customer | access_lib.Refusal | None:
-        is_nested = self._is_running(metadata.parent_id)
-        return self._access.check(metadata.key, route, is_nested)
-
-    def _access_refused(
-        self,
-        refusal: access_lib.Refusal,
-        metadata: calls.RequestMetadata,
-        route: mesh.HostRoute,
-    ) -> http_types.HttpAnswer:
-        self._counts.access_refused(refusal.reason.value)
-        if refusal.is_temporary:
-            answer = self._unavailable(KEYS_UNCONFIRMED_RETRY_S)
-        else:
-            answer = http_types.HttpAnswer(
-                _STATUS_UNAUTHORIZED, self._headers.challenge
-            )
-        decisions.failure(
-            logger,
-            "access_refused",
-            "entry: access refused",
-            id=metadata.request_id,
-            route=route.name,
-            configuration=self._board.configuration.value.version,
-            reason=refusal.reason.value,
-            step=_ACCESS_STEP,
-            status=answer.status,
-        )
-        return answer
-
-    def may_overlap(self, request: http_types.HttpRequest) -> bool:
-        """Return True if a request may run beside others of its connection."""
-        if request.method not in _SAFE_METHODS:
-            return False
-        host = request.header(b"host").decode("latin-1")
-        path = request.target.partition(b"?")[0].decode("latin-1")
-        route = self._board.routes.value.match(host, path)
-        return route is not None and route.is_idempotent
-
     @property
     def _timeout_at(self) -> float | None:
         """Event loop time in seconds at which a stop ends the calls."""
@@ -326,7 +270,7 @@
             method=request.method.decode("latin-1"),
             target=request.target.decode("latin-1"),
             headers=(
-                *self._forwarded(metadata, customer),
+                *self._checks.forwarded(metadata, customer),
                 *self._headers.entry_headers(self._own_service()),
             ),
             body=request.body,
@@ -344,15 +288,6 @@
             allowed_regions=allowed,
         )
 
-    def _forwarded(
-        self, metadata: calls.RequestMetadata, customer: mesh.Customer | None
-    ) -> tuple[http_types.Header, ...]:
-        """Return the caller's headers, with its customer instead of its key."""
-        if not self._access.is_required:
-            return metadata.forwarded
-        name = customer.name if customer is not None else ""
-        return self._headers.customer_headers(metadata.forwarded, name)
-
     async def _run_within_quota(
         self, call: calls.Call, route: mesh.HostRoute, progress: _Progress
     ) -> calls.Result:
--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -252,8 +252,8 @@
             self._serve,
             self._limits,
             self._account,
-            self._entry.may_overlap,
-            self._entry.check_head,
+            self._entry.checks.may_overlap,
+            self._entry.checks.check_head,
         )
         self._publisher = publisher_lib.Publisher(
             store, node_settings.MESH_TOPIC, self._random
