Recognise calls that a nested call makes

The id up to the first dot named the outermost request, which runs at another node. A call two levels deep was not recognised as nested and, where requests need a customer's key, got 401.

--- a/tests/test_platform/test_platform_headers.py
+++ b/tests/test_platform/test_platform_headers.py
@@ -91,6 +91,9 @@
     assert _PORT.read(own).parent_id == b""
     assert _PORT.read(nested).parent_id == b"9c41"
     assert _PORT.read(nested).request_id == b"9c41.77"
+    # A call of a nested call waits for that one, which runs elsewhere.
+    deeper = ((b"X-Request-Id", b"9c41.77.3"),)
+    assert _PORT.read(deeper).parent_id == b"9c41.77"
 
 
 @pytest.mark.parametrize(
--- a/trefoilwind/platform/headers.py
+++ b/trefoilwind/platform/headers.py
@@ -64,7 +64,7 @@
     # Observed in traffic but not documented by the platform: the id of a call
     # that a backend server makes is the id of the request that waits for it,
     # followed by a dot and a suffix.
-    parent_id, dot, _ = request_id.partition(b".")
+    parent_id, dot, _ = request_id.rpartition(b".")
     return calls.RequestMetadata(
         request_id=request_id,
         parent_id=parent_id if dot else b"",
