Ask once for the token of a waiting call

A node asked again with each further call before the answer came, and the owner lent twice; half of the tokens ended unused while the limit was reached. Tokens of requests without an answer now count as coming for 0.3 s.

--- a/trefoilwind/customers/quota_account.py
+++ b/trefoilwind/customers/quota_account.py
@@ -22,6 +22,9 @@
 AHEAD_S = 0.3
 # Seconds over which the demand of a customer is averaged.
 DEMAND_S = 1.0
+# Seconds for which the answer to a request is awaited before its tokens are
+# asked for again.
+ANSWER_S = 0.3
 # Seconds after which tokens that no call has used are given back.
 IDLE_S = 0.4
 # Seconds for which an answer that lent too little tells that another request
@@ -57,6 +60,8 @@
         self._base_times: collections.deque[float] = collections.deque()
         self._held = 0
         self._held_deadline = 0.0
+        # Times of the requests without an answer, and the tokens asked for.
+        self._asked: collections.deque[tuple[float, int]] = collections.deque()
         self._seen = 0
         self._owner = ""
         # Requests refused since the last ask.
@@ -136,11 +141,12 @@
     def wants(self, waiting: int, now: float) -> bool:
         """Return True if an ask would change what the node holds."""
         self._drop_ended(now)
-        if waiting > self._held or self._usable_refused(now):
+        coming = self._held + self._pending(now)
+        if waiting > coming or self._usable_refused(now):
             return True
         if now - self._last_demand_at > IDLE_S:
             return self._reported > 0
-        return 2 * self._held < self._ahead(now)
+        return 2 * coming < self._ahead(now)
 
     def ask(
         self, customer: str, waiting: int, now: float
@@ -151,9 +157,11 @@
             self._voided += self._held
             self._held = 0
             self._refused = 0
-        ahead = self._ahead(now)
-        needed = max(0, waiting + self._usable_refused(now) - self._held)
-        ahead = max(0, ahead - self._held - needed)
+        coming = self._held + self._pending(now)
+        needed = max(0, waiting + self._usable_refused(now) - coming)
+        ahead = max(0, self._ahead(now) - coming - needed)
+        if needed + ahead:
+            self._asked.append((now, needed + ahead))
         self._refused = 0
         self._reported = self._held
         return quota_messages.Ask(
@@ -181,6 +189,8 @@
             loan: The loan.
             now: Time in seconds.
         """
+        while self._asked and self._asked[0][0] <= sent_s:
+            self._asked.popleft()
         if loan.tokens and owner != self._owner:
             # Tokens of another owner end at their deadline; they are dropped
             # now as the numbers of loans differ between owners.
@@ -203,6 +213,12 @@
         else:
             self._short_until = 0.0
 
+    def _pending(self, now: float) -> int:
+        """Return the number of tokens in requests that may be answered."""
+        while self._asked and now >= self._asked[0][0] + ANSWER_S:
+            self._asked.popleft()
+        return sum(tokens for _, tokens in self._asked)
+
     def _expected(self, now: float) -> float:
         """Return the number of calls expected until the next exchange."""
         decay = math.exp(-max(0.0, now - self._demand_at) / DEMAND_S)
