Skip the filters of evacuations and cold servers where there are none

The picker called three predicates for each sampled server, also without evacuations, regions and limits of cold servers.

--- a/trefoilwind/gateway/node.py
+++ b/trefoilwind/gateway/node.py
@@ -219,6 +219,7 @@
             self._random.random,
             self._cold.share,
             self._round_trip_s,
+            lambda service: self._cold.policy(service) is not None,
         )
         self._budget = shared_budget.SharedBudget(settings.budget)
         self._access = access_lib.Access(
--- a/trefoilwind/gateway/picker.py
+++ b/trefoilwind/gateway/picker.py
@@ -117,6 +117,7 @@
             [members_lib.Member, float, float], float
         ] = lambda member, service_s, now: 1.0,
         round_trip_s: Callable[[str], float] = lambda node_id: -1.0,
+        limits_cold: Callable[[str], bool] = lambda service: True,
     ):
         """Initialize without knowledge of any backend server.
 
@@ -130,6 +131,7 @@
                 considered for, given the service time and the time.
             round_trip_s: Returns the round trip to a node in seconds; negative
                 if unknown.
+            limits_cold: Returns whether cold servers of a service have a limit.
         """
         self._own = own
         self._board = board
@@ -137,6 +139,7 @@
         self._own_occupied = own_occupied
         self._draw = draw
         self._cold_share = cold_share
+        self._limits_cold = limits_cold
         self._round_trip_s = round_trip_s
         self._answer_sizes = answer_sizes.AnswerSizes()
         self._states: dict[str, _BackendState] = {}
@@ -226,13 +229,19 @@
         evacuations = self._board.evacuations.value
         held_back = regions.held_back(evacuations, now, self._draw)
 
+        is_open_to_all = (
+            call.allowed_regions is None
+            and not evacuations.evacuated
+            and not held_back
+        )
+
         def is_available(member: members_lib.Member) -> bool:
             node_id = member.node_id
-            return (
-                node_id not in tried
-                and regions.allows(member, call.allowed_regions, evacuations)
+            if node_id in tried or not self._is_available(node_id, now):
+                return False
+            return is_open_to_all or (
+                regions.allows(member, call.allowed_regions, evacuations)
                 and member.data_centre not in held_back
-                and self._is_available(node_id, now)
             )
 
         def is_warm(member: members_lib.Member) -> bool:
@@ -248,9 +257,11 @@
         size = body_bytes
         size += self._answer_sizes.expected_bytes(call.route_name)
         while True:
-            candidates = self._sampled(
-                groups, is_warm, kind, now
-            ) or self._sampled(groups, is_available, kind, now)
+            candidates = []
+            if self._limits_cold(call.service):
+                candidates = self._sampled(groups, is_warm, kind, now)
+            if not candidates:
+                candidates = self._sampled(groups, is_available, kind, now)
             chosen = choose(candidates, size)
             if chosen is not None or not held_back:
                 return Comparison(chosen, candidates, size)
