Take the retry time of unconfirmed keys from where it stands now

The checks of a request had moved to gateway/request_checks.py, and the preview of a placement still named the constant in the entry node's module: while keys were not confirmed, /where ended with an AttributeError. Found by reading; no other attribute of the package's modules is missing (checked by a script over all of them). The new test fails before.

--- a/tests/test_gateway/test_gateway_placement_preview.py
+++ b/tests/test_gateway/test_gateway_placement_preview.py
@@ -253,6 +253,20 @@
     uvloop.run(run())
 
 
+def test_preview_fails_while_keys_are_not_confirmed():
+    """Guards against a name that moved to another module."""
+
+    async def run() -> dict:
+        node = _Node(3)
+        node.preview._access._is_confirmed = lambda: False
+        return node.preview.explain(_QUERY)
+
+    refusal = uvloop.run(run())["refusal"]
+    assert refusal["reason"] == "keys-unconfirmed"
+    assert refusal["status"] == 503
+    assert refusal["retry_after_s"] == [0.5, 0.75]
+
+
 def test_key_is_shown_or_a_malformed_query_is_an_exception():
     async def run(target: bytes) -> http_types.HttpAnswer:
         request = http_types.HttpRequest(b"GET", target, (), b"", 0.0)
--- a/trefoilwind/gateway/placement_preview.py
+++ b/trefoilwind/gateway/placement_preview.py
@@ -14,6 +14,7 @@
 from trefoilwind.gateway import http_types
 from trefoilwind.gateway import picker as picker_lib
 from trefoilwind.gateway import quotas as quotas_lib
+from trefoilwind.gateway import request_checks
 from trefoilwind.model import mesh
 from trefoilwind.routing import placement
 from trefoilwind.routing import regions
@@ -119,7 +120,7 @@
                 return document | _refusal(
                     customer.reason,
                     _STATUS_UNAVAILABLE,
-                    entry_lib.KEYS_UNCONFIRMED_RETRY_S,
+                    request_checks.KEYS_UNCONFIRMED_RETRY_S,
                 )
             return document | _refusal(customer.reason, _STATUS_UNAUTHORIZED)
         if query.body_bytes > configuration.limits.max_body_bytes:
