Note arrivals of kinds only where long work is limited

Queues of more than six slots noted the arrival of each kind and never read it, on the path of every call. Their decisions stay as they are. Tests of the queue and the emulator pass.

--- a/trefoilwind/routing/call_queue.py
+++ b/trefoilwind/routing/call_queue.py
@@ -380,8 +380,9 @@
                 self._customers.record_started(ticket.customer, service_s, now)
 
     def _record_arrival(self, ticket: Ticket, now: float) -> None:
-        rank = -1 if ticket.is_nested else ticket.rank
-        self._arrivals[ticket.kind] = (now, rank)
+        if self._rules.limits_long_work:
+            rank = -1 if ticket.is_nested else ticket.rank
+            self._arrivals[ticket.kind] = (now, rank)
         if self._rules.is_fair:
             self._kinds.record_asked(ticket.kind, now)
             if ticket.customer:
