Use one check and one heartbeat in tests that had two copies

The uploads against a server that resets its connection were checked by the same loop for the backend client and for a path of two nodes, and two modules built the same heartbeat. The assertions are the same. Tests of both modules pass.

--- a/tests/test_platform/fakes.py
+++ b/tests/test_platform/fakes.py
@@ -19,6 +19,16 @@
 _SILENCE_S = 3600.0
 
 
+def heartbeat(address: addresses.Address) -> bytes:
+    """Return the first heartbeat of a backend server with two slots."""
+    document = {
+        "address": str(address),
+        "info": {"service": "s", "version": "v1", "zone": "z", "slots": 2},
+        "status": {"state": "ready", "seq": 1, "cold_left_s": 0},
+    }
+    return json.dumps(document).encode()
+
+
 class StoreServer:
     """HTTP server with keyed topics in memory.
 
--- a/tests/test_platform/test_platform_program.py
+++ b/tests/test_platform/test_platform_program.py
@@ -321,12 +321,7 @@
         return await _until_served(self._ports["ready"], "/-/readiness")
 
     async def _announce(self) -> bytes:
-        document = {
-            "address": str(self._backend.address),
-            "info": {"service": "s", "version": "v1", "zone": "z", "slots": 2},
-            "status": {"state": "ready", "seq": 1, "cold_left_s": 0},
-        }
-        body = json.dumps(document).encode()
+        body = fakes.heartbeat(self._backend.address)
         reader, writer = await asyncio.open_connection(
             fakes.HOST, self._ports["control"]
         )
--- a/tests/test_platform/test_platform_program_callers.py
+++ b/tests/test_platform/test_platform_program_callers.py
@@ -130,12 +130,7 @@
         return await self._status("outbound", _HEAD + length, body)
 
     async def _announce(self) -> bytes:
-        document = {
-            "address": str(self._backend.address),
-            "info": {"service": "s", "version": "v1", "zone": "z", "slots": 2},
-            "status": {"state": "ready", "seq": 1, "cold_left_s": 0},
-        }
-        body = json.dumps(document).encode()
+        body = fakes.heartbeat(self._backend.address)
         head = b"PUT /-/instances/i1 HTTP/1.1\r\nHost: n1\r\n"
         length = b"Content-Length: %d\r\n" % len(body)
         return await self._status("control", head + length, body)
--- a/tests/test_proxy/fakes.py
+++ b/tests/test_proxy/fakes.py
@@ -8,8 +8,11 @@
 import threading
 import time
 
+import pytest
+
 from trefoilwind import clock as clock_lib
 from trefoilwind import environment as environment_lib
+from trefoilwind import errors
 from trefoilwind import settings as settings_lib
 from trefoilwind.distribution import frames
 from trefoilwind.distribution import stream as stream_lib
@@ -92,6 +95,25 @@
     connection.close()
 
 
+def check_no_part_is_whole(
+    call: Callable[[calls.Request], calls.Answer | errors.CallError],
+) -> None:
+    """Upload to a server with the script `cut_upload`, and check the results.
+
+    Args:
+        call: Sends a request and returns its answer or an error.
+    """
+    for _ in range(20):
+        chunks = (b"x" * 65536 for _ in range(1000))
+        result = call(request(chunks, 65_536_000, "POST"))
+        if isinstance(result, errors.CallError):
+            assert not result.not_run
+            continue
+        with pytest.raises(calls.BodyCut):
+            list(result.body)
+        result.close()
+
+
 def answers(text: bytes) -> Callable[[socket.socket], None]:
     """Return a script that answers each request with the same bytes."""
 
--- a/tests/test_proxy/test_proxy_backend.py
+++ b/tests/test_proxy/test_proxy_backend.py
@@ -253,12 +253,4 @@
 
 def test_a_part_of_an_answer_that_a_reset_ends_in_an_upload_is_not_whole(serve):
     _, client = serve(fakes.cut_upload)
-    for _ in range(20):
-        chunks = (b"x" * 65536 for _ in range(1000))
-        result = client.call(fakes.request(chunks, 65_536_000, "POST"))
-        if isinstance(result, errors.CallError):
-            assert not result.not_run
-            continue
-        with pytest.raises(calls.BodyCut):
-            list(result.body)
-        result.close()
+    fakes.check_no_part_is_whole(client.call)
--- a/tests/test_proxy/test_proxy_path.py
+++ b/tests/test_proxy/test_proxy_path.py
@@ -340,15 +340,7 @@
 
 def test_a_part_of_an_answer_that_a_reset_ends_is_not_whole_on_a_path(connect):
     path = connect(fakes.cut_upload)
-    for _ in range(20):
-        chunks = (b"x" * 65536 for _ in range(1000))
-        result = path.call(fakes.request(chunks, 65_536_000, "POST"))
-        if isinstance(result, errors.CallError):
-            assert not result.not_run
-            continue
-        with pytest.raises(calls.BodyCut):
-            list(result.body)
-        result.close()
+    fakes.check_no_part_is_whole(path.call)
 
 
 @pytest.mark.parametrize("status", [b"000", b"99", b"600", b"1000", b"0200"])
