--- a/review/kit2/nodes.py
+++ b/review/kit2/nodes.py
@@ -100,24 +100,41 @@
 )
 _START_S = 20.0
 _PORT_RANGE = (10000, 30000)
+_BLOCK_PORTS = 128
+_block: list[int] = []
+_locks: list[socket.socket] = []
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address.
+    """Return ports of the loopback address that nothing else uses.
 
     They lie below those that the system gives to clients, which could take
-    the port of a process that is away.
+    the port of a process that is away, in a block that no other case gets.
     """
-    found: list[int] = []
-    while len(found) < count:
-        port = random.randrange(*_PORT_RANGE)
+    if not _block:
+        _block.extend(_claim_block())
+    return [_block.pop() for _ in range(count)]
+
+
+def _claim_block() -> list[int]:
+    """Return the ports of a free block; its first port stays taken."""
+    blocks = list(range(*_PORT_RANGE, _BLOCK_PORTS))
+    random.shuffle(blocks)
+    for first in blocks:
+        try:
+            lock = socket.create_server((http.HOST, first))
+        except OSError:
+            continue
         try:
-            socket.create_server((http.HOST, port)).close()
+            for port in range(first + 1, first + _BLOCK_PORTS):
+                socket.create_server((http.HOST, port)).close()
         except OSError:
+            lock.close()
             continue
-        if port not in found:
-            found.append(port)
-    return found
+        # Held until the process ends.
+        _locks.append(lock)
+        return list(range(first + 1, first + _BLOCK_PORTS))
+    raise OSError("no free block of ports")
 
 
 class Node:
