--- a/review/kit2/upstream.py
+++ b/review/kit2/upstream.py
@@ -9,6 +9,7 @@
 from review.kit2 import http
 
 HEARTBEAT_S = 1.5
+_REPEAT_S = 0.2
 # Runs and waiting requests beyond which a request is rejected, per slot.
 _QUEUE = 1.5
 
@@ -153,9 +154,17 @@
 
     async def _beat(self) -> None:
         while True:
+            status = 200
             if self.state == "ready":
-                await self.beat()
-            await asyncio.sleep(HEARTBEAT_S)
+                status = await self.beat()
+            if status == 200:
+                await asyncio.sleep(HEARTBEAT_S)
+                continue
+            self._note(
+                f"heartbeat {self._sequence} of born {self.born}: {status}"
+            )
+            # Not acknowledged; no other node takes it here.
+            await asyncio.sleep(_REPEAT_S)
 
     async def _serve(
         self, request: http.Message, writer: asyncio.StreamWriter
