--- a/review/kit2/http.py
+++ b/review/kit2/http.py
@@ -105,14 +105,16 @@
 class Server:
     """Serves connections with one request at a time; keeps them open."""
 
-    def __init__(self, handler: Handler):
+    def __init__(self, handler: Handler, drops: bool = True):
         """Initialize a server that does not listen.
 
         Args:
             handler: Returns the bytes of the answer; empty bytes close the
                 connection.
+            drops: True if a request is dropped when its connection closes.
         """
         self._handler = handler
+        self._drops = drops
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -158,6 +160,8 @@
         writer: asyncio.StreamWriter,
     ) -> bytes:
         """Run the handler; drop the request when its connection closes."""
+        if not self._drops:
+            return await self._handler(request, writer)
         work = asyncio.ensure_future(self._handler(request, writer))
         end = asyncio.ensure_future(_wait_end(reader))
         try:
--- a/review/kit2/upstream.py
+++ b/review/kit2/upstream.py
@@ -10,6 +10,8 @@
 
 HEARTBEAT_S = 1.5
 _REPEAT_S = 0.2
+# Part of its work after which it makes its call.
+_CALL_AT = 0.8
 # Runs and waiting requests beyond which a request is rejected, per slot.
 _QUEUE = 1.5
 
@@ -22,11 +24,13 @@
         seconds: Time that it takes.
         answer_bytes: Size of the answer.
         status: Status of the answer.
+        call: Path that it calls near the end of its work; empty for none.
     """
 
     seconds: float = 0.02
     answer_bytes: int = 400
     status: int = 200
+    call: str = ""
 
 
 @dataclasses.dataclass
@@ -62,6 +66,7 @@
         work: Callable[[http.Message], Work] = lambda request: Work(),
         note: Callable[[str], None] = lambda text: None,
         version: str = "v1",
+        drops: bool = True,
     ):
         """Initialize an upstream that is not running.
 
@@ -73,7 +78,11 @@
             work: Returns what a request takes.
             note: Writes a line into the record.
             version: Version of its software.
+            drops: True if it drops a request when its connection closes.
         """
+        self._drops = drops
+        # Statuses of the answers to its own calls, by id; 0 for none.
+        self.calls: dict[str, int] = {}
         self._version = version
         self._ports = ports
         self._service = service
@@ -104,7 +113,7 @@
         self._sequence = 0
         self._present = 0
         self._running = asyncio.Semaphore(self._slots)
-        self._server = http.Server(self._serve)
+        self._server = http.Server(self._serve, self._drops)
         await self._server.listen(self._ports["app"])
         self._beats = asyncio.ensure_future(self._beat())
         self._note(f"upstream {instance} started, born {self.born}")
@@ -166,6 +175,21 @@
             # Not acknowledged; no other node takes it here.
             await asyncio.sleep(_REPEAT_S)
 
+    async def _call(self, parent: http.Message, path: str, due: float) -> bool:
+        """Make a call through the node; return True if it succeeds."""
+        left_s = due - time.monotonic()
+        request_id = f"{parent.headers['x-request-id']}.1"
+        headers = {
+            "Host": parent.headers["host"],
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": str(max(1, int(left_s * 1000))),
+        }
+        answer = await http.call(
+            self._ports["outbound"], f"GET {path}", headers, timeout_s=left_s
+        )
+        self.calls[request_id] = answer.status if answer is not None else 0
+        return answer is not None and answer.status == 200
+
     async def _serve(
         self, request: http.Message, writer: asyncio.StreamWriter
     ) -> bytes:
@@ -198,7 +222,13 @@
                 self.runs.append(run)
                 work = self._work(request)
                 left_s = due - time.monotonic()
-                await asyncio.sleep(min(work.seconds, left_s))
+                seconds = min(work.seconds, left_s)
+                if work.call:
+                    await asyncio.sleep(_CALL_AT * seconds)
+                    if not await self._call(request, work.call, due):
+                        work.status = 500
+                    seconds *= 1 - _CALL_AT
+                await asyncio.sleep(seconds)
         finally:
             self._present -= 1
         own["X-Server-Seal"] = f"{self.instance}.{request_id}"
