--- a/review/kit2/upstream.py
+++ b/review/kit2/upstream.py
@@ -10,6 +10,9 @@
 
 HEARTBEAT_S = 1.5
 _REPEAT_S = 0.2
+# It works more slowly at first.
+_COLD_S = 3.0
+_COLD_FACTOR = 2.0
 # Part of its work after which it makes its call.
 _CALL_AT = 0.8
 # Runs and waiting requests beyond which a request is rejected, per slot.
@@ -95,6 +98,7 @@
         self._running = asyncio.Semaphore(slots)
         self._present = 0
         self._sequence = 0
+        self._started = 0.0
         self.instance = ""
         self.born = 0
         self.state = "ready"
@@ -111,6 +115,7 @@
         self.born = int((time.time() + clock_s) * 1000)
         self.state = "ready"
         self._sequence = 0
+        self._started = time.monotonic()
         self._present = 0
         self._running = asyncio.Semaphore(self._slots)
         self._server = http.Server(self._serve, self._drops)
@@ -142,7 +147,7 @@
             "status": {
                 "state": self.state,
                 "seq": self._sequence,
-                "cold_left_s": 0,
+                "cold_left_s": round(self._cold_left_s, 3),
             },
         }
         answer = await http.call(
@@ -154,6 +159,10 @@
         )
         return answer.status if answer is not None else 0
 
+    @property
+    def _cold_left_s(self) -> float:
+        return max(0.0, self._started + _COLD_S - time.monotonic())
+
     async def delete(self) -> int:
         """Deregister it; return the status of the answer, 0 for none."""
         answer = await http.call(
@@ -163,9 +172,7 @@
 
     async def _beat(self) -> None:
         while True:
-            status = 200
-            if self.state == "ready":
-                status = await self.beat()
+            status = await self.beat()
             if status == 200:
                 await asyncio.sleep(HEARTBEAT_S)
                 continue
@@ -200,6 +207,8 @@
             return http.encode(f"HTTP/1.1 {status} Health", own)
         request_id = request.headers.get("x-request-id", "")
         own = {"X-Request-Id": request_id, "Keep-Alive": "timeout=10"}
+        if self.state != "ready":
+            own["Connection"] = "close"
         not_run = own | {"X-Not-Executed": "1"}
         if request.headers.get("x-expect-instance", "") != self.instance:
             not_run["X-Instance-Id"] = self.instance
@@ -222,6 +231,8 @@
                 self.runs.append(run)
                 work = self._work(request)
                 left_s = due - time.monotonic()
+                if self._cold_left_s:
+                    work.seconds *= _COLD_FACTOR
                 seconds = min(work.seconds, left_s)
                 if work.call:
                     await asyncio.sleep(_CALL_AT * seconds)
