--- a/review/kit2/case.py
+++ b/review/kit2/case.py
@@ -19,11 +19,6 @@
 _MOST_S = 110.0
 
 
-def has_trouble() -> bool:
-    """Return False if the case is to run without its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def main(
     file: str,
     run: Callable[[pathlib.Path, nodes.Record], Awaitable[bool]],
@@ -36,7 +31,7 @@
             broken.
     """
     record = nodes.Record(pathlib.Path(file).with_name("record.txt"))
-    record.note(f"trouble: {'yes' if has_trouble() else 'no'}")
+    record.note(f"TROUBLE={os.environ.get('TROUBLE', '1')}")
     code = NOT_RUN
     try:
         with nodes.temporary_folder() as name:
--- a/review/kit2/crowd.py
+++ b/review/kit2/crowd.py
@@ -11,7 +11,12 @@
 
 _HOST = "127.0.0.1"
 _PAUSE_S = 0.3
-_SEND_BYTES = 64 * 1024
+# Bytes that all callers together send in a second: a quarter of a link of
+# 1,000 Mbit/s, so that no packet waits there.
+_RATE = 30_000_000
+# Time for which unused bytes are saved up.
+_SAVED_S = 0.05
+_SEND_BYTES = 16 * 1024
 _READ_BYTES = 64 * 1024
 
 
@@ -50,15 +55,22 @@
     selector = selectors.DefaultSelector()
     callers = [_Caller(number, per_connection) for number in range(count)]
     both = selectors.EVENT_READ | selectors.EVENT_WRITE
+    allowed = 0.0
+    last = time.monotonic()
     while True:
         now = time.monotonic()
+        allowed = min(_RATE * _SAVED_S, allowed + _RATE * (now - last))
+        last = now
+        if allowed < 0.0:
+            time.sleep(0.005)
+            continue
         for caller in callers:
             if caller.sock is None and now >= caller.due:
                 selector.register(caller.connect(port), both, caller)
         for key, events in selector.select(0.1):
             caller = key.data
             try:
-                _serve(selector, caller, events)
+                allowed -= _serve(selector, caller, events)
             except BlockingIOError:
                 continue
             except OSError:
@@ -70,19 +82,21 @@
 
 def _serve(
     selector: selectors.BaseSelector, caller: _Caller, events: int
-) -> None:
-    """Read answers and send requests.
+) -> int:
+    """Read answers and send requests; return the number of bytes sent.
 
     Raises:
         OSError: The connection has ended.
     """
     if events & selectors.EVENT_READ and not caller.sock.recv(_READ_BYTES):
         raise ConnectionResetError
+    count = 0
     if events & selectors.EVENT_WRITE and caller.rest:
         count = caller.sock.send(caller.rest[:_SEND_BYTES])
         caller.rest = caller.rest[count:]
         if not caller.rest:
             selector.modify(caller.sock, selectors.EVENT_READ, caller)
+    return count
 
 
 if __name__ == "__main__":
