--- a/review/kit2/crowd.py
+++ b/review/kit2/crowd.py
@@ -41,9 +41,9 @@
             self._sent += 1
             requests.append(
                 b"GET /look/1 HTTP/1.1\r\nHost: mesh.example\r\n"
-                b"X-Request-Id: crowd-%d-%d\r\nX-Deadline-Ms: 1500\r\n"
+                b"X-Request-Id: crowd-%d-%d-%d\r\nX-Deadline-Ms: 1500\r\n"
                 b"User-Agent: %s\r\n\r\n"
-                % (self._number, self._sent, b"u" * 1000)
+                % (port, self._number, self._sent, b"u" * 1000)
             )
         self.rest = memoryview(b"".join(requests))
         return self.sock
